--- a/internal/failure/codes.go
+++ b/internal/failure/codes.go
@@ -55,6 +55,14 @@
 	Internal Code = "internal"
 )
 
+// Codes between daemons. They reach no caller.
+const (
+	// PeerUnreachable means that another daemon could not be called, or fell silent.
+	PeerUnreachable Code = "peer_unreachable"
+	// NotBroker means that the daemon that was asked does not broker the pool.
+	NotBroker Code = "not_broker"
+)
+
 // Codes of operations by operators.
 const (
 	// NotFound means that no object of that name exists.
@@ -95,6 +103,8 @@
 	Conflict:            http.StatusConflict,
 	InvalidObject:       http.StatusUnprocessableEntity,
 	ResultUnknown:       http.StatusBadGateway,
+	PeerUnreachable:     http.StatusServiceUnavailable,
+	NotBroker:           http.StatusServiceUnavailable,
 }
 
 // statusClientClosedRequest is the customary, unregistered status for a caller that left.
