--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -207,3 +207,8 @@
 	checkRange(&out, "max_concurrent", e.MaxConcurrent, 0, maxConcurrent)
 	return out
 }
+
+// Has reports whether a problem with exactly this path is in p.
+func (p Problems) Has(path string) bool {
+	return lo.ContainsBy(p, func(x Problem) bool { return x.Path == path })
+}
