--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -28,8 +28,15 @@
 	// Full is true if Records hold the whole configuration.
 	Full    bool
 	Records []catalog.Record
-	// Deleted maps the keys of deleted records to the version of the deletion.
-	Deleted map[string]int64
+	// Deleted names the records that were removed.
+	Deleted []Tombstone
+}
+
+// Tombstone is the deletion of a record at a version.
+type Tombstone struct {
+	Kind    catalog.Kind
+	Name    string
+	Version int64
 }
 
 // Peers fetches configuration from other daemons.
