Add stand-ins for a model engine and a plain service

Cause: the router is tested against endpoints that batch, cache, report late and fail. Change: an HTTP engine with the OpenAI API, priority, resume, prefix cache, lagging load report, cache events with gaps, a record of runs, and faults by Go call or HTTP control; a plain service that counts runs by idempotency key. Both share a server that can crash: it resets connections, refuses new ones, and listens again at the same address.

--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,126 @@
+package engine_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/standin/engine"
+)
+
+func start(options engine.Options) (*engine.Server, string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ctx, stop := context.WithCancel(context.Background())
+	s := engine.New(options)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(ctx, ln)
+	}()
+	DeferCleanup(func() { stop(); <-done })
+	return s, "http://" + ln.Addr().String()
+}
+
+func post(url, body string) (int, string) {
+	res, err := http.Post(url, "application/json", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = res.Body.Close() }()
+	data, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(data)
+}
+
+const hello = `{"model":"standin","messages":[{"role":"user","content":"hello"}]`
+
+var messages = []engine.Message{{Role: "user", Content: "hello"}}
+
+// streamed joins the text of a chat stream.
+func streamed(body string) (text string, done bool) {
+	for line := range strings.SplitSeq(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return text, true
+		}
+		var c struct {
+			Choices []struct{ Delta engine.Message }
+		}
+		Expect(json.Unmarshal([]byte(data), &c)).To(Succeed())
+		for _, one := range c.Choices {
+			text += one.Delta.Content
+		}
+	}
+	return text, false
+}
+
+var _ = Describe("the engine stand-in", func() {
+	It("gives the same answer whole and streamed, and records both runs", func() {
+		s, url := start(engine.Options{})
+		want := s.Options().ChatAnswer(messages, 0)
+		_, whole := post(url+"/v1/chat/completions", hello+"}")
+		Expect(whole).To(ContainSubstring(want))
+		_, body := post(url+"/v1/chat/completions", hello+`,"stream":true}`)
+		text, done := streamed(body)
+		Expect(done).To(BeTrue())
+		Expect(text).To(Equal(want))
+		Eventually(s.Runs).Should(HaveLen(2))
+		Expect(s.Runs()[1].Completed).To(BeTrue())
+	})
+
+	It("resumes from a final assistant message", func() {
+		s, url := start(engine.Options{})
+		words := strings.SplitAfterN(s.Options().ChatAnswer(messages, 0), " ", 5)
+		head := strings.TrimSuffix(strings.Join(words[:4], ""), " ")
+		_, body := post(url+"/v1/chat/completions", `{"model":"standin","stream":true,"continue_final_message":true,
+			"add_generation_prompt":false,"messages":[{"role":"user","content":"hello"},{"role":"assistant","content":"`+head+`"}]}`)
+		text, done := streamed(body)
+		Expect(done).To(BeTrue())
+		Expect(head + text).To(Equal(s.Options().ChatAnswer(messages, 0)))
+	})
+
+	It("crashes mid-answer, refuses connections, and comes back", func() {
+		s, url := start(engine.Options{})
+		s.SetFaults(engine.Faults{CrashAfterTokens: 3, DownMS: 50, Times: 1})
+		res, err := http.Post(url+"/v1/chat/completions", "application/json", strings.NewReader(hello+`,"stream":true}`))
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(res.Body)
+		Expect(err).To(HaveOccurred())
+		_, done := streamed(string(body))
+		Expect(done).To(BeFalse())
+		Eventually(func() error {
+			again, err := http.Get(url + "/health")
+			if err == nil {
+				_ = again.Body.Close()
+			}
+			return err
+		}).WithTimeout(10 * time.Second).Should(Succeed())
+	})
+
+	It("publishes load and late cache events", func() {
+		s, url := start(engine.Options{EventGapEvery: 2})
+		long := strings.Repeat("archive ", 100)
+		for _, suffix := range []string{"one", "two"} {
+			_, _ = post(url+"/v1/completions", `{"model":"standin","prompt":"`+long+suffix+strings.Repeat(suffix, 200)+`"}`)
+		}
+		res, err := http.Get(url + "/kv_events?since=0")
+		Expect(err).NotTo(HaveOccurred())
+		var page engine.EventPage
+		Expect(json.NewDecoder(res.Body).Decode(&page)).To(Succeed())
+		Expect(page.Events).To(HaveLen(1), "the second event is lost")
+		s.Leave()
+		load, err := http.Get(url + "/metrics")
+		Expect(err).NotTo(HaveOccurred())
+		text, _ := io.ReadAll(load.Body)
+		Expect(string(text)).To(ContainSubstring("vllm:num_requests_running"))
+		Expect(string(text)).To(ContainSubstring(`engine:leaving{model_name="standin"} 1`))
+	})
+})
--- /dev/null
+++ b/internal/standin/service/server.go
@@ -0,0 +1,202 @@
+// Package service is a small stand-in for a plain HTTP service whose calls may not
+// be repeated. It counts what it ran by idempotency key and fails on demand.
+package service
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/primrosewell/primrosewell/internal/standin/faultserver"
+)
+
+const maxBodyBytes = 16 << 20
+
+// Options shape the service.
+type Options struct {
+	// Delay is how long each call takes.
+	Delay time.Duration
+}
+
+// Faults says how the service misbehaves. The zero value is a sound service.
+type Faults struct {
+	// CrashAfterRun crashes the service after it ran a call, before the answer.
+	CrashAfterRun bool `json:"crash_after_run,omitempty"`
+	// DownMS is how long it refuses connections after a crash, in milliseconds; negative
+	// means for good.
+	DownMS int `json:"down_ms,omitempty"`
+	// Refuse answers with 503 before the call runs.
+	Refuse bool `json:"refuse,omitempty"`
+	// Silent never answers a call that it ran.
+	Silent bool `json:"silent,omitempty"`
+	// Half ends the connection in the middle of the answer.
+	Half bool `json:"half,omitempty"`
+	// Times is how often a fault fires; zero means always.
+	Times int `json:"times,omitempty"`
+}
+
+// Run records one call that the service ran.
+type Run struct {
+	RequestID      string    `json:"request_id"`
+	IdempotencyKey string    `json:"idempotency_key,omitempty"`
+	Method         string    `json:"method"`
+	Path           string    `json:"path"`
+	Digest         string    `json:"digest"`
+	Started        time.Time `json:"started"`
+	Refused        bool      `json:"refused"`
+}
+
+// Answer is the body of every answer.
+type Answer struct {
+	Method  string `json:"method"`
+	Path    string `json:"path"`
+	Query   string `json:"query"`
+	Digest  string `json:"digest"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// Server is the stand-in. Methods may be called concurrently.
+type Server struct {
+	options Options
+	http    *faultserver.Server
+
+	mu      sync.Mutex
+	faults  Faults
+	fired   int
+	leaving bool
+	runs    []Run
+}
+
+// New returns a service that is not serving yet.
+func New(options Options) *Server {
+	s := &Server{options: options}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Runs()) })
+	mux.HandleFunc("POST /control/leave", func(http.ResponseWriter, *http.Request) { s.Leave() })
+	mux.HandleFunc("POST /control/faults", s.controlFaults)
+	mux.HandleFunc("/", s.call)
+	s.http = faultserver.New(mux)
+	return s
+}
+
+// Serve runs the service on ln until ctx ends.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error { return s.http.Serve(ctx, ln) }
+
+// Runs returns a copy of every record, in order of arrival.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run{}, s.runs...)
+}
+
+// RunsByKey counts the calls that ran under each idempotency key.
+func (s *Server) RunsByKey() map[string]int {
+	counts := map[string]int{}
+	for _, r := range s.Runs() {
+		if r.IdempotencyKey != "" && !r.Refused {
+			counts[r.IdempotencyKey]++
+		}
+	}
+	return counts
+}
+
+// Leave makes the service report that it is going away.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults, s.fired = f, 0
+}
+
+// Crash aborts all connections at once and refuses new ones for downFor.
+func (s *Server) Crash(downFor time.Duration) { s.http.Crash(downFor) }
+
+func (s *Server) controlFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		panic(http.ErrAbortHandler) // the connection ended; the call was not taken.
+	}
+	run := Run{
+		RequestID: r.Header.Get("X-Request-Id"), IdempotencyKey: r.Header.Get("Idempotency-Key"),
+		Method: r.Method, Path: r.URL.Path, Digest: Digest(body), Started: time.Now(),
+	}
+	faults, leaving := s.take(&run)
+	if run.Refused {
+		http.Error(w, "refused before starting", http.StatusServiceUnavailable)
+		return
+	}
+	select {
+	case <-time.After(s.options.Delay):
+	case <-r.Context().Done():
+		return
+	}
+	s.answer(w, r, run, faults, leaving)
+}
+
+// take records the run and returns the faults that strike it.
+func (s *Server) take(run *Run) (Faults, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.faults
+	if f.Times > 0 && s.fired >= f.Times {
+		f = Faults{}
+	}
+	if f != (Faults{}) {
+		s.fired++
+	}
+	run.Refused = f.Refuse
+	s.runs = append(s.runs, *run)
+	return f, s.leaving
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, run Run, f Faults, leaving bool) {
+	switch {
+	case f.CrashAfterRun:
+		s.Crash(time.Duration(f.DownMS) * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	case f.Silent:
+		<-r.Context().Done()
+		return
+	}
+	data, _ := json.Marshal(Answer{Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Digest: run.Digest, Leaving: leaving})
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if f.Half {
+		_, _ = w.Write(data[:len(data)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(data)
+}
+
+// Digest identifies a body in records and answers.
+func Digest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
