--- /dev/null
+++ b/internal/platform/wire/wire.go
@@ -0,0 +1,59 @@
+// Package wire holds the JSON messages and paths of the platform's object API,
+// as the client and the stand-in exchange them.
+package wire
+
+// Paths and query parameters.
+const (
+	// BasePath is the root of the object API.
+	BasePath = "/apis/primrosewell/v1"
+	// VMsPath answers the list of VMs.
+	VMsPath = BasePath + "/vms"
+	// PrefixParam selects the names of a list.
+	PrefixParam = "prefix"
+	// WatchParam turns a list into a watch.
+	WatchParam = "watch"
+	// VersionParam is the version to watch from, or the version to delete at.
+	VersionParam = "resourceVersion"
+)
+
+// Object is a stored object. Data is base64 in JSON.
+type Object struct {
+	Collection string `json:"collection"`
+	Name       string `json:"name"`
+	Version    int64  `json:"resourceVersion"`
+	Data       []byte `json:"data,omitempty"`
+}
+
+// List is the answer to a list.
+type List struct {
+	Version int64    `json:"resourceVersion"`
+	Items   []Object `json:"items"`
+}
+
+// LineType names what a line of a watch stream carries.
+type LineType string
+
+const (
+	// LinePut carries a created or updated object.
+	LinePut LineType = "put"
+	// LineDeleted carries the name and version of a removed object.
+	LineDeleted LineType = "deleted"
+	// LineBookmark carries only the version that the watch has reached.
+	LineBookmark LineType = "bookmark"
+	// LineError carries the reason why the watch ends.
+	LineError LineType = "error"
+)
+
+// Line is one line of a watch stream.
+type Line struct {
+	Type   LineType `json:"type"`
+	Object *Object  `json:"object,omitempty"`
+	Error  *Status  `json:"error,omitempty"`
+}
+
+// Status is the body of every answer that is not a success.
+type Status struct {
+	Reason       string `json:"reason"`
+	Message      string `json:"message,omitempty"`
+	RetryAfterMS int64  `json:"retryAfterMs,omitempty"`
+}
