--- a/internal/failure/codes.go
+++ b/internal/failure/codes.go
@@ -71,6 +71,8 @@
 	Conflict Code = "conflict"
 	// InvalidObject means that the object failed validation; the message lists each field.
 	InvalidObject Code = "invalid_object"
+	// Unreachable means that the daemon could not be called from the command line.
+	Unreachable Code = "unreachable"
 	// ResultUnknown means that the platform stayed away, so whether the change was stored is not known.
 	ResultUnknown Code = "result_unknown"
 )
@@ -102,6 +104,7 @@
 	NotFound:            http.StatusNotFound,
 	Conflict:            http.StatusConflict,
 	InvalidObject:       http.StatusUnprocessableEntity,
+	Unreachable:         http.StatusBadGateway,
 	ResultUnknown:       http.StatusBadGateway,
 	PeerUnreachable:     http.StatusServiceUnavailable,
 	NotBroker:           http.StatusServiceUnavailable,
