--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -54,7 +54,6 @@
 	}
 }
 
-
 // shardCount is a power of two.
 const shardCount = 16
 
