--- /dev/null
+++ b/internal/admin/client.go
@@ -0,0 +1,117 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/failure"
+)
+
+// callTimeout covers the wait until a change is in force everywhere.
+const callTimeout = 20 * time.Second
+
+// Client calls the admin API of a daemon. It may be used concurrently.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// NewClient returns a client of the daemon at base, such as http://192.0.2.1:8081.
+func NewClient(base, token string) *Client {
+	return &Client{base: strings.TrimRight(base, "/"), token: token, http: &http.Client{Timeout: callTimeout}}
+}
+
+// Status describes the daemon.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	return out, c.call(ctx, http.MethodGet, statusPath, nil, nil, &out)
+}
+
+// Drain starts a graceful shutdown of the daemon.
+func (c *Client) Drain(ctx context.Context) (DrainResult, error) {
+	var out DrainResult
+	return out, c.call(ctx, http.MethodPost, drainPath, nil, nil, &out)
+}
+
+// List returns the objects of a kind.
+func (c *Client) List(ctx context.Context, kind catalog.Kind) (RecordList, error) {
+	var out RecordList
+	return out, c.call(ctx, http.MethodGet, objectPath+"/"+string(kind), nil, nil, &out)
+}
+
+// Get returns one object.
+func (c *Client) Get(ctx context.Context, kind catalog.Kind, name string) (catalog.Record, error) {
+	var out catalog.Record
+	return out, c.call(ctx, http.MethodGet, pathOf(kind, name), nil, nil, &out)
+}
+
+// Apply stores an object; a nil version means whatever is stored now.
+func (c *Client) Apply(ctx context.Context, kind catalog.Kind, name string, spec []byte, version *int64) (ApplyResult, error) {
+	var out ApplyResult
+	return out, c.call(ctx, http.MethodPut, pathOf(kind, name), spec, version, &out)
+}
+
+// Delete removes an object; a nil version means whatever is stored now.
+func (c *Client) Delete(ctx context.Context, kind catalog.Kind, name string, version *int64) (ApplyResult, error) {
+	var out ApplyResult
+	return out, c.call(ctx, http.MethodDelete, pathOf(kind, name), nil, version, &out)
+}
+
+func pathOf(kind catalog.Kind, name string) string {
+	return objectPath + "/" + string(kind) + "/" + url.PathEscape(name)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, version *int64, out any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return failure.Wrap(err, failure.InvalidRequest, "address of the admin API")
+	}
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	if version != nil {
+		request.Header.Set(IfVersionHeader, strconv.FormatInt(*version, 10))
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return unreachable(err, method)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return unreachable(err, method)
+	}
+	if response.StatusCode != http.StatusOK {
+		return failureIn(data, response.StatusCode)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return failure.Wrap(err, failure.Internal, "the daemon's answer could not be read")
+	}
+	return nil
+}
+
+// unreachable is of unknown outcome for a change, since the daemon may have taken it.
+func unreachable(err error, method string) *failure.Failure {
+	f := failure.Wrap(err, failure.Unreachable, "the daemon's admin API could not be reached")
+	if method == http.MethodGet {
+		return f
+	}
+	return f.WithOutcome(failure.Unknown)
+}
+
+func failureIn(data []byte, status int) error {
+	var body ErrorBody
+	if err := json.Unmarshal(data, &body); err != nil || body.Error.Code == "" {
+		return failure.New(failure.Internal, "the daemon answered with status "+strconv.Itoa(status))
+	}
+	return failure.New(failure.Code(body.Error.Code), body.Error.Message).
+		WithOutcome(failure.Outcome(body.Error.Outcome)).
+		WithRetryAfter(time.Duration(body.Error.RetryAfterMS) * time.Millisecond)
+}
--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,231 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/distribution"
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/settings"
+)
+
+const (
+	operatorLocal  = "operator"
+	requestIDLocal = "request_id"
+)
+
+// Objects is what the API does to configuration; *distribution.Distributor implements it.
+type Objects interface {
+	Apply(ctx context.Context, kind catalog.Kind, spec []byte, w distribution.WriteOptions) (distribution.ApplyResult, error)
+	Delete(ctx context.Context, kind catalog.Kind, name string, w distribution.WriteOptions) (distribution.ApplyResult, error)
+	Get(kind catalog.Kind, name string) (catalog.Record, error)
+	List(kind catalog.Kind) []catalog.Record
+	Revision() int64
+}
+
+// Options configures a Server. All fields are required.
+type Options struct {
+	Settings settings.Admin
+	Objects  Objects
+	// Status describes this daemon.
+	Status func(ctx context.Context) Status
+	// Drain starts a graceful shutdown and returns at once.
+	Drain   func()
+	Ready   func() error
+	Metrics http.Handler
+	Log     *logrus.Logger
+}
+
+// Server answers operators. Its methods may be called concurrently.
+type Server struct {
+	options Options
+	app     *fiber.App
+}
+
+// New returns a server that is not listening yet.
+func New(options Options) *Server {
+	s := &Server{options: options}
+	s.app = fiber.New(fiber.Config{ErrorHandler: s.handleError, BodyLimit: platform.MaxObjectBytes})
+	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	s.app.Get("/readyz", s.handleReady)
+	s.app.Use(s.authenticate)
+	s.app.Get("/metrics", adaptor.HTTPHandler(options.Metrics))
+	s.app.Get(statusPath, func(c fiber.Ctx) error { return c.JSON(options.Status(c.Context())) })
+	s.app.Post(drainPath, s.handleDrain)
+	s.app.Get(objectPath+"/:kind", s.handleList)
+	s.app.Get(objectPath+"/:kind/:name", s.handleGet)
+	s.app.Put(objectPath+"/:kind/:name", s.handleApply)
+	s.app.Delete(objectPath+"/:kind/:name", s.handleDelete)
+	return s
+}
+
+// Serve answers operators on listener until Shutdown.
+func (s *Server) Serve(listener net.Listener) error {
+	if err := s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true}); err != nil {
+		return failure.Wrap(err, failure.Internal, "operators' listener")
+	}
+	return nil
+}
+
+// Shutdown closes the listener and waits for calls in progress until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error { return s.app.ShutdownWithContext(ctx) }
+
+func (s *Server) authenticate(c fiber.Ctx) error {
+	token, ok := strings.CutPrefix(c.Get(fiber.HeaderAuthorization), "Bearer ")
+	if !ok {
+		return failure.New(failure.Unauthenticated, "header Authorization: allowed: Bearer and an operator's token")
+	}
+	sum := sha256.Sum256([]byte(token))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	for _, operator := range s.options.Settings.Operators {
+		if subtle.ConstantTimeCompare(hash, []byte(strings.ToLower(operator.TokenHash))) == 1 {
+			c.Locals(operatorLocal, operator.Name)
+			return c.Next()
+		}
+	}
+	return failure.New(failure.Unauthenticated, "the token belongs to no operator")
+}
+
+func (s *Server) handleReady(c fiber.Ctx) error {
+	if err := s.options.Ready(); err != nil {
+		return err
+	}
+	return c.SendString("ready\n")
+}
+
+func (s *Server) handleDrain(c fiber.Ctx) error {
+	status := s.options.Status(c.Context())
+	s.log(c, "drain", "", "").Info("operator ordered a drain")
+	s.options.Drain()
+	return c.JSON(DrainResult{VM: status.VM, InFlight: status.InFlight})
+}
+
+func (s *Server) handleList(c fiber.Ctx) error {
+	kind, err := kindOf(c)
+	if err != nil {
+		return err
+	}
+	return c.JSON(RecordList{Revision: s.options.Objects.Revision(), Items: s.options.Objects.List(kind)})
+}
+
+func (s *Server) handleGet(c fiber.Ctx) error {
+	kind, err := kindOf(c)
+	if err != nil {
+		return err
+	}
+	record, err := s.options.Objects.Get(kind, strings.Clone(c.Params("name")))
+	if err != nil {
+		return err
+	}
+	return c.JSON(record)
+}
+
+func (s *Server) handleApply(c fiber.Ctx) error {
+	kind, write, err := s.change(c)
+	if err != nil {
+		return err
+	}
+	spec := bytes.Clone(c.Body())
+	name, _, err := catalog.Decode(kind, spec)
+	if err != nil {
+		return err
+	}
+	if name != c.Params("name") {
+		return failure.New(failure.InvalidObject, "name: found "+name+"; allowed: the name in the path, "+c.Params("name"))
+	}
+	result, err := s.options.Objects.Apply(c.Context(), kind, spec, write)
+	return s.answerChange(c, "apply", kind, name, result, err)
+}
+
+func (s *Server) handleDelete(c fiber.Ctx) error {
+	kind, write, err := s.change(c)
+	if err != nil {
+		return err
+	}
+	name := strings.Clone(c.Params("name"))
+	result, err := s.options.Objects.Delete(c.Context(), kind, name, write)
+	return s.answerChange(c, "delete", kind, name, result, err)
+}
+
+// change reads what every change comes with.
+func (s *Server) change(c fiber.Ctx) (catalog.Kind, distribution.WriteOptions, error) {
+	operator, _ := c.Locals(operatorLocal).(string)
+	write := distribution.WriteOptions{ChangedBy: operator}
+	kind, err := kindOf(c)
+	if err != nil {
+		return "", write, err
+	}
+	header := c.Get(IfVersionHeader)
+	if header == "" {
+		return kind, write, nil
+	}
+	version, err := strconv.ParseInt(header, 10, 64)
+	if err != nil || version < 0 {
+		return "", write, failure.New(failure.InvalidRequest, "header "+IfVersionHeader+": allowed: a version, or 0 for a new object")
+	}
+	write.ExpectedVersion = &version
+	return kind, write, nil
+}
+
+func (s *Server) answerChange(c fiber.Ctx, verb string, kind catalog.Kind, name string, result ApplyResult, err error) error {
+	entry := s.log(c, verb, kind, name).WithFields(logrus.Fields{
+		"revision": result.Revision,
+		"in_force": result.InForce,
+		"members":  result.Members,
+	})
+	if err != nil {
+		entry.WithField("code", failure.CodeOf(err)).Warn("change not accepted")
+		return err
+	}
+	entry.Info("change accepted")
+	return c.JSON(result)
+}
+
+func (s *Server) log(c fiber.Ctx, verb string, kind catalog.Kind, name string) *logrus.Entry {
+	return s.options.Log.WithFields(logrus.Fields{
+		"event":    "change",
+		"verb":     verb,
+		"kind":     kind,
+		"name":     name,
+		"operator": c.Locals(operatorLocal),
+	})
+}
+
+func kindOf(c fiber.Ctx) (catalog.Kind, error) {
+	for _, kind := range catalog.Kinds {
+		if c.Params("kind") == string(kind) {
+			return kind, nil
+		}
+	}
+	return "", failure.New(failure.InvalidRequest, "kind: found "+strings.Clone(c.Params("kind"))+"; allowed: profile, workspace, service, endpoint")
+}
+
+func (s *Server) handleError(c fiber.Ctx, err error) error {
+	f := failure.From(err)
+	var httpErr *fiber.Error
+	if errors.As(err, &httpErr) {
+		f = failure.New(failure.InvalidRequest, httpErr.Message)
+		if httpErr.Code == fiber.StatusNotFound {
+			f = failure.New(failure.NotFound, "no such path")
+		}
+	}
+	id := uuid.NewString()
+	c.Locals(requestIDLocal, id)
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Status(f.Code.HTTPStatus()).Send(failure.Body(f, id))
+}
--- /dev/null
+++ b/internal/ingress/failures.go
@@ -0,0 +1,83 @@
+package ingress
+
+import (
+	"errors"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+
+	"github.com/primrosewell/primrosewell/internal/failure"
+)
+
+// Response headers.
+const (
+	// RequestIDHeader names the request in logs and errors.
+	RequestIDHeader = "X-Request-Id"
+	// OutcomeHeader is completed, not_run or unknown.
+	OutcomeHeader      = "Primrosewell-Outcome"
+	retryAfterHeader   = "Retry-After"
+	retryAfterMSHeader = "Retry-After-Ms"
+	// shouldRetryHeader is understood by the published OpenAI client libraries.
+	shouldRetryHeader = "X-Should-Retry"
+)
+
+// requestID returns the ID given to the request in this context, making one first.
+func requestID(c fiber.Ctx) string {
+	const local = "request_id"
+	if id, ok := c.Locals(local).(string); ok {
+		return id
+	}
+	id := uuid.NewString()
+	c.Locals(local, id)
+	c.Set(RequestIDHeader, id)
+	return id
+}
+
+// failureOf maps errors of the HTTP server to failures.
+func failureOf(err error) *failure.Failure {
+	var httpErr *fiber.Error
+	if !errors.As(err, &httpErr) {
+		return failure.From(err)
+	}
+	switch httpErr.Code {
+	case fiber.StatusRequestEntityTooLarge:
+		return failure.New(failure.BodyTooLarge, "the body is larger than callers.max_body_bytes allows")
+	case fiber.StatusNotFound:
+		return failure.New(failure.NotFound, "no such path")
+	case fiber.StatusMethodNotAllowed:
+		return failure.New(failure.InvalidRequest, "the path does not take this method")
+	case fiber.StatusRequestTimeout:
+		return failure.New(failure.InvalidRequest, "the request was not sent within callers.read_timeout")
+	default:
+		return failure.New(failure.InvalidRequest, httpErr.Message)
+	}
+}
+
+// writeFailure answers with f as its status, headers and typed body.
+func (s *Server) writeFailure(c fiber.Ctx, id string, f *failure.Failure) error {
+	c.Set(OutcomeHeader, string(f.Outcome))
+	setRetryHeaders(c, f)
+	s.options.Scope.Tagged(map[string]string{"code": string(f.Code), "outcome": string(f.Outcome)}).Counter("failures").Inc(1)
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Status(f.Code.HTTPStatus()).Send(failure.Body(f, id))
+}
+
+func setRetryHeaders(c fiber.Ctx, f *failure.Failure) {
+	if f.RetryAfter > 0 {
+		seconds := int(math.Ceil(f.RetryAfter.Seconds()))
+		c.Set(retryAfterHeader, strconv.Itoa(seconds))
+		c.Set(retryAfterMSHeader, strconv.FormatInt(int64(f.RetryAfter/time.Millisecond), 10))
+	}
+	if mustNotRetry(f) {
+		c.Set(shouldRetryHeader, "false")
+	}
+}
+
+// mustNotRetry keeps client libraries from repeating by themselves what may have
+// run, or what will be refused again.
+func mustNotRetry(f *failure.Failure) bool {
+	return f.Outcome != failure.NotRun && f.RetryAfter == 0 || f.Code == failure.Quarantined
+}
--- /dev/null
+++ b/internal/ingress/server.go
@@ -0,0 +1,136 @@
+// Package ingress is the callers' side: the OpenAI HTTP API and the route to plain
+// services. It authenticates, checks and copies each request, hands it to the
+// dispatcher, and maps the result to HTTP.
+package ingress
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/dispatch"
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/settings"
+)
+
+// Options configures a Server. All fields are required.
+type Options struct {
+	Settings settings.Callers
+	// Catalog returns the configuration in force, or nil before the first.
+	Catalog func() *catalog.Snapshot
+	Runner  dispatch.Runner
+	// Ready returns nil if the daemon takes new work, else the failure that says why not.
+	Ready func() error
+	Log   *logrus.Logger
+	Scope tally.Scope
+}
+
+// Server serves callers. Its methods may be called concurrently.
+type Server struct {
+	options  Options
+	app      *fiber.App
+	presence *presence
+	inFlight *inFlight
+	draining atomic.Bool
+}
+
+// New returns a server that is not listening yet.
+func New(options Options) *Server {
+	s := &Server{options: options, presence: newPresence(), inFlight: newInFlight()}
+	s.app = fiber.New(fiber.Config{
+		BodyLimit:                 options.Settings.MaxBodyBytes,
+		ReadTimeout:               options.Settings.ReadTimeout,
+		IdleTimeout:               options.Settings.IdleTimeout,
+		ErrorHandler:              s.handleError,
+		DisableDefaultContentType: true,
+		DisableHeaderNormalizing:  false,
+	})
+	s.app.Use(s.announceClose)
+	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	s.app.Get("/readyz", s.handleReady)
+	s.app.Get("/v1/models", s.handleModels)
+	s.app.Get("/v1/models/*", s.handleModel)
+	s.app.Post("/v1/chat/completions", s.handleEngine(dispatch.ChatCompletions))
+	s.app.Post("/v1/completions", s.handleEngine(dispatch.Completions))
+	s.app.All("/services/:service", s.handlePlain)
+	s.app.All("/services/:service/*", s.handlePlain)
+	s.app.Use(func(fiber.Ctx) error {
+		return failure.New(failure.NotFound, "no such path; callers use /v1/chat/completions, /v1/completions, /v1/models and /services/{service}/")
+	})
+	return s
+}
+
+// Serve answers callers on listener until Shutdown, or until the listener fails.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	watch, stop := context.WithCancel(ctx)
+	defer stop()
+	go s.presence.Run(watch)
+	err := s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "callers' listener")
+	}
+	return nil
+}
+
+// Drain makes every answer close its connection, so that callers move on.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// InFlight counts the requests that have not ended.
+func (s *Server) InFlight() int { return s.inFlight.Count() }
+
+// InFlightIDs names the requests that have not ended, in no order.
+func (s *Server) InFlightIDs() []string { return s.inFlight.IDs() }
+
+// Shutdown closes the listener and idle connections, and waits for every request
+// in progress until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.Drain()
+	if err := s.app.ShutdownWithContext(ctx); err != nil {
+		return failure.Wrap(err, failure.Draining, "callers' listener did not close in time")
+	}
+	return nil
+}
+
+// announceClose tells callers on kept connections that a draining daemon goes away.
+func (s *Server) announceClose(c fiber.Ctx) error {
+	if s.draining.Load() {
+		c.RequestCtx().SetConnectionClose()
+	}
+	return c.Next()
+}
+
+func (s *Server) handleReady(c fiber.Ctx) error {
+	if err := s.options.Ready(); err != nil {
+		return err
+	}
+	return c.SendString("ready\n")
+}
+
+func (s *Server) handleError(c fiber.Ctx, err error) error {
+	return s.writeFailure(c, requestID(c), failureOf(err))
+}
+
+func (s *Server) logRequest(r dispatch.Request, status int, result dispatch.Result) {
+	fields := logrus.Fields{
+		"event":      "request",
+		"request_id": r.ID,
+		"workspace":  r.Workspace.Name,
+		"profile":    r.Profile.Name,
+		"service":    r.Service.Name,
+		"status":     status,
+		"outcome":    result.Outcome,
+		"attempts":   result.Attempts,
+		"queue_wait": result.QueueWait,
+		"elapsed":    time.Since(r.Arrived),
+	}
+	if result.Failure != nil {
+		fields["code"] = result.Failure.Code
+	}
+	s.options.Log.WithFields(fields).Info("request ended")
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,63 @@
+// Package telemetry builds the process's logger and its metrics scope.
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+)
+
+const (
+	metricPrefix   = "primrosewell"
+	reportInterval = time.Second
+)
+
+// Metrics is the root scope and the page that shows it.
+type Metrics struct {
+	Scope tally.Scope
+	// Page serves the metrics in the Prometheus text format.
+	Page   http.Handler
+	closer io.Closer
+}
+
+// NewMetrics returns a scope that reports to a registry of its own.
+func NewMetrics() *Metrics {
+	registry := prometheus.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          metricPrefix,
+		CachedReporter:  reporter,
+		Separator:       tallyprom.DefaultSeparator,
+		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+	}, reportInterval)
+	return &Metrics{
+		Scope:  scope,
+		Page:   promhttp.HandlerFor(registry, promhttp.HandlerOpts{}),
+		closer: closer,
+	}
+}
+
+// Close flushes and stops reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
+
+// NewLogger returns a logger that writes one line of key=value pairs for each event.
+// An unknown level means info; settings refuse it before.
+func NewLogger(out io.Writer, level string) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.TextFormatter{
+		DisableColors:   true,
+		FullTimestamp:   true,
+		TimestampFormat: time.RFC3339Nano,
+	})
+	if parsed, err := logrus.ParseLevel(level); err == nil {
+		log.SetLevel(parsed)
+	}
+	return log
+}
