--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -119,6 +119,8 @@
 	Uncertain Reason = "uncertain"
 	// Invalid means that the platform refused the call as malformed.
 	Invalid Reason = "invalid"
+	// Denied means that the platform refused the client's token.
+	Denied Reason = "denied"
 )
 
 // Error is the failure of a call on the platform.
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -97,6 +97,9 @@
 
 // admit counts a call and applies outage, rate limit and, to reads, the delay.
 func (s *Server) admit(ctx context.Context, c call) error {
+	if ctx.Err() != nil {
+		return c.fail(platform.Unavailable, ctx.Err())
+	}
 	s.stats.count(c.op)
 	if reason, err := s.faults.outage(ctx); reason != "" {
 		return c.fail(reason, err)
