--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -115,7 +115,7 @@
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
 	if err := dec.Decode(v); err != nil {
-		return failure.New(failure.InvalidObject, describeJSON(err))
+		return failure.New(failure.InvalidObject, DescribeJSON(err))
 	}
 	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
 		return failure.New(failure.InvalidObject, "found more after the first JSON value; allowed: one value")
@@ -123,7 +123,8 @@
 	return nil
 }
 
-func describeJSON(err error) string {
+// DescribeJSON renders a decoding error of encoding/json: the field or byte, what was found, what is allowed.
+func DescribeJSON(err error) string {
 	var typeErr *json.UnmarshalTypeError
 	if errors.As(err, &typeErr) {
 		return fmt.Sprintf("%s: found a JSON %s; allowed: %s", typeErr.Field, typeErr.Value, typeErr.Type)
