endpoint: clients for model engines and plain services

Cause: the router must know for certain whether a request may have started, and may pass on nothing but the whole answer to the caller's own request. Ruled out: the transport's own retries. net/http repeats a request with an Idempotency-Key header after a kept connection fails; requests carry no GetBody, the key goes out in lower case, and work that runs once gets a connection of its own, where a closed endpoint refuses for certain.

--- /dev/null
+++ b/internal/endpoint/load.go
@@ -0,0 +1,131 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/routing"
+)
+
+const (
+	reportTimeout  = 2 * time.Second
+	maxReportBytes = 4 << 20
+)
+
+// Names of the metrics that load reports are read from; the first that is found counts.
+var (
+	runningNames = []string{"vllm:num_requests_running", "requests_in_flight"}
+	waitingNames = []string{"vllm:num_requests_waiting", "requests_waiting"}
+	cacheNames   = []string{"vllm:kv_cache_usage_perc", "vllm:gpu_cache_usage_perc"}
+	leavingNames = []string{"endpoint:leaving"}
+)
+
+// Load implements routing.LoadReader by reading GET /metrics. Errors are *Error.
+func (c *Client) Load(ctx context.Context, e catalog.Endpoint) (routing.Load, error) {
+	data, err := c.get(ctx, e, "/metrics")
+	if err != nil {
+		return routing.Load{}, err
+	}
+	return parseLoad(e.Name, data)
+}
+
+func parseLoad(name string, data io.Reader) (routing.Load, error) {
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(data)
+	if err != nil {
+		return routing.Load{}, &Error{Cause: Malformed, Endpoint: name, Message: "the load report can not be read", Sent: true, wrapped: err}
+	}
+	return routing.Load{
+		Endpoint:  name,
+		Running:   int(sum(families, runningNames)),
+		Waiting:   int(sum(families, waitingNames)),
+		CacheUsed: sum(families, cacheNames),
+		Leaving:   sum(families, leavingNames) > 0,
+	}, nil
+}
+
+// sum adds the series of the first metric that is found.
+func sum(families map[string]*dto.MetricFamily, names []string) float64 {
+	for _, name := range names {
+		family, ok := families[name]
+		if !ok {
+			continue
+		}
+		total := 0.0
+		for _, m := range family.GetMetric() {
+			total += m.GetGauge().GetValue() + m.GetUntyped().GetValue()
+		}
+		return total
+	}
+	return 0
+}
+
+// CacheEvent says that prefix blocks entered or left an engine's cache.
+type CacheEvent struct {
+	Seq    int64    `json:"seq"`
+	Type   string   `json:"type"` // "stored" or "removed".
+	Blocks []uint64 `json:"blocks"`
+}
+
+type eventPage struct {
+	Events []CacheEvent `json:"events"`
+}
+
+// CacheEvents returns the published events after since, and whether any is missing.
+// A reader that sees a gap drops what it knew. Errors are *Error.
+func (c *Client) CacheEvents(ctx context.Context, e catalog.Endpoint, since int64) (events []CacheEvent, gap bool, err error) {
+	data, err := c.get(ctx, e, "/kv_events?since="+url.QueryEscape(strconv.FormatInt(since, 10)))
+	if err != nil {
+		return nil, false, err
+	}
+	var page eventPage
+	if err := json.NewDecoder(data).Decode(&page); err != nil {
+		return nil, false, &Error{Cause: Malformed, Endpoint: e.Name, Message: "the cache events can not be read", Sent: true, wrapped: err}
+	}
+	last := since
+	for _, event := range page.Events {
+		gap = gap || event.Seq != last+1
+		last = event.Seq
+	}
+	return page.Events, gap, nil
+}
+
+// get reads a page of an endpoint's reports.
+func (c *Client) get(ctx context.Context, e catalog.Endpoint, path string) (io.Reader, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	x := newExchange(ctx, e.Name, 0)
+	defer x.cancel(nil)
+	request, err := newRequest(http.MethodGet, "http://"+e.Address+path, nil)
+	if err != nil {
+		return nil, &Error{Cause: NotReached, Endpoint: e.Name, Message: "bad address", wrapped: err}
+	}
+	response, err := x.roundTrip(c.pooled, request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return nil, x.refusal(response)
+	}
+	return readReport(x, response.Body)
+}
+
+func readReport(x *exchange, body io.Reader) (io.Reader, error) {
+	data, err := io.ReadAll(io.LimitReader(body, maxReportBytes))
+	if err != nil {
+		return nil, x.classify(err)
+	}
+	return bytes.NewReader(data), nil
+}
--- /dev/null
+++ b/internal/endpoint/plain_test.go
@@ -0,0 +1,76 @@
+package endpoint_test
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/endpoint"
+	"github.com/primrosewell/primrosewell/internal/standin/service"
+)
+
+var _ = Describe("the plain client", func() {
+	var (
+		client *endpoint.Client
+		s      *service.Server
+		e      catalog.Endpoint
+	)
+
+	BeforeEach(func() {
+		client = endpoint.NewClient(endpoint.Options{})
+		DeferCleanup(client.Close)
+		s = service.New(service.Options{})
+		e = serve(s)
+	})
+
+	do := func(ctx SpecContext, method, key string) ([]byte, error) {
+		answer, err := client.Do(ctx, endpoint.PlainCall{
+			Endpoint: e, Method: method, Path: "/certificates", Query: "a=1", Body: []byte("joint 7"),
+			RequestID: "r1", IdempotencyKey: key, Silence: 300 * time.Millisecond,
+		})
+		if err != nil {
+			return nil, err
+		}
+		defer answer.Close()
+		return io.ReadAll(answer)
+	}
+
+	It("carries method, path, query, body and key", func(ctx SpecContext) {
+		data, err := do(ctx, http.MethodPut, "k1")
+		Expect(err).NotTo(HaveOccurred())
+		var answer service.Answer
+		Expect(json.Unmarshal(data, &answer)).To(Succeed())
+		Expect(answer).To(Equal(service.Answer{Method: http.MethodPut, Path: "/certificates", Query: "a=1", Digest: service.Digest([]byte("joint 7"))}))
+		Expect(s.RunsByKey()).To(Equal(map[string]int{"k1": 1}))
+	})
+
+	DescribeTable("tells how a call failed, and never sends it twice",
+		func(ctx SpecContext, faults service.Faults, cause endpoint.Cause) {
+			_, err := do(ctx, http.MethodGet, "") // leaves a kept connection.
+			Expect(err).NotTo(HaveOccurred())
+			s.SetFaults(faults)
+			_, err = do(ctx, http.MethodPost, "k1")
+			Expect(causeOf(err)).To(Equal(cause))
+			Expect(s.Runs()).To(HaveLen(2))
+		},
+		Entry("refused", service.Faults{Refuse: true}, endpoint.Refused),
+		Entry("crash after it ran", service.Faults{CrashAfterRun: true}, endpoint.Broken),
+		Entry("silent", service.Faults{Silent: true}, endpoint.Silent),
+		Entry("half an answer", service.Faults{Half: true}, endpoint.Broken),
+	)
+
+	It("ends a call without a body a single time too", func(ctx SpecContext) {
+		s.SetFaults(service.Faults{CrashAfterRun: true, Times: 1})
+		_, err := client.Do(ctx, endpoint.PlainCall{Endpoint: e, Method: http.MethodDelete, Path: "/x", IdempotencyKey: "k2"})
+		var failed *endpoint.Error
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.MayHaveStarted()).To(BeTrue())
+		Expect(s.RunsByKey()).To(Equal(map[string]int{"k2": 1}))
+	})
+})
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -121,6 +121,6 @@
 		Expect(err).NotTo(HaveOccurred())
 		text, _ := io.ReadAll(load.Body)
 		Expect(string(text)).To(ContainSubstring("vllm:num_requests_running"))
-		Expect(string(text)).To(ContainSubstring(`engine:leaving{model_name="standin"} 1`))
+		Expect(string(text)).To(ContainSubstring(`endpoint:leaving{model_name="standin"} 1`))
 	})
 })
--- a/internal/standin/engine/metrics.go
+++ b/internal/standin/engine/metrics.go
@@ -30,7 +30,7 @@
 }
 
 // metrics renders the load in the Prometheus text format, under the names that
-// published engines use. engine:leaving is 1 on an engine that is going away.
+// published engines use. endpoint:leaving is 1 on an engine that is going away.
 func (s *Server) metrics(w http.ResponseWriter, r *http.Request) {
 	now := s.sample(time.Now())
 	registry := prometheus.NewRegistry()
@@ -48,6 +48,6 @@
 	if now.leaving {
 		leaving = 1
 	}
-	gauge("engine:leaving", "1 if the engine is going away.", leaving)
+	gauge("endpoint:leaving", "1 if the engine is going away.", leaving)
 	promhttp.HandlerFor(registry, promhttp.HandlerOpts{}).ServeHTTP(w, r)
 }
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -67,6 +69,8 @@
 	options Options
 	http    *faultserver.Server
 
+	inFlight atomic.Int64
+
 	mu      sync.Mutex
 	faults  Faults
 	fired   int
@@ -81,6 +85,7 @@
 	mux.HandleFunc("GET /control/runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Runs()) })
 	mux.HandleFunc("POST /control/leave", func(http.ResponseWriter, *http.Request) { s.Leave() })
 	mux.HandleFunc("POST /control/faults", s.controlFaults)
+	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("/", s.call)
 	s.http = faultserver.New(mux)
 	return s
@@ -136,6 +141,8 @@
 }
 
 func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		panic(http.ErrAbortHandler) // the connection ended; the call was not taken.
@@ -146,6 +153,7 @@
 	}
 	faults, leaving := s.take(&run)
 	if run.Refused {
+		w.Header().Set("Retry-After", "1")
 		http.Error(w, "refused before starting", http.StatusServiceUnavailable)
 		return
 	}
@@ -157,6 +165,19 @@
 	s.answer(w, r, run, faults, leaving)
 }
 
+// metrics reports the load in the Prometheus text format.
+func (s *Server) metrics(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	value := 0
+	if leaving {
+		value = 1
+	}
+	_, _ = fmt.Fprintf(w, "# TYPE requests_in_flight gauge\nrequests_in_flight %d\n# TYPE endpoint:leaving gauge\nendpoint:leaving %d\n",
+		s.inFlight.Load(), value)
+}
+
 // take records the run and returns the faults that strike it.
 func (s *Server) take(run *Run) (Faults, bool) {
 	s.mu.Lock()
