--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,83 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/placement"
+	"github.com/primrosewell/primrosewell/internal/routing"
+)
+
+const (
+	benchEndpoints = 1400
+	benchRunning   = 10_000
+	benchPrefixes  = 200
+	benchBlocks    = 256
+)
+
+func makeEndpoints(n, maxConcurrent int) []catalog.Endpoint {
+	out := make([]catalog.Endpoint, n)
+	for i := range out {
+		out[i] = catalog.Endpoint{
+			Name:          fmt.Sprintf("e%04d", i),
+			Address:       fmt.Sprintf("10.0.%d.%d:8000", i/250, i%250),
+			MaxConcurrent: maxConcurrent,
+		}
+	}
+	return out
+}
+
+// BenchmarkPlace measures one placement with 1,400 endpoints and 10,000 running
+// requests, half of whose prompts share a prefix with others.
+func BenchmarkPlace(b *testing.B) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	fleet := placement.NewFleet(placement.Config{}, rand.New(rand.NewPCG(3, 4)))
+	now := start
+	fleet.Update(now, makeEndpoints(benchEndpoints, 16), nil)
+	running := make([]routing.Report, 0, benchRunning)
+	times := hdrhistogram.New(1, int64(time.Second), 3)
+	place := func(i int) {
+		now = now.Add(150 * time.Microsecond)
+		ask := routing.Ask{ID: fmt.Sprint(i), Digest: fmt.Sprint("d", i), Prefix: benchPrefix(rng, i), PromptTokens: 4096, Repeatable: true}
+		began := time.Now()
+		placed, ok := fleet.Place(now, ask)
+		if err := times.RecordValue(int64(time.Since(began))); err != nil || !ok {
+			b.Fatal("no placement", err)
+		}
+		running = append(running, routing.Report{AskID: ask.ID, Endpoint: placed.Endpoint.Name, Result: routing.ResultCompleted, FirstToken: 200 * time.Millisecond, Gap: 20 * time.Millisecond, Elapsed: 2 * time.Second, PromptTokens: 4096, OutputTokens: 100, CachedTokens: 1})
+	}
+	for i := range benchRunning {
+		place(i)
+	}
+	times.Reset()
+	b.ResetTimer()
+	for i := range b.N {
+		at := rng.IntN(len(running))
+		done := running[at]
+		running[at] = running[len(running)-1]
+		running = running[:len(running)-1]
+		fleet.Done(now, done)
+		place(benchRunning + i)
+	}
+	b.ReportMetric(float64(times.ValueAtQuantile(50)), "p50-ns")
+	b.ReportMetric(float64(times.ValueAtQuantile(99)), "p99-ns")
+	b.ReportMetric(float64(times.ValueAtQuantile(99.9)), "p99.9-ns")
+}
+
+// benchPrefix returns a prompt whose first half is shared with others, or none of it.
+func benchPrefix(rng *rand.Rand, i int) []uint64 {
+	out := make([]uint64, benchBlocks)
+	group := uint64(rng.IntN(benchPrefixes)) << 32
+	for j := range out {
+		out[j] = uint64(i)<<40 | uint64(j)
+		if i%2 == 0 && j < benchBlocks/2 {
+			out[j] = group | uint64(j) | 1<<63
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/placement/placement_suite_test.go
@@ -0,0 +1,13 @@
+package placement_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestSuite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "placement")
+}
