claim: a nonce, a dispatch deadline and the answer type

A forwarded claim has to be known again by its own call, and a process that was frozen after a grant must be able to tell that it is too late to dispatch.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -2,7 +2,10 @@
 // request marked as not to be repeated run at most once.
 package claim
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Claim says which attempt holds an idempotency key.
 type Claim struct {
@@ -15,6 +18,25 @@
 	// Daemon and Incarnation name the process that may dispatch it.
 	Daemon      string `json:"m"`
 	Incarnation string `json:"i"`
+	// Nonce is unique to one call of Claim within the incarnation. It travels with a
+	// forwarded claim.
+	Nonce uint64 `json:"n,omitempty"`
+	// Deadline is set on a granted claim: the dispatch must have begun by then, on the
+	// holder's own clock. It is neither stored nor forwarded.
+	Deadline time.Time `json:"-"`
+}
+
+// Fresh reports whether a granted claim may still be dispatched. It must be asked
+// right before the first byte is sent: a process that was frozen for longer than the
+// retention may wake to find its key given to another. Both the monotonic and the
+// wall clock have to be before the deadline, since either may stand still in a pause.
+func (c Claim) Fresh(now time.Time) bool {
+	return now.Before(c.Deadline) && now.Round(0).Before(c.Deadline.Round(0))
+}
+
+// owns reports whether c and other are the same call of Claim.
+func (c Claim) owns(other Claim) bool {
+	return c.Incarnation == other.Incarnation && c.RequestID == other.RequestID && c.Nonce == other.Nonce
 }
 
 // Verdict is the answer to a claim.
@@ -29,6 +51,12 @@
 	Mismatched Verdict = "mismatched"
 )
 
+// Answer is the verdict on one claim and the claim that holds the key.
+type Answer struct {
+	Verdict Verdict
+	Holder  Claim
+}
+
 // Claims is the claim log. All methods may be called concurrently.
 type Claims interface {
 	// Claim appends c unless its key is held, and returns the holder. An error is a
