Scheduling: the pool's one queue

Cause: one order over all daemons, with a floor for every class, admission by the measured drain rate, and shedding by tier alone. Change: classes with a heap of workspaces (start-time fair queueing) of heaps of asks (time left, size); deficit credits for floors; an expiry heap; a drain rate that counts only saturated time; refusals with a Retry-After from that rate. A recorded history is checked by scheduling/check, on generated schedules too. Seen failing with the mechanism switched off, one at a time: floors, credit spending, tier order, fairness, admission, the workspace's rank, the check at dispatch, expiry, caution, memory of cancels and releases, choice of the victim, parking, a fresh wait for further attempts, Retry-After, freeing a gone daemon's grants. Three of them passed at first; their tests were made sharper.

--- /dev/null
+++ b/internal/scheduling/admission.go
@@ -0,0 +1,302 @@
+package scheduling
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/routing"
+)
+
+const (
+	// maxPlannedShare bounds the planned service to a share of the target, so that a
+	// bad measurement can not refuse a whole class for good.
+	maxPlannedShare = 0.75
+	// reservedPlaces is how many waiting asks each class has beyond MaxWaiting.
+	reservedPlaces = 4
+)
+
+// refusal says why an ask is not admitted.
+type refusal struct {
+	reason  string
+	failure *failure.Failure
+}
+
+// admit decides whether it may wait; nil admits it.
+func (p *Pool) admit(now time.Time, it *item) *refusal {
+	if now.Sub(p.capacityAt) >= capacityAge || p.capacity.Endpoints == 0 {
+		p.readCapacity(now)
+	}
+	if p.capacity.Endpoints == 0 {
+		return &refusal{ReasonNoEndpoint, p.noEndpoint()}
+	}
+	if now.After(it.latest) {
+		return &refusal{ReasonExpired, p.overloaded(now, it, "the latency target has passed")}
+	}
+	if p.saturated() && p.tooLate(now, it) {
+		return &refusal{ReasonLateOnArrival, p.overloaded(now, it, "the expected wait exceeds the latency target")}
+	}
+	if !p.makeRoom(now, it) {
+		return &refusal{ReasonQueueFull, p.overloaded(now, it, "the queue is full")}
+	}
+	return nil
+}
+
+// tooLate reports whether the expected wait takes more of the time left than allowed.
+func (p *Pool) tooLate(now time.Time, it *item) bool {
+	wait, known := p.expectedWait(now, it)
+	return known && wait > p.cfg.AdmissionShare*it.latest.Sub(now).Seconds()
+}
+
+func (p *Pool) readCapacity(now time.Time) {
+	p.capacity = p.placer.Capacity(now)
+	p.capacityAt = now
+}
+
+// classOf returns the class of ask, with the settings that came with it.
+func (p *Pool) classOf(ask routing.Ask) *class {
+	c, ok := p.classes[ask.Class]
+	if ok && c.tier == ask.Tier {
+		c.describe(ask)
+		return c
+	}
+	if !ok {
+		c = newClass(ask.Class)
+		p.classes[ask.Class] = c
+		p.ordered = append(p.ordered, c)
+	}
+	c.describe(ask)
+	slices.SortFunc(p.ordered, func(a, b *class) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.name, b.name))
+	})
+	return c
+}
+
+func (p *Pool) newItem(now time.Time, ask routing.Ask, c *class) *item {
+	p.seq++
+	return &item{
+		ask:       ask,
+		class:     c,
+		flow:      c.flowOf(ask),
+		submitted: now,
+		latest:    now.Add(p.slack(ask, c)),
+		cost:      float64(p.expectedTokens(ask)),
+		seq:       p.seq,
+		position:  -1,
+		expiry:    -1,
+	}
+}
+
+// expectedTokens is the planned length of the answer.
+func (p *Pool) expectedTokens(ask routing.Ask) int {
+	tokens := p.estimates.Quantile(ask.Profile, ask.Workspace, p.cfg.SizeQuantile)
+	if ask.MaxOutputTokens > 0 {
+		tokens = min(tokens, ask.MaxOutputTokens)
+	}
+	return max(1, tokens)
+}
+
+// slack is how long ask may wait from now and still meet its target. A further
+// attempt has its wait bounded anew: its target may have passed, and its caller
+// still wants the whole answer.
+func (p *Pool) slack(ask routing.Ask, c *class) time.Duration {
+	bound := ask.MaxWait
+	if bound <= 0 {
+		bound = p.cfg.MaxWait
+	}
+	if ask.Attempt > 1 {
+		return bound
+	}
+	if target, planned := p.planned(ask, c); target > 0 {
+		planned = min(planned, target*maxPlannedShare)
+		bound = min(bound, seconds(target-planned))
+	}
+	return bound - ask.Waited
+}
+
+// planned returns the target that binds the wait and the service planned within it, in seconds.
+func (p *Pool) planned(ask routing.Ask, c *class) (target, service float64) {
+	if ask.Target.FirstTokenMS > 0 {
+		return milliseconds(ask.Target.FirstTokenMS), p.plannedFirstToken(c)
+	}
+	if ask.Target.CompleteMS <= 0 {
+		return 0, 0
+	}
+	target = milliseconds(ask.Target.CompleteMS)
+	if !c.gap.seen {
+		return target, c.service.planned()
+	}
+	return target, p.plannedFirstToken(c) + float64(p.expectedTokens(ask))*c.gap.planned()
+}
+
+// plannedFirstToken prefers the class's own measurement to the pool's median.
+func (p *Pool) plannedFirstToken(c *class) float64 {
+	if c.firstToken.seen {
+		return c.firstToken.planned()
+	}
+	return p.capacity.FirstToken.Seconds()
+}
+
+func milliseconds(ms int) float64 { return float64(ms) / 1000 }
+
+// drainRate is the rate at which slots come free under saturation, per second.
+func (p *Pool) drainRate() float64 {
+	prior := 0.0
+	if p.service.seen {
+		prior = float64(p.capacity.Slots) / p.service.mean
+	}
+	return p.drained.perSecond(prior)
+}
+
+// expectedWait predicts the time in the queue, in seconds, if the rate is known.
+func (p *Pool) expectedWait(now time.Time, it *item) (float64, bool) {
+	rate := p.drainRate()
+	if rate <= 0 {
+		return 0, false
+	}
+	rank := p.rank(it)
+	byOrder := (rank + p.aheadOf(it)) / max(p.orderRate(now, it.class, rate), math.SmallestNonzeroFloat64)
+	return min(byOrder, p.waitByFloor(now, it.class, rank, rate)), true
+}
+
+// rank is the place that a new item would have within its class, from 1.
+func (p *Pool) rank(it *item) float64 {
+	c, f := it.class, it.flow
+	weights := c.activeWeight
+	if f.position < 0 {
+		weights += f.weight
+	}
+	fair := float64(len(f.items)+1) * weights / f.weight
+	return min(fair, float64(c.waiting+1))
+}
+
+// aheadOf counts the waiting items of higher tiers, and those of other classes of
+// the same tier that have less time left.
+func (p *Pool) aheadOf(it *item) float64 {
+	ahead := 0.0
+	for _, c := range p.ordered {
+		switch {
+		case c == it.class || c.waiting == 0:
+		case c.tier < it.class.tier:
+			ahead += float64(c.waiting)
+		case c.tier == it.class.tier:
+			ahead += float64(c.waiting) * shareBefore(c, it.latest)
+		}
+	}
+	return ahead
+}
+
+// shareBefore estimates the share of a class's items that must start before latest.
+func shareBefore(c *class, latest time.Time) float64 {
+	head := c.head()
+	if head == nil || !latest.Before(c.newest) {
+		return 1
+	}
+	if latest.Before(head.latest) {
+		return 0
+	}
+	span := c.newest.Sub(head.latest).Seconds()
+	if span <= 0 {
+		return 1
+	}
+	return latest.Sub(head.latest).Seconds() / span
+}
+
+// orderRate is what remains of the drain rate for the class's tier after the floors
+// of lower tiers and the arrivals of higher ones.
+func (p *Pool) orderRate(now time.Time, c *class, rate float64) float64 {
+	scale := p.floorScale(now)
+	left := rate
+	for _, other := range p.ordered {
+		if other.tier > c.tier && other.inDemand(now, p.cfg.DrainWindow) {
+			left -= other.floor * scale * rate
+		}
+		if other.tier < c.tier {
+			left -= other.admitted.perSecond(now, p.cfg.DrainWindow)
+		}
+	}
+	return max(left, 0)
+}
+
+// waitByFloor is the wait if the class got its floor only.
+func (p *Pool) waitByFloor(now time.Time, c *class, rank, rate float64) float64 {
+	if rank <= math.Floor(c.credit) {
+		return rank / rate
+	}
+	share := c.floor * p.floorScale(now)
+	if share <= 0 {
+		return math.Inf(1)
+	}
+	return (rank - c.credit) / (share * rate)
+}
+
+// makeRoom keeps the queue within MaxWaiting. The victim is of the lowest tier
+// present; each class has a few reserved places that take room from nobody.
+func (p *Pool) makeRoom(now time.Time, it *item) bool {
+	if len(p.waiting) < p.cfg.MaxWaiting || it.class.waiting < reservedPlaces {
+		return true
+	}
+	c := p.lowest()
+	if c == nil || c.tier < it.class.tier {
+		return false
+	}
+	f := c.largestFlow()
+	if f == nil || (c.tier == it.class.tier && f.load() <= (float64(len(it.flow.items))+1)/it.flow.weight) {
+		return false
+	}
+	victim := f.last()
+	p.leave(victim)
+	p.refuse(now, victim, ReasonShed, p.overloaded(now, victim, "the request gave way to another"))
+	return true
+}
+
+// lowest returns the class of the lowest tier that waits beyond its reserved places.
+func (p *Pool) lowest() *class {
+	var found *class
+	for _, c := range p.ordered {
+		if c.waiting <= reservedPlaces || c.ready == 0 {
+			continue
+		}
+		if found == nil || c.tier > found.tier || c.waiting > found.waiting {
+			found = c
+		}
+	}
+	return found
+}
+
+// overloaded returns a refusal that says when to come back.
+func (p *Pool) overloaded(now time.Time, it *item, message string) *failure.Failure {
+	return failure.New(failure.Overloaded, message).WithRetryAfter(p.retryAfter(now, it))
+}
+
+func (p *Pool) noEndpoint() *failure.Failure {
+	return failure.New(failure.NoEndpoint, "no endpoint of the service takes work").
+		WithRetryAfter(p.jitter(p.cfg.MinRetryAfter.Seconds()))
+}
+
+// retryAfter is the time in which the class's queue and its recent refusals drain.
+func (p *Pool) retryAfter(now time.Time, it *item) time.Duration {
+	rate := p.drainRate()
+	if rate <= 0 {
+		return p.jitter(p.cfg.MinRetryAfter.Seconds())
+	}
+	c := it.class
+	own := max(p.orderRate(now, c, rate), c.floor*p.floorScale(now)*rate)
+	if own <= 0 {
+		return p.jitter(p.cfg.MaxRetryAfter.Seconds())
+	}
+	c.refusals.advance(now, p.cfg.DrainWindow)
+	return p.jitter((float64(c.waiting) + p.aheadOf(it) + c.refusals.count) / own)
+}
+
+// jitter clamps a wait, in seconds, and spreads it upwards.
+func (p *Pool) jitter(wait float64) time.Duration {
+	low, high := p.cfg.MinRetryAfter.Seconds(), p.cfg.MaxRetryAfter.Seconds()
+	wait = min(max(wait, low), high)
+	if p.cfg.Rand != nil {
+		wait *= 1 + p.cfg.RetryJitter*p.cfg.Rand.Float64()
+	}
+	return seconds(min(wait, high))
+}
--- a/internal/scheduling/config.go
+++ b/internal/scheduling/config.go
@@ -1,6 +1,7 @@
 package scheduling
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -19,6 +20,9 @@
 	RetryJitter float64
 	// DrainWindow is the time constant of the measured drain rate. Default 2 s.
 	DrainWindow time.Duration
+	// AdmissionShare is the share of the time left that the expected wait of a new ask
+	// may take, 0 to 1. Default 0.8.
+	AdmissionShare float64
 	// MaxWaiting bounds the waiting asks, as a guard on memory. Default 20000.
 	MaxWaiting int
 	// MaxWait bounds the time in the queue of an ask that states no bound. Default 30 s.
@@ -41,18 +45,36 @@
 	DefaultMaxWaiting    = 20_000
 	DefaultMaxWait       = 30 * time.Second
 	DefaultSizeQuantile  = 0.5
+	// DefaultAdmissionShare leaves a fifth of the time left for error of the prediction.
+	DefaultAdmissionShare = 0.8
 )
 
 // DefaultConfig returns the defaults, without jitter and without a recorder.
 func DefaultConfig() Config {
 	return Config{
-		CautiousShare: DefaultCautiousShare,
-		MinRetryAfter: DefaultMinRetryAfter,
-		MaxRetryAfter: DefaultMaxRetryAfter,
-		RetryJitter:   DefaultRetryJitter,
-		DrainWindow:   DefaultDrainWindow,
-		MaxWaiting:    DefaultMaxWaiting,
-		MaxWait:       DefaultMaxWait,
-		SizeQuantile:  DefaultSizeQuantile,
+		CautiousShare:  DefaultCautiousShare,
+		MinRetryAfter:  DefaultMinRetryAfter,
+		MaxRetryAfter:  DefaultMaxRetryAfter,
+		RetryJitter:    DefaultRetryJitter,
+		DrainWindow:    DefaultDrainWindow,
+		MaxWaiting:     DefaultMaxWaiting,
+		MaxWait:        DefaultMaxWait,
+		SizeQuantile:   DefaultSizeQuantile,
+		AdmissionShare: DefaultAdmissionShare,
 	}
 }
+
+// withDefaults fills the zero fields.
+func (c Config) withDefaults() Config {
+	d := DefaultConfig()
+	c.CautiousShare = cmp.Or(c.CautiousShare, d.CautiousShare)
+	c.MinRetryAfter = cmp.Or(c.MinRetryAfter, d.MinRetryAfter)
+	c.MaxRetryAfter = cmp.Or(c.MaxRetryAfter, d.MaxRetryAfter)
+	c.RetryJitter = cmp.Or(c.RetryJitter, d.RetryJitter)
+	c.DrainWindow = cmp.Or(c.DrainWindow, d.DrainWindow)
+	c.AdmissionShare = cmp.Or(c.AdmissionShare, d.AdmissionShare)
+	c.MaxWaiting = cmp.Or(c.MaxWaiting, d.MaxWaiting)
+	c.MaxWait = cmp.Or(c.MaxWait, d.MaxWait)
+	c.SizeQuantile = cmp.Or(c.SizeQuantile, d.SizeQuantile)
+	return c
+}
--- a/internal/scheduling/decision.go
+++ b/internal/scheduling/decision.go
@@ -55,6 +55,8 @@
 
 // Decision ends the wait of one ask. An ask that is submitted once gets exactly one.
 type Decision struct {
+	// At is when the decision was made.
+	At   time.Time
 	Kind Kind
 	Ask  routing.Ask
 	// Grant is set for Granted.
--- /dev/null
+++ b/internal/scheduling/dispatch.go
@@ -0,0 +1,230 @@
+package scheduling
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/routing"
+)
+
+const (
+	// parkedTries bounds the parked items that are tried in one call.
+	parkedTries = 8
+	// parksPerCall bounds the items that are parked in one call.
+	parksPerCall = 8
+)
+
+// dispatch grants to waiting items in order, until no slot is free.
+func (p *Pool) dispatch(now time.Time) {
+	if len(p.waiting) == 0 || p.blocked {
+		return
+	}
+	p.dispatchParked(now)
+	parks := 0
+	for !p.blocked && parks < parksPerCall {
+		it := p.next()
+		if it == nil || !p.cautionAllows(now) {
+			return
+		}
+		if now.After(it.latest) {
+			p.expire(now, it)
+			continue
+		}
+		if p.place(now, it) {
+			continue
+		}
+		if !constrained(it.ask) {
+			p.blocked = true
+			return
+		}
+		p.park(it)
+		parks++
+	}
+}
+
+// next picks the item to run: a class whose floor is due, else by tier and time left.
+func (p *Pool) next() *item {
+	var first, due *class
+	for _, c := range p.ordered {
+		if c.ready == 0 {
+			continue
+		}
+		if first == nil || (c.tier == first.tier && c.head().before(first.head())) {
+			first = c
+		}
+		if c.credit >= 1 && (due == nil || c.credit > due.credit) {
+			due = c
+		}
+	}
+	if due != nil {
+		return due.head()
+	}
+	if first != nil {
+		return first.head()
+	}
+	return nil
+}
+
+// place grants it if an endpoint can take it.
+func (p *Pool) place(now time.Time, it *item) bool {
+	placement, ok := p.placer.Place(now, it.ask)
+	if !ok {
+		return false
+	}
+	p.creditFloors(now, it.class)
+	if it.position >= 0 {
+		it.class.charge(it)
+	}
+	p.leave(it)
+	p.grant(now, it, placement)
+	return true
+}
+
+// creditFloors gives each class in demand its share of one dispatch, and takes
+// the dispatch from the class that got it.
+func (p *Pool) creditFloors(now time.Time, served *class) {
+	scale := p.floorScale(now)
+	for _, c := range p.ordered {
+		if c.inDemand(now, p.cfg.DrainWindow) {
+			c.credit = min(c.credit+c.floor*scale, maxCredit)
+		} else {
+			c.credit = 0
+		}
+	}
+	served.credit = max(served.credit-1, 0)
+}
+
+// floorScale keeps the floors of the classes in demand from summing to more than the whole.
+func (p *Pool) floorScale(now time.Time) float64 {
+	total := 0.0
+	for _, c := range p.ordered {
+		if c.inDemand(now, p.cfg.DrainWindow) {
+			total += c.floor
+		}
+	}
+	return 1 / max(1, total)
+}
+
+func (p *Pool) grant(now time.Time, it *item, placement routing.Placement) {
+	wait := now.Sub(it.submitted)
+	grant := routing.Grant{
+		AskID:        it.ask.ID,
+		Endpoint:     placement.Endpoint,
+		Priority:     priority(it.ask),
+		QueueWait:    wait,
+		Alternatives: placement.Alternatives,
+		Reason:       placement.Reason,
+		HedgeAfter:   placement.HedgeAfter,
+	}
+	inCaution := now.Before(p.cautiousUntil)
+	if inCaution {
+		p.cautious++
+	}
+	p.running[it.ask.ID] = &run{ask: it.ask, grant: grant, class: it.class, cautious: inCaution}
+	it.class.running++
+	it.class.granted++
+	it.class.dispatches.add(now, p.cfg.DrainWindow)
+	p.record(Decision{
+		At: now, Kind: Granted, Ask: it.ask, Grant: grant, Reason: placement.Reason,
+		QueueWait: wait, Alternatives: placement.Alternatives,
+	})
+}
+
+// priority is what the engine is told; lower runs first.
+func priority(ask routing.Ask) int { return int(ask.Tier) }
+
+// constrained reports whether ask may be unplaceable although slots are free.
+func constrained(ask routing.Ask) bool { return ask.Suspect || len(ask.Avoid) > 0 }
+
+// cautionAllows reports whether a new broker may grant one more slot.
+func (p *Pool) cautionAllows(now time.Time) bool {
+	if !now.Before(p.cautiousUntil) {
+		return true
+	}
+	capacity := p.placer.Capacity(now)
+	free := capacity.Slots - len(p.running) + p.cautious
+	return float64(p.cautious) < math.Ceil(p.cfg.CautiousShare*float64(free))
+}
+
+// park sets aside a constrained item that the free endpoints can not take.
+func (p *Pool) park(it *item) {
+	it.class.remove(it)
+	at, _ := slices.BinarySearchFunc(p.parked, it, compareParked)
+	p.parked = slices.Insert(p.parked, at, it)
+}
+
+func (p *Pool) unpark(it *item) {
+	p.parked = slices.DeleteFunc(p.parked, func(other *item) bool { return other == it })
+}
+
+// compareParked orders parked items by tier, then by time left.
+func compareParked(a, b *item) int {
+	return cmp.Or(
+		cmp.Compare(a.ask.Tier, b.ask.Tier),
+		a.latest.Compare(b.latest),
+		cmp.Compare(a.seq, b.seq),
+	)
+}
+
+// dispatchParked tries the first parked items again. A parked item goes before
+// the queue only if no ready item is of a higher tier.
+func (p *Pool) dispatchParked(now time.Time) {
+	if len(p.parked) == 0 {
+		return
+	}
+	tries := slices.Clone(p.parked[:min(parkedTries, len(p.parked))])
+	for _, it := range tries {
+		if head := p.next(); head != nil && head.ask.Tier < it.ask.Tier {
+			return
+		}
+		if !p.cautionAllows(now) {
+			return
+		}
+		if now.After(it.latest) {
+			p.expire(now, it)
+			continue
+		}
+		p.place(now, it)
+	}
+}
+
+// expireWaiting refuses the items whose time is over.
+func (p *Pool) expireWaiting(now time.Time) {
+	for len(p.expiry) > 0 && now.After(p.expiry[0].latest) {
+		p.expire(now, p.expiry[0])
+	}
+}
+
+func (p *Pool) expire(now time.Time, it *item) {
+	p.leave(it)
+	p.refuse(now, it, ReasonExpired, p.overloaded(now, it, "the request waited for as long as its target allows"))
+}
+
+// refuseAll refuses every waiting item because no endpoint takes work.
+func (p *Pool) refuseAll(now time.Time) {
+	for _, it := range p.waitingInOrder() {
+		p.leave(it)
+		p.refuse(now, it, ReasonNoEndpoint, p.noEndpoint())
+	}
+}
+
+// waitingInOrder lists the waiting items in the order of their arrival.
+func (p *Pool) waitingInOrder() []*item {
+	items := slices.Clone(p.expiry)
+	slices.SortFunc(items, func(a, b *item) int { return cmp.Compare(a.seq, b.seq) })
+	return items
+}
+
+func (p *Pool) refuse(now time.Time, it *item, reason string, f *failure.Failure) {
+	it.class.refused++
+	if reason != ReasonCancelled && reason != ReasonDaemonGone {
+		it.class.lastRefused = now
+		it.class.refusals.add(now, p.cfg.DrainWindow)
+	}
+	p.record(Decision{
+		At: now, Kind: Refused, Ask: it.ask, Failure: f, Reason: reason, QueueWait: now.Sub(it.submitted),
+	})
+}
--- /dev/null
+++ b/internal/scheduling/order_test.go
@@ -0,0 +1,95 @@
+package scheduling_test
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/primrosewell/primrosewell/internal/routing"
+)
+
+var _ = Describe("Order", func() {
+	It("goes by tier, then by time left, then by size", func() {
+		b := newBed(1, nil)
+		b.submit(ask("running", 3))
+		late, soon, short := ask("late", 2), ask("soon", 2), ask("short", 2)
+		late.Target.FirstTokenMS = 9000
+		soon.Target.FirstTokenMS = 5000
+		short.Target.FirstTokenMS, short.MaxOutputTokens = 9000, 4
+		b.submit(ask("low", 3), late, soon, short, ask("high", 1))
+		b.drainAll()
+		Expect(b.grants).To(Equal([]string{"running", "high", "soon", "short", "late", "low"}))
+		expectLawful(b, true)
+	})
+
+	It("compares time left between the classes of a tier", func() {
+		b := newBed(1, nil)
+		b.submit(ask("running", 1))
+		first, second := ask("first", 1), ask("second", 1)
+		second.Class, second.Waited = "other", 5*time.Second
+		b.submit(first, second)
+		b.drainAll()
+		Expect(b.grants).To(Equal([]string{"running", "second", "first"}))
+	})
+
+	It("gives each class its floor under a long burst of the top tier, and no more", func() {
+		b := newBed(1, nil)
+		b.submit(ask("running", 1))
+		for i := range 50 {
+			low, middle := ask(fmt.Sprint("low", i), 3), ask(fmt.Sprint("middle", i), 2)
+			low.FloorPercent, middle.FloorPercent = 5, 10
+			b.submit(low, middle)
+		}
+		for i := range 200 {
+			b.submit(ask(fmt.Sprint("high", i), 1))
+		}
+		for i := range 200 {
+			b.release(b.grants[i], 10*time.Millisecond)
+		}
+		count := lo.CountValuesBy(b.grants, func(id string) string { return strings.TrimRight(id, "0123456789") })
+		Expect(count["low"]).To(BeNumerically("~", 10, 1))
+		Expect(count["middle"]).To(BeNumerically("~", 20, 1))
+		expectLawful(b, false)
+	})
+
+	It("shares a class between workspaces by weight, so that a large one crowds out none", func() {
+		b := newBed(1, nil)
+		b.submit(ask("running", 1))
+		of := func(workspace string, weight, n int) []routing.Ask {
+			return lo.Times(n, func(i int) routing.Ask {
+				a := ask(fmt.Sprint(workspace, i), 1)
+				a.Workspace, a.Weight = workspace, weight
+				return a
+			})
+		}
+		b.submit(of("large", 1, 300)...)
+		b.submit(of("small", 1, 10)...)
+		b.submit(of("heavy", 3, 300)...)
+		for i := range 50 {
+			b.release(b.grants[i], 10*time.Millisecond)
+		}
+		count := lo.CountValuesBy(b.grants, func(id string) string { return strings.TrimRight(id, "0123456789") })
+		Expect(count["small"]).To(BeNumerically("~", 10, 1))
+		Expect(count["large"]).To(BeNumerically("~", 10, 2))
+		Expect(count["heavy"]).To(BeNumerically("~", 30, 2))
+	})
+
+	It("is not held up by an ask that the free endpoints can not take", func() {
+		b := newBed(1, nil)
+		b.submit(ask("running", 1))
+		suspect := ask("suspect", 1)
+		suspect.Suspect = true
+		b.slots.refuses["suspect"] = true
+		b.submit(suspect, ask("next", 2))
+		b.release("running", time.Second)
+		Expect(b.grants).To(Equal([]string{"running", "next"}))
+		delete(b.slots.refuses, "suspect")
+		b.release("next", time.Second)
+		Expect(b.grants).To(HaveLen(3))
+		expectLawful(b, true)
+	})
+})
