peer, membership, broker: first whole version; a TCP relay for tests

peer: specs over real listeners on loopback carry every field; a conversion that dropped the introduction flag was found by them. A wrong key, an absent daemon, a caller that leaves and a connection that falls silent each have a spec. membership and broker: written, not covered by specs yet.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -4,132 +4,316 @@
 
 import (
 	"context"
+	"slices"
+	"strconv"
+	"sync"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
+	"github.com/samber/lo"
 
-	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/membership"
-	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/routing"
 	"github.com/primrosewell/primrosewell/internal/scheduling"
 )
 
-// Defaults of Options.
-const (
-	DefaultTickInterval = 10 * time.Millisecond
-	DefaultCautiousFor  = time.Second
-	DefaultLoadInterval = time.Second
-	DefaultVMInterval   = time.Second
-)
-
-// Pool is the queue of one pool; *scheduling.Pool implements it.
-type Pool interface {
-	Submit(now time.Time, ask routing.Ask) []scheduling.Decision
-	Cancel(now time.Time, askID string) []scheduling.Decision
-	Release(now time.Time, report routing.Report) []scheduling.Decision
-	Restore(now time.Time, progress routing.Progress)
-	SetCautious(now, until time.Time)
-	Tick(now time.Time) []scheduling.Decision
-	Expire(now time.Time, daemon string) []scheduling.Decision
-	Stats(now time.Time) scheduling.Stats
-}
-
-// Fleet is what the broker tells of a pool's endpoints. Methods may be called concurrently.
-type Fleet interface {
-	// SetEndpoints replaces the endpoints; MaxConcurrent and Leaving are already adjusted.
-	SetEndpoints(now time.Time, endpoints []catalog.Endpoint)
-	// ObserveLoad takes an endpoint's load report.
-	ObserveLoad(now time.Time, load routing.Load)
-}
-
-// PoolParts is one pool with its endpoints.
-type PoolParts struct {
-	Pool  Pool
-	Fleet Fleet
-}
-
-// Factory makes the parts of a pool. Local is true for the small queue that a
-// daemon uses on its own while the pool's broker is out of reach.
-type Factory func(pool string, local bool) PoolParts
-
-// Peers calls the brokers on other daemons.
-type Peers interface {
-	Acquire(ctx context.Context, address string, ask routing.Ask) (routing.Grant, error)
-	Release(ctx context.Context, address string, reports []routing.Report) error
-	Progress(ctx context.Context, address, daemon, pool string, running []routing.Progress) error
-}
-
-// Config is the configuration in force; *distribution.Distributor implements it.
-type Config interface {
-	Current() *catalog.Snapshot
-}
-
-// DecisionRecorder takes each grant and refusal that this daemon decided. It must not block.
-type DecisionRecorder interface {
-	Record(pool string, local bool, decision scheduling.Decision)
-}
-
-// Options configures a Broker. View, Factory, Peers and Config are required.
-type Options struct {
-	View    membership.View
-	Factory Factory
-	Peers   Peers
-	Config  Config
-	// LoadReader reads the load of endpoints of the pools brokered here; nil reads none.
-	LoadReader routing.LoadReader
-	// Store is read for leaving VMs of the role "endpoint"; nil reads none.
-	Store    platform.Store
-	Recorder DecisionRecorder
-	// Clock defaults to the real clock.
-	Clock        clockwork.Clock
-	TickInterval time.Duration
-	CautiousFor  time.Duration
-	LoadInterval time.Duration
-	VMInterval   time.Duration
-	Logger       logrus.FieldLogger
-	Scope        tally.Scope
-}
+// findDelay is the time between two looks for a broker.
+const findDelay = 25 * time.Millisecond
 
 // Broker implements routing.Broker over all daemons, and membership.Exchange.
+// Methods may be called concurrently.
 type Broker struct {
-	opts Options
+	opts   Options
+	ctx    context.Context
+	ledger *ledger
+
+	mu       sync.RWMutex
+	paths    map[string]*path
+	queues   map[string]*queue
+	locals   map[string]*queue
+	outboxes map[string]*outbox
+
+	endpoints endpointWatch
+	rounds    rounds
 }
 
 // New starts the broker's rounds; they end with ctx.
-func New(ctx context.Context, opts Options) *Broker { return &Broker{opts: opts} }
+func New(ctx context.Context, opts Options) *Broker {
+	b := &Broker{
+		opts:     opts.withDefaults(),
+		ctx:      ctx,
+		ledger:   newLedger(),
+		paths:    map[string]*path{},
+		queues:   map[string]*queue{},
+		locals:   map[string]*queue{},
+		outboxes: map[string]*outbox{},
+	}
+	b.endpoints.init()
+	b.rounds.init(b.now())
+	go b.run(ctx, b.opts.Clock.NewTicker(b.opts.TickInterval))
+	if b.opts.LoadReader != nil {
+		go b.readLoads(ctx, b.opts.Clock.NewTicker(b.opts.LoadInterval))
+	}
+	if b.opts.Store != nil {
+		go b.readVMs(ctx, b.opts.Clock.NewTicker(b.opts.VMInterval))
+	}
+	return b
+}
+
+func (b *Broker) now() time.Time { return b.opts.Clock.Now() }
+
+func (b *Broker) self() membership.Member { return b.opts.View.Self() }
+
+// path returns the way to a pool, which is made on first use.
+func (b *Broker) path(pool string) *path {
+	b.mu.RLock()
+	p, ok := b.paths[pool]
+	b.mu.RUnlock()
+	if ok {
+		return p
+	}
+	b.refreshPath(pool)
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.paths[pool]
+}
 
-// Acquire implements routing.Broker.
+// Acquire implements routing.Broker. While no broker is found it looks again, and
+// after AloneAfter the daemon decides alone.
 func (b *Broker) Acquire(ctx context.Context, ask routing.Ask) (routing.Grant, error) {
-	return routing.Grant{}, nil
+	ask.Daemon = b.self().ID
+	p := b.path(ask.Pool)
+	start := b.now()
+	var lostSince time.Time
+	for try := 0; ; try++ {
+		now := b.now()
+		sent := nthTry(ask, try, now.Sub(start))
+		lost := !lostSince.IsZero() && now.Sub(lostSince) >= b.opts.AloneAfter
+		if lost || p.decidesAlone(now) {
+			grant, err := b.acquireAlone(ctx, p, sent)
+			return b.decided(ask, sent, grant, err)
+		}
+		grant, err := b.acquireOnce(ctx, p, sent)
+		if err == nil || !lookAgain(err) {
+			p.found()
+			return b.decided(ask, sent, grant, err)
+		}
+		if lostSince.IsZero() {
+			lostSince = b.now()
+		}
+		select {
+		case <-ctx.Done():
+			return routing.Grant{}, gone()
+		case <-b.opts.Clock.After(findDelay):
+		}
+	}
+}
+
+// nthTry gives each try an ID of its own, so that a broker never mistakes a later
+// try for an earlier one that was cancelled on the way.
+func nthTry(ask routing.Ask, try int, waited time.Duration) routing.Ask {
+	ask.Waited += waited
+	if try > 0 {
+		ask.ID += "~" + strconv.Itoa(try)
+	}
+	return ask
+}
+
+// decided notes a grant under the ID that the caller knows.
+func (b *Broker) decided(ask, sent routing.Ask, grant routing.Grant, err error) (routing.Grant, error) {
+	if err != nil {
+		return routing.Grant{}, err
+	}
+	b.ledger.add(ask.ID, sent, &held{endpoint: grant.Endpoint.Name, since: b.now()})
+	grant.AskID = ask.ID
+	return grant, nil
+}
+
+func lookAgain(err error) bool {
+	code := failure.CodeOf(err)
+	return code == failure.NotBroker || code == failure.PeerUnreachable
+}
+
+// acquireOnce asks the pool's present broker. The wait ends when the role moves.
+func (b *Broker) acquireOnce(ctx context.Context, p *path, sent routing.Ask) (routing.Grant, error) {
+	r, changed := p.now()
+	if r.kind != routePeer {
+		return b.AcquireFor(ctx, sent)
+	}
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-bounded.Done():
+		}
+	}()
+	grant, err := b.opts.Peers.Acquire(bounded, r.member.PeerAddress, sent)
+	if err == nil {
+		return grant, nil
+	}
+	if bounded.Err() != nil || failure.CodeOf(err) == failure.PeerUnreachable {
+		// A grant may have been on its way.
+		b.send(routing.Report{AskID: sent.ID, RequestID: sent.RequestID, Pool: sent.Pool, Result: routing.ResultCancelled})
+	}
+	if ctx.Err() == nil && bounded.Err() != nil {
+		return routing.Grant{}, failure.Wrap(err, failure.NotBroker, "the pool's broker changed")
+	}
+	return routing.Grant{}, err
 }
 
-// Release implements routing.Broker.
-func (b *Broker) Release(report routing.Report) {}
+// acquireAlone decides on this daemon's fraction of the slots.
+func (b *Broker) acquireAlone(ctx context.Context, p *path, sent routing.Ask) (routing.Grant, error) {
+	if r, _ := p.now(); r.kind != routeAlone {
+		p.goAlone(b.now())
+	}
+	b.opts.Scope.Tagged(map[string]string{"pool": sent.Pool}).Counter("asks_decided_alone").Inc(1)
+	return b.localQueue(sent.Pool).acquire(ctx, b.now, sent)
+}
+
+// Release implements routing.Broker. The report is offered to the pool's broker,
+// whichever daemon that is by then.
+func (b *Broker) Release(report routing.Report) {
+	if h := b.ledger.remove(report.AskID); h != nil {
+		report.AskID = h.ask.ID
+		report.Pool = h.ask.Pool
+	}
+	b.mu.RLock()
+	local := b.locals[report.Pool]
+	b.mu.RUnlock()
+	if local != nil {
+		local.release(b.now(), report)
+	}
+	b.send(report)
+}
 
 // Progress updates what is known of a running grant, for a broker that takes over.
-func (b *Broker) Progress(askID string, outputTokens int) {}
+func (b *Broker) Progress(askID string, outputTokens int) { b.ledger.progress(askID, outputTokens) }
+
+// send offers a report to the pool's broker.
+func (b *Broker) send(report routing.Report) {
+	if r, _ := b.path(report.Pool).now(); r.kind == routeSelf {
+		if q, err := b.brokered(report.Pool); err == nil {
+			q.release(b.now(), report)
+			return
+		}
+	}
+	box := b.outbox(report.Pool)
+	if box.add(b.now(), report) {
+		go b.empty(report.Pool, box)
+	}
+}
+
+func (b *Broker) outbox(pool string) *outbox {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	box, ok := b.outboxes[pool]
+	if !ok {
+		box = &outbox{}
+		b.outboxes[pool] = box
+	}
+	return box
+}
+
+// empty sends batches until none is left. What can not be sent is tried again
+// until it is too old, so that the loop ends.
+func (b *Broker) empty(pool string, box *outbox) {
+	for b.ctx.Err() == nil {
+		batch := box.take(b.now())
+		if len(batch) == 0 {
+			return
+		}
+		reports := lo.Map(batch, func(p pendingReport, _ int) routing.Report { return p.report })
+		if b.sendBatch(pool, reports) == nil {
+			continue
+		}
+		box.putBack(batch)
+		select {
+		case <-b.ctx.Done():
+		case <-b.opts.Clock.After(resendDelay):
+		}
+	}
+}
+
+func (b *Broker) sendBatch(pool string, reports []routing.Report) error {
+	r, _ := b.path(pool).now()
+	switch r.kind {
+	case routeSelf:
+		return b.ReleaseFor(b.ctx, reports)
+	case routePeer:
+		return b.opts.Peers.Release(b.ctx, r.member.PeerAddress, reports)
+	default:
+		return notBroker(pool)
+	}
+}
+
+// brokered returns the queue of a pool that is brokered here.
+func (b *Broker) brokered(pool string) (*queue, error) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	if q, ok := b.queues[pool]; ok {
+		return q, nil
+	}
+	return nil, notBroker(pool)
+}
 
 // AcquireFor answers a peer's Acquire; the failure is NotBroker if another daemon brokers the pool.
 func (b *Broker) AcquireFor(ctx context.Context, ask routing.Ask) (routing.Grant, error) {
-	return routing.Grant{}, nil
+	b.path(ask.Pool)
+	q, err := b.brokered(ask.Pool)
+	if err != nil {
+		return routing.Grant{}, err
+	}
+	return q.acquire(ctx, b.now, ask)
 }
 
 // ReleaseFor answers a peer's Release.
-func (b *Broker) ReleaseFor(ctx context.Context, reports []routing.Report) error { return nil }
+func (b *Broker) ReleaseFor(_ context.Context, reports []routing.Report) error {
+	for _, r := range reports {
+		q, err := b.brokered(r.Pool)
+		if err != nil {
+			return err
+		}
+		q.release(b.now(), r)
+	}
+	return nil
+}
 
 // ProgressFor takes a peer's statement of every grant it has running in a pool.
-func (b *Broker) ProgressFor(ctx context.Context, daemon, pool string, running []routing.Progress) error {
+func (b *Broker) ProgressFor(_ context.Context, daemon, pool string, running []routing.Progress) error {
+	q, err := b.brokered(pool)
+	if err != nil {
+		return err
+	}
+	m, ok := lo.Find(b.opts.View.Members(), func(m membership.Member) bool { return m.ID == daemon })
+	if !ok {
+		return failure.New(failure.NotFound, "no member of the name "+daemon)
+	}
+	q.restate(b.now(), daemon, m.Incarnation, running)
 	return nil
 }
 
-// Outgoing implements membership.Exchange.
-func (b *Broker) Outgoing(to membership.Member) membership.Payload { return membership.Payload{} }
+// Brokers returns the IDs of the daemons that broker the pools in use here.
+func (b *Broker) Brokers() []string {
+	ids := lo.FilterMap(b.ledger.used(), func(pool string, _ int) (string, bool) {
+		r, _ := b.path(pool).now()
+		return r.member.ID, r.kind == routePeer
+	})
+	return lo.Uniq(ids)
+}
 
-// Incoming implements membership.Exchange.
-func (b *Broker) Incoming(from membership.Member, payload membership.Payload) {}
+// Stats describes the pools decided here, those decided alone included, by name.
+func (b *Broker) Stats() []scheduling.Stats {
+	now := b.now()
+	out := lo.Map(b.decidedHere(), func(q *queue, _ int) scheduling.Stats { return q.parts.Pool.Stats(now) })
+	slices.SortFunc(out, func(x, y scheduling.Stats) int { return lo.Ternary(x.Pool < y.Pool, -1, 1) })
+	return out
+}
 
-// Stats describes the pools brokered here, and the local ones.
-func (b *Broker) Stats() []scheduling.Stats { return nil }
+// decidedHere lists the queues of this daemon, local ones included.
+func (b *Broker) decidedHere() []*queue {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return append(lo.Values(b.queues), lo.Values(b.locals)...)
+}
--- /dev/null
+++ b/internal/broker/route.go
@@ -0,0 +1,118 @@
+package broker
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/primrosewell/primrosewell/internal/membership"
+)
+
+// routeKind says who decides for a pool, as this daemon sees it.
+type routeKind string
+
+const (
+	// routeSelf means that this daemon brokers the pool.
+	routeSelf routeKind = "self"
+	// routePeer means that another daemon brokers the pool.
+	routePeer routeKind = "peer"
+	// routeAlone means that this daemon is cut off from most others, and decides
+	// alone on its fraction of the slots.
+	routeAlone routeKind = "alone"
+)
+
+// route is the way to a pool's broker.
+type route struct {
+	kind   routeKind
+	member membership.Member
+}
+
+func (r route) same(other route) bool {
+	return r.kind == other.kind && r.member.ID == other.member.ID && r.member.Incarnation == other.member.Incarnation
+}
+
+// decideRoute finds the broker of a pool. A daemon that sees fewer than half of
+// the members that it knows does not take or ask for the role.
+func decideRoute(pool string, self membership.Member, members []membership.Member) route {
+	live := lo.CountBy(members, func(m membership.Member) bool { return m.State == membership.Live })
+	suspected := lo.CountBy(members, func(m membership.Member) bool { return m.State == membership.Suspected })
+	first, ok := membership.First(pool, members)
+	switch {
+	case !ok && suspected == 0:
+		return route{kind: routeSelf, member: self}
+	case !ok || live < suspected:
+		return route{kind: routeAlone, member: self}
+	case first.ID == self.ID:
+		return route{kind: routeSelf, member: self}
+	default:
+		return route{kind: routePeer, member: first}
+	}
+}
+
+// path is the present route of a pool, with who waits on it.
+type path struct {
+	mu      sync.Mutex
+	route   route
+	changed chan struct{}
+	// alone is set while no broker was found; one ask at a time looks for it again.
+	alone     bool
+	nextProbe time.Time
+}
+
+// probeInterval is the time between two looks for a broker that was not found.
+const probeInterval = 500 * time.Millisecond
+
+func newPath(r route) *path { return &path{route: r, changed: make(chan struct{})} }
+
+// update sets the route and wakes those who wait on the earlier one.
+func (p *path) update(r route) (changed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.route.same(r) {
+		p.route = r
+		return false
+	}
+	p.route = r
+	p.alone = false
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return true
+}
+
+// now returns the route and a channel that is closed when it changes.
+func (p *path) now() (route, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.route, p.changed
+}
+
+// goAlone notes that no broker was found.
+func (p *path) goAlone(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.alone = true
+	p.nextProbe = now.Add(probeInterval)
+}
+
+// found notes that the broker answered.
+func (p *path) found() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.alone = false
+}
+
+// decidesAlone reports whether an ask goes to the local queue at once. It is false
+// for one ask each probeInterval, which looks for the broker.
+func (p *path) decidesAlone(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.alone {
+		return p.route.kind == routeAlone
+	}
+	if now.Before(p.nextProbe) {
+		return true
+	}
+	p.nextProbe = now.Add(probeInterval)
+	return false
+}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"time"
+
+	"github.com/primrosewell/primrosewell/internal/quarantine"
 )
 
 // Fact is what one daemon says of a member. Facts about one incarnation are
@@ -12,19 +13,6 @@
 	Sequence uint64
 }
 
-// QuarantineEntry is a request digest that crashed endpoints.
-type QuarantineEntry struct {
-	Digest string
-	// Crashes counts the endpoints that fell.
-	Crashes int
-	// Endpoints names them.
-	Endpoints []string
-	// Quarantined digests are refused; others are suspects.
-	Quarantined bool
-	// Remaining is how long the entry stays.
-	Remaining time.Duration
-}
-
 // RunningDigest sums up the grants that a daemon has running in a pool.
 type RunningDigest struct {
 	Pool  string
@@ -35,7 +23,12 @@
 
 // Payload is what the other parts of a daemon send along with a heartbeat.
 type Payload struct {
-	Quarantine []QuarantineEntry
+	// Quarantine holds the entries that the receiver has not acknowledged.
+	Quarantine []quarantine.Entry
+	// QuarantineVersion is the sender's change counter, and QuarantineAck the
+	// receiver's change counter up to which the sender has merged.
+	QuarantineVersion uint64
+	QuarantineAck     uint64
 	// Running covers the pools that the receiver brokers.
 	Running []RunningDigest
 	// Restate names pools whose running grants the receiver should restate.
@@ -49,6 +42,9 @@
 	// Unreachable lists members that the sender's own calls do not reach.
 	Unreachable []string
 	Payload     Payload
+	// Introduction is set until the receiver has answered once; the reply then holds
+	// every member that the receiver knows.
+	Introduction bool
 	// Superseded is set in a reply to an incarnation that a newer one has replaced.
 	Superseded bool
 }
@@ -76,6 +72,8 @@
 	for _, x := range e {
 		p := x.Outgoing(to)
 		out.Quarantine = append(out.Quarantine, p.Quarantine...)
+		out.QuarantineVersion = max(out.QuarantineVersion, p.QuarantineVersion)
+		out.QuarantineAck = max(out.QuarantineAck, p.QuarantineAck)
 		out.Running = append(out.Running, p.Running...)
 		out.Restate = append(out.Restate, p.Restate...)
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -2,82 +2,252 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
-
-	"github.com/primrosewell/primrosewell/internal/platform"
-)
-
-// Defaults of Options.
-const (
-	DefaultInterval      = 250 * time.Millisecond
-	DefaultSuspectAfter  = time.Second
-	DefaultRemoveAfter   = 30 * time.Second
-	DefaultFullMeshLimit = 12
-	DefaultFanout        = 3
-	DefaultSeedInterval  = 5 * time.Second
 )
 
-// Options configures a Membership. Self and Transport are required.
-type Options struct {
-	// Self is this daemon; State and Revision are filled in.
-	Self Member
-	// Seeds are peer addresses to call until they answer.
-	Seeds []string
-	// Store is read for VMs of the role "entry", every SeedInterval; nil means no such seed.
-	Store platform.Store
-	// Transport calls peers.
-	Transport Transport
-	// Exchange takes part in heartbeats; nil means none.
-	Exchange Exchange
-	// Revision returns the configuration revision in force; nil means zero.
-	Revision func() int64
-	// Clock defaults to the real clock.
-	Clock clockwork.Clock
-	// Rand chooses peers above FullMeshLimit; used under a lock.
-	Rand *rand.Rand
-	// Interval is the time between rounds of heartbeats.
-	Interval time.Duration
-	// SuspectAfter is the silence after which a member is not live any more.
-	SuspectAfter time.Duration
-	// RemoveAfter is the silence after which a member is forgotten.
-	RemoveAfter time.Duration
-	// SeedInterval is the time between readings of the platform's list.
-	SeedInterval time.Duration
-	// FullMeshLimit is the number of members up to which each calls all others.
-	FullMeshLimit int
-	// Fanout is the number of members called in a round above FullMeshLimit.
-	Fanout int
-	// OnLapse is called when this daemon was silent for longer than SuspectAfter.
-	OnLapse func(gap time.Duration)
-	// Logger and Scope default to silent ones.
-	Logger logrus.FieldLogger
-	Scope  tally.Scope
-}
-
 // Membership tracks the live daemons. It implements View. Methods may be called concurrently.
 type Membership struct {
 	opts Options
+
+	mu       sync.Mutex
+	table    *table
+	rotation []string
+	seeds    []string
+	lastTick time.Time
+	lastSync time.Time
+	leaving  bool
+	rounds   int
+
+	view atomic.Pointer[[]Member]
+	self atomic.Pointer[Member]
 }
 
 // New starts the heartbeats; they end with ctx.
-func New(ctx context.Context, opts Options) *Membership { return &Membership{opts: opts} }
+func New(ctx context.Context, opts Options) *Membership {
+	opts = opts.withDefaults()
+	now := opts.Clock.Now()
+	m := &Membership{opts: opts, table: newTable(opts), seeds: opts.Seeds, lastTick: now, lastSync: now}
+	m.publish(now)
+	go m.run(ctx, opts.Clock.NewTicker(opts.Interval))
+	if opts.Store != nil {
+		go m.readSeeds(ctx, opts.Clock.NewTicker(opts.SeedInterval))
+	}
+	return m
+}
 
 // Self implements View.
-func (m *Membership) Self() Member { return m.opts.Self }
+func (m *Membership) Self() Member { return *m.self.Load() }
 
 // Members implements View. The slice must not be changed.
-func (m *Membership) Members() []Member { return []Member{m.opts.Self} }
+func (m *Membership) Members() []Member { return *m.view.Load() }
+
+func (m *Membership) run(ctx context.Context, ticker clockwork.Ticker) {
+	defer ticker.Stop()
+	m.round(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			m.round(ctx)
+		}
+	}
+}
+
+// round notices an own lapse, forgets the silent, and calls this round's targets.
+func (m *Membership) round(ctx context.Context) {
+	m.mu.Lock()
+	now := m.opts.Clock.Now()
+	gap := now.Sub(m.lastTick)
+	m.lastTick = now
+	lapsed := gap > m.opts.SuspectAfter
+	if lapsed {
+		m.table.lapsed(now)
+	}
+	m.refreshSelf()
+	m.expire(now)
+	calls := m.targets(now)
+	m.publish(now)
+	m.mu.Unlock()
+
+	if lapsed {
+		m.opts.Logger.WithFields(logrus.Fields{"event": "membership_lapse", "gap": gap}).Warn("this daemon was silent")
+		m.opts.Scope.Counter("membership_lapses").Inc(1)
+		if m.opts.OnLapse != nil {
+			m.opts.OnLapse(gap)
+		}
+	}
+	for _, c := range calls {
+		go m.call(ctx, c)
+	}
+}
+
+// expire drops members that are gone; the lock is held.
+func (m *Membership) expire(now time.Time) {
+	for _, gone := range m.table.expire(now) {
+		m.opts.Logger.WithFields(logrus.Fields{
+			"event": "member_removed", "member": gone.ID, "incarnation": gone.Incarnation,
+		}).Info("member removed")
+	}
+}
+
+// refreshSelf brings this daemon's own fact up to date; the lock is held.
+func (m *Membership) refreshSelf() {
+	state := Live
+	if m.leaving || m.table.superseded {
+		state = Leaving
+	}
+	m.table.setSelf(state, m.opts.Revision())
+}
+
+// outgoing makes a message to a member; the lock is held.
+func (m *Membership) outgoing(now time.Time, introduction bool) Heartbeat {
+	m.refreshSelf()
+	return Heartbeat{
+		Sender:       m.table.self,
+		Facts:        m.table.news(),
+		Unreachable:  m.table.unreachable(now),
+		Introduction: introduction,
+	}
+}
+
+// call sends one heartbeat and takes in the reply.
+func (m *Membership) call(ctx context.Context, c target) {
+	m.mu.Lock()
+	message := m.outgoing(m.opts.Clock.Now(), c.introduce)
+	m.mu.Unlock()
+	message.Payload = m.opts.Exchange.Outgoing(c.member)
+
+	bounded, cancel := context.WithTimeout(ctx, m.opts.SuspectAfter)
+	defer cancel()
+	reply, err := m.opts.Transport.Heartbeat(bounded, c.address, message)
+	m.opts.Scope.Counter("heartbeats_sent").Inc(1)
+	if err != nil {
+		m.opts.Scope.Counter("heartbeats_failed").Inc(1)
+	}
+	m.returned(c, reply, err)
+	if err == nil {
+		m.opts.Exchange.Incoming(reply.Sender.Member, reply.Payload)
+	}
+}
+
+func (m *Membership) returned(c target, reply Heartbeat, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.opts.Clock.Now()
+	if p, ok := m.table.peers[c.member.ID]; ok {
+		p.calling = false
+	}
+	if err != nil {
+		m.table.failed(now, c.member.ID, errors.Is(err, syscall.ECONNREFUSED))
+		m.publish(now)
+		return
+	}
+	m.take(now, reply)
+	m.table.answered(now, reply.Sender.Member.ID)
+	if reply.Superseded {
+		m.table.superseded = true
+	}
+	m.publish(now)
+}
+
+// take merges a message; the lock is held.
+func (m *Membership) take(now time.Time, message Heartbeat) {
+	m.table.merge(now, message.Sender, true)
+	for _, f := range message.Facts {
+		m.table.merge(now, f, false)
+	}
+	if !m.table.supersedes(message.Sender) {
+		m.table.heard(now, message.Sender.Member.ID, message.Unreachable)
+	}
+}
 
 // Receive answers the heartbeat of a peer.
-func (m *Membership) Receive(ctx context.Context, message Heartbeat) (Heartbeat, error) {
-	return Heartbeat{}, nil
+func (m *Membership) Receive(_ context.Context, message Heartbeat) (Heartbeat, error) {
+	from := message.Sender.Member
+	m.mu.Lock()
+	now := m.opts.Clock.Now()
+	_, known := m.table.peers[from.ID]
+	m.take(now, message)
+	superseded := m.table.supersedes(message.Sender)
+	reply := m.outgoing(now, false)
+	if message.Introduction || !known {
+		reply.Facts = m.table.all()
+	}
+	reply.Superseded = superseded
+	m.publish(now)
+	m.mu.Unlock()
+
+	if !superseded {
+		m.opts.Exchange.Incoming(from, message.Payload)
+		reply.Payload = m.opts.Exchange.Outgoing(from)
+	}
+	return reply, nil
 }
 
 // Leave announces to all members that this daemon is leaving. It returns when they
-// were told, or with ctx.
-func (m *Membership) Leave(ctx context.Context) {}
+// were told, or with ctx; heartbeats go on, so that late comers learn it too.
+func (m *Membership) Leave(ctx context.Context) {
+	m.mu.Lock()
+	now := m.opts.Clock.Now()
+	m.leaving = true
+	m.refreshSelf()
+	calls := m.everyone()
+	m.publish(now)
+	m.mu.Unlock()
+
+	var wg sync.WaitGroup
+	for _, c := range calls {
+		wg.Go(func() { m.call(ctx, c) })
+	}
+	wg.Wait()
+}
+
+// publish replaces the view and logs what changed; the lock is held.
+func (m *Membership) publish(now time.Time) {
+	if m.table.superseded && !m.leaving {
+		m.leaving = true
+		m.refreshSelf()
+		m.opts.Logger.WithField("event", "membership_superseded").Warn("a newer incarnation of this daemon is known")
+		if m.opts.OnSuperseded != nil {
+			go m.opts.OnSuperseded()
+		}
+	}
+	members := m.table.members(now)
+	previous := m.view.Swap(&members)
+	self := m.table.self.Member
+	m.self.Store(&self)
+	if previous != nil {
+		m.logChanges(*previous, members)
+	}
+}
+
+func (m *Membership) logChanges(previous, members []Member) {
+	before := make(map[string]Member, len(previous))
+	for _, p := range previous {
+		before[p.ID] = p
+	}
+	live := 0
+	for _, now := range members {
+		if now.State == Live {
+			live++
+		}
+		old, known := before[now.ID]
+		if known && old.State == now.State && old.Incarnation == now.Incarnation {
+			continue
+		}
+		m.opts.Logger.WithFields(logrus.Fields{
+			"event": "member_state", "member": now.ID, "incarnation": now.Incarnation,
+			"address": now.PeerAddress, "state": now.State, "previous": old.State,
+		}).Info("member changed")
+	}
+	m.opts.Scope.Gauge("members_live").Update(float64(live))
+	m.opts.Scope.Gauge("members_known").Update(float64(len(members)))
+}
--- a/internal/peer/convert_membership.go
+++ b/internal/peer/convert_membership.go
@@ -9,6 +9,7 @@
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/membership"
 	pb "github.com/primrosewell/primrosewell/internal/peer/peerv1"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
 )
 
 func heartbeatToProto(h membership.Heartbeat) *pb.HeartbeatMessage {
@@ -20,6 +21,10 @@
 		Running:     convert(h.Payload.Running, runningToProto),
 		Restate:     h.Payload.Restate,
 		Superseded:  h.Superseded,
+
+		Introduction:      h.Introduction,
+		QuarantineVersion: h.Payload.QuarantineVersion,
+		QuarantineAck:     h.Payload.QuarantineAck,
 	}
 }
 
@@ -29,11 +34,15 @@
 		Facts:       convert(h.GetFacts(), factFromProto),
 		Unreachable: h.GetUnreachable(),
 		Payload: membership.Payload{
-			Quarantine: convert(h.GetQuarantine(), quarantineFromProto),
-			Running:    convert(h.GetRunning(), runningFromProto),
-			Restate:    h.GetRestate(),
+			Quarantine:        convert(h.GetQuarantine(), quarantineFromProto),
+			QuarantineVersion: h.GetQuarantineVersion(),
+			QuarantineAck:     h.GetQuarantineAck(),
+			Running:           convert(h.GetRunning(), runningFromProto),
+			Restate:           h.GetRestate(),
 		},
 		Superseded: h.GetSuperseded(),
+
+		Introduction: h.GetIntroduction(),
 	}
 }
 
@@ -82,23 +91,25 @@
 	}
 }
 
-func quarantineToProto(e membership.QuarantineEntry) *pb.QuarantineEntry {
+func quarantineToProto(e quarantine.Entry) *pb.QuarantineEntry {
 	return &pb.QuarantineEntry{
 		Digest:      e.Digest,
-		Crashes:     uint32(max(e.Crashes, 0)),
-		RemainingMs: e.Remaining.Milliseconds(),
-		Endpoints:   e.Endpoints,
-		Quarantined: e.Quarantined,
+		State:       string(e.State),
+		ExpiresInMs: e.ExpiresIn.Milliseconds(),
+		Crashes: convert(e.Crashes, func(c quarantine.Crash) *pb.Crash {
+			return &pb.Crash{Endpoint: c.Endpoint, Seen: c.Seen, Forgiven: c.Forgiven}
+		}),
 	}
 }
 
-func quarantineFromProto(e *pb.QuarantineEntry) membership.QuarantineEntry {
-	return membership.QuarantineEntry{
-		Digest:      e.GetDigest(),
-		Crashes:     int(e.GetCrashes()),
-		Remaining:   time.Duration(e.GetRemainingMs()) * time.Millisecond,
-		Endpoints:   e.GetEndpoints(),
-		Quarantined: e.GetQuarantined(),
+func quarantineFromProto(e *pb.QuarantineEntry) quarantine.Entry {
+	return quarantine.Entry{
+		Digest:    e.GetDigest(),
+		State:     quarantine.State(e.GetState()),
+		ExpiresIn: time.Duration(e.GetExpiresInMs()) * time.Millisecond,
+		Crashes: convert(e.GetCrashes(), func(c *pb.Crash) quarantine.Crash {
+			return quarantine.Crash{Endpoint: c.GetEndpoint(), Seen: c.GetSeen(), Forgiven: c.GetForgiven()}
+		}),
 	}
 }
 
--- /dev/null
+++ b/internal/standin/relay/relay_test.go
@@ -0,0 +1,49 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/standin/relay"
+)
+
+var _ = Describe("Relay", func() {
+	It("holds back one direction and sends it on when the cut ends", func() {
+		echo, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(echo.Close)
+		go func() {
+			c, err := echo.Accept()
+			if err == nil {
+				_, _ = io.Copy(c, c)
+			}
+		}()
+		r, err := relay.New(context.Background(), echo.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Close)
+		c, err := net.Dial("tcp", r.Address())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Close)
+		lines := make(chan string, 8)
+		go func() {
+			scan := bufio.NewScanner(c)
+			for scan.Scan() {
+				lines <- scan.Text()
+			}
+		}()
+
+		_, _ = io.WriteString(c, "one\n")
+		Eventually(lines).Should(Receive(Equal("one")))
+		r.Cut(relay.Backward)
+		_, _ = io.WriteString(c, "two\n")
+		Consistently(lines, 100*time.Millisecond).ShouldNot(Receive())
+		r.Restore()
+		Eventually(lines).Should(Receive(Equal("two")))
+	})
+})
