Scheduling: refuse quarantined requests, and ask the placer what is constrained

Cause: a blocked digest is never placed, so it would wait until it expires; and only the placer knows that an ask may be held back for a reason of its own.

--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -32,6 +32,9 @@
 	if p.capacity.Endpoints == 0 {
 		return &refusal{ReasonNoEndpoint, p.noEndpoint()}
 	}
+	if p.quarantined(now, it.ask) {
+		return &refusal{ReasonQuarantined, quarantined()}
+	}
 	if now.After(it.latest) {
 		return &refusal{ReasonExpired, p.overloaded(now, it, "the latency target has passed")}
 	}
--- a/internal/scheduling/decision.go
+++ b/internal/scheduling/decision.go
@@ -22,6 +22,18 @@
 	Capacity(now time.Time) routing.Capacity
 }
 
+// Constrainer is implemented by placers that may refuse an ask for a reason of its
+// own while others would be placed. Such an ask does not hold up the queue. For
+// other placers these are the suspects and the asks with endpoints to avoid.
+type Constrainer interface {
+	Constrained(now time.Time, ask routing.Ask) bool
+}
+
+// Quarantine is implemented by placers that know the requests that are refused for good.
+type Quarantine interface {
+	Refuses(now time.Time, digest string) bool
+}
+
 // Kind tells a grant from a refusal.
 type Kind string
 
@@ -43,6 +55,8 @@
 	ReasonShed = "shed"
 	// ReasonQueueFull means that the queue holds MaxWaiting asks.
 	ReasonQueueFull = "queue_full"
+	// ReasonQuarantined means that the request crashed endpoints.
+	ReasonQuarantined = "quarantined"
 	// ReasonNoEndpoint means that no endpoint takes work.
 	ReasonNoEndpoint = "no_endpoint"
 	// ReasonCancelled means that the caller left.
--- a/internal/scheduling/dispatch.go
+++ b/internal/scheduling/dispatch.go
@@ -36,7 +36,10 @@
 		if p.place(now, it) {
 			continue
 		}
-		if !constrained(it.ask) {
+		if p.refuseQuarantined(now, it) {
+			continue
+		}
+		if !p.constrained(now, it.ask) {
 			p.blocked = true
 			return
 		}
@@ -137,7 +140,30 @@
 func priority(ask routing.Ask) int { return int(ask.Tier) }
 
 // constrained reports whether ask may be unplaceable although slots are free.
-func constrained(ask routing.Ask) bool { return ask.Suspect || len(ask.Avoid) > 0 }
+func (p *Pool) constrained(now time.Time, ask routing.Ask) bool {
+	if p.constrainer != nil {
+		return p.constrainer.Constrained(now, ask)
+	}
+	return ask.Suspect || len(ask.Avoid) > 0
+}
+
+// refuseQuarantined refuses a waiting item whose digest has been blocked.
+func (p *Pool) refuseQuarantined(now time.Time, it *item) bool {
+	if !p.quarantined(now, it.ask) {
+		return false
+	}
+	p.leave(it)
+	p.refuse(now, it, ReasonQuarantined, quarantined())
+	return true
+}
+
+func (p *Pool) quarantined(now time.Time, ask routing.Ask) bool {
+	return p.quarantine != nil && p.quarantine.Refuses(now, ask.Digest)
+}
+
+func quarantined() *failure.Failure {
+	return failure.New(failure.Quarantined, "the request crashed endpoints and is refused")
+}
 
 // cautionAllows reports whether a new broker may grant one more slot.
 func (p *Pool) cautionAllows(now time.Time) bool {
@@ -187,7 +213,9 @@
 			p.expire(now, it)
 			continue
 		}
-		p.place(now, it)
+		if !p.place(now, it) {
+			p.refuseQuarantined(now, it)
+		}
 	}
 }
 
--- a/internal/scheduling/order_test.go
+++ b/internal/scheduling/order_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/samber/lo"
 
+	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/routing"
 )
 
@@ -87,6 +88,11 @@
 		b.submit(suspect, ask("next", 2))
 		b.release("running", time.Second)
 		Expect(b.grants).To(Equal([]string{"running", "next"}))
+		b.slots.blocked["other"] = true
+		blocked := ask("blocked", 1)
+		blocked.Digest = "other"
+		b.submit(blocked)
+		Expect(b.refused["blocked"].Failure.Code).To(Equal(failure.Quarantined))
 		delete(b.slots.refuses, "suspect")
 		b.release("next", time.Second)
 		Expect(b.grants).To(HaveLen(3))
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -23,11 +23,14 @@
 
 // Pool is the one queue of a pool. All methods may be called concurrently.
 type Pool struct {
-	mu        sync.Mutex
-	name      string
-	cfg       Config
-	placer    Placer
-	estimates *estimate.Estimator
+	mu     sync.Mutex
+	name   string
+	cfg    Config
+	placer Placer
+	// constrainer and quarantine are the placer, or nil if it does not implement them.
+	constrainer Constrainer
+	quarantine  Quarantine
+	estimates   *estimate.Estimator
 
 	classes map[string]*class
 	// ordered holds the classes by tier, then by name.
@@ -79,7 +82,7 @@
 	if err != nil {
 		panic(err) // The size is positive, which is all that NewLRU asks for.
 	}
-	return &Pool{
+	p := &Pool{
 		name:      name,
 		cfg:       cfg.withDefaults(),
 		placer:    placer,
@@ -89,6 +92,9 @@
 		running:   map[string]*run{},
 		ended:     ended,
 	}
+	p.constrainer, _ = placer.(Constrainer)
+	p.quarantine, _ = placer.(Quarantine)
+	return p
 }
 
 // Submit enters ask into the queue and returns what is decided by that, which may
@@ -202,34 +208,6 @@
 	p.estimates.Observe(r.ask.Profile, r.ask.Workspace, report.OutputTokens)
 }
 
-// Restore counts a grant that an earlier broker made. It is idempotent.
-func (p *Pool) Restore(now time.Time, progress routing.Progress) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.advance(now)
-	_, runs := p.running[progress.AskID]
-	_, waits := p.waiting[progress.AskID]
-	if runs || waits || p.ended.Contains(progress.AskID) {
-		return
-	}
-	ask := progress.Ask
-	ask.ID = progress.AskID
-	c := p.classOf(ask)
-	grant := routing.Grant{AskID: ask.ID, Priority: priority(ask)}
-	grant.Endpoint.Name = progress.Endpoint
-	p.running[ask.ID] = &run{ask: ask, grant: grant, class: c}
-	c.running++
-	p.placer.Restore(now, progress)
-}
-
-// SetCautious limits grants to a share of the free slots until the given time.
-func (p *Pool) SetCautious(now, until time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.advance(now)
-	p.cautiousUntil = until
-}
-
 // Tick refuses expired asks, tries placement again, and ends caution. Call it
 // every 10 to 50 ms.
 func (p *Pool) Tick(now time.Time) []Decision {
@@ -247,41 +225,6 @@
 	return p.take()
 }
 
-// Expire drops the waiting asks of a daemon that is gone and frees its running grants.
-func (p *Pool) Expire(now time.Time, daemon string) []Decision {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.advance(now)
-	for _, it := range p.waitingInOrder() {
-		if it.ask.Daemon == daemon {
-			p.leave(it)
-			p.refuse(now, it, ReasonDaemonGone, cancelled())
-		}
-	}
-	for id, r := range p.running {
-		if r.ask.Daemon == daemon {
-			p.free(now, r, cancelledReport(id, r))
-		}
-	}
-	p.dispatch(now)
-	return p.take()
-}
-
-// cancelledReport ends a grant whose daemon can not report any more.
-func cancelledReport(id string, r *run) routing.Report {
-	return routing.Report{
-		AskID:     id,
-		RequestID: r.ask.RequestID,
-		Pool:      r.ask.Pool,
-		Endpoint:  r.grant.Endpoint.Name,
-		Workspace: r.ask.Workspace,
-		Profile:   r.ask.Profile,
-		Class:     r.ask.Class,
-		Digest:    r.ask.Digest,
-		Result:    routing.ResultCancelled,
-	}
-}
-
 // advance passes the time since the last event to the drain rate.
 func (p *Pool) advance(now time.Time) {
 	p.drained.advance(now, p.saturated(), p.cfg.DrainWindow)
--- /dev/null
+++ b/internal/scheduling/recovery.go
@@ -0,0 +1,72 @@
+package scheduling
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/primrosewell/primrosewell/internal/routing"
+)
+
+// Restore counts a grant that an earlier broker made. It is idempotent.
+func (p *Pool) Restore(now time.Time, progress routing.Progress) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advance(now)
+	_, runs := p.running[progress.AskID]
+	_, waits := p.waiting[progress.AskID]
+	if runs || waits || p.ended.Contains(progress.AskID) {
+		return
+	}
+	ask := progress.Ask
+	ask.ID = progress.AskID
+	c := p.classOf(ask)
+	grant := routing.Grant{AskID: ask.ID, Priority: priority(ask)}
+	grant.Endpoint.Name = progress.Endpoint
+	p.running[ask.ID] = &run{ask: ask, grant: grant, class: c}
+	c.running++
+	p.placer.Restore(now, progress)
+}
+
+// SetCautious limits grants to a share of the free slots until the given time.
+func (p *Pool) SetCautious(now, until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advance(now)
+	p.cautiousUntil = until
+}
+
+// Expire drops the waiting asks of a daemon that is gone and frees its running grants.
+func (p *Pool) Expire(now time.Time, daemon string) []Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advance(now)
+	for _, it := range p.waitingInOrder() {
+		if it.ask.Daemon == daemon {
+			p.leave(it)
+			p.refuse(now, it, ReasonDaemonGone, cancelled())
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.running)) {
+		if r := p.running[id]; r.ask.Daemon == daemon {
+			p.free(now, r, cancelledReport(id, r))
+		}
+	}
+	p.dispatch(now)
+	return p.take()
+}
+
+// cancelledReport ends a grant whose daemon can not report any more.
+func cancelledReport(id string, r *run) routing.Report {
+	return routing.Report{
+		AskID:     id,
+		RequestID: r.ask.RequestID,
+		Pool:      r.ask.Pool,
+		Endpoint:  r.grant.Endpoint.Name,
+		Workspace: r.ask.Workspace,
+		Profile:   r.ask.Profile,
+		Class:     r.ask.Class,
+		Digest:    r.ask.Digest,
+		Result:    routing.ResultCancelled,
+	}
+}
--- a/internal/scheduling/scheduling_suite_test.go
+++ b/internal/scheduling/scheduling_suite_test.go
@@ -26,8 +26,12 @@
 	endpoints   int
 	// refuses lists asks that no endpoint takes.
 	refuses map[string]bool
+	// blocked lists digests in quarantine.
+	blocked map[string]bool
 }
 
+func (s *slots) Refuses(_ time.Time, digest string) bool { return s.blocked[digest] }
+
 func (s *slots) Place(_ time.Time, ask routing.Ask) (routing.Placement, bool) {
 	if s.busy >= s.total || s.refuses[ask.ID] {
 		return routing.Placement{}, false
@@ -55,7 +59,7 @@
 
 func newBed(total int, change func(*scheduling.Config)) *bed {
 	b := &bed{
-		slots:   &slots{total: total, endpoints: 1, refuses: map[string]bool{}},
+		slots:   &slots{total: total, endpoints: 1, refuses: map[string]bool{}, blocked: map[string]bool{}},
 		history: &check.History{},
 		now:     time.Unix(1000, 0),
 		refused: map[string]scheduling.Decision{},
