broker: specs over real listeners, waits that follow the role

Cause: the parts of a daemon need each other (heartbeats need the broker, the broker the view), which raced when wired; and an ask that waited on the daemon's own fraction stayed there after the broker was back. Change: Membership.Attach binds the parts late; an ask that waits, at a peer or alone, looks for the broker again when the route changes; each try has an ask ID of its own, since a pool refuses one that it has cancelled before.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -88,17 +88,19 @@
 	for try := 0; ; try++ {
 		now := b.now()
 		sent := nthTry(ask, try, now.Sub(start))
-		lost := !lostSince.IsZero() && now.Sub(lostSince) >= b.opts.AloneAfter
-		if lost || p.decidesAlone(now) {
-			grant, err := b.acquireAlone(ctx, p, sent)
-			return b.decided(ask, sent, grant, err)
+		alone := p.decidesAlone(now) || (!lostSince.IsZero() && now.Sub(lostSince) >= b.opts.AloneAfter)
+		grant, err := b.acquireOnce(ctx, p, sent, alone)
+		if err == nil {
+			b.ledger.add(ask.ID, sent, &held{endpoint: grant.Endpoint.Name, since: b.now()})
+			grant.AskID = ask.ID
+			return grant, nil
 		}
-		grant, err := b.acquireOnce(ctx, p, sent)
-		if err == nil || !lookAgain(err) {
-			p.found()
-			return b.decided(ask, sent, grant, err)
-		}
-		if lostSince.IsZero() {
+		switch {
+		case !lookAgain(err):
+			return routing.Grant{}, err
+		case alone:
+			lostSince = time.Time{}
+		case lostSince.IsZero():
 			lostSince = b.now()
 		}
 		select {
@@ -119,25 +121,16 @@
 	return ask
 }
 
-// decided notes a grant under the ID that the caller knows.
-func (b *Broker) decided(ask, sent routing.Ask, grant routing.Grant, err error) (routing.Grant, error) {
-	if err != nil {
-		return routing.Grant{}, err
-	}
-	b.ledger.add(ask.ID, sent, &held{endpoint: grant.Endpoint.Name, since: b.now()})
-	grant.AskID = ask.ID
-	return grant, nil
-}
-
 func lookAgain(err error) bool {
 	code := failure.CodeOf(err)
 	return code == failure.NotBroker || code == failure.PeerUnreachable
 }
 
-// acquireOnce asks the pool's present broker. The wait ends when the role moves.
-func (b *Broker) acquireOnce(ctx context.Context, p *path, sent routing.Ask) (routing.Grant, error) {
+// acquireOnce asks the pool's present broker, or this daemon's own queue. The wait
+// ends with NotBroker when the route changes.
+func (b *Broker) acquireOnce(ctx context.Context, p *path, sent routing.Ask, alone bool) (routing.Grant, error) {
 	r, changed := p.now()
-	if r.kind != routePeer {
+	if !alone && r.kind != routePeer {
 		return b.AcquireFor(ctx, sent)
 	}
 	bounded, cancel := context.WithCancel(ctx)
@@ -149,18 +142,26 @@
 		case <-bounded.Done():
 		}
 	}()
-	grant, err := b.opts.Peers.Acquire(bounded, r.member.PeerAddress, sent)
-	if err == nil {
-		return grant, nil
+	grant, err := b.acquireVia(bounded, p, r, sent, alone)
+	if err != nil && bounded.Err() != nil && ctx.Err() == nil {
+		return routing.Grant{}, failure.Wrap(err, failure.NotBroker, "the pool's broker changed")
+	}
+	return grant, err
+}
+
+func (b *Broker) acquireVia(ctx context.Context, p *path, r route, sent routing.Ask, alone bool) (routing.Grant, error) {
+	if alone {
+		return b.acquireAlone(ctx, p, sent)
 	}
-	if bounded.Err() != nil || failure.CodeOf(err) == failure.PeerUnreachable {
+	grant, err := b.opts.Peers.Acquire(ctx, r.member.PeerAddress, sent)
+	switch {
+	case err == nil, !lookAgain(err) && ctx.Err() == nil:
+		p.found()
+	case failure.CodeOf(err) != failure.NotBroker:
 		// A grant may have been on its way.
 		b.send(routing.Report{AskID: sent.ID, RequestID: sent.RequestID, Pool: sent.Pool, Result: routing.ResultCancelled})
 	}
-	if ctx.Err() == nil && bounded.Err() != nil {
-		return routing.Grant{}, failure.Wrap(err, failure.NotBroker, "the pool's broker changed")
-	}
-	return routing.Grant{}, err
+	return grant, err
 }
 
 // acquireAlone decides on this daemon's fraction of the slots.
--- /dev/null
+++ b/internal/broker/cluster_test.go
@@ -0,0 +1,209 @@
+package broker_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/broker"
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/estimate"
+	"github.com/primrosewell/primrosewell/internal/membership"
+	"github.com/primrosewell/primrosewell/internal/peer"
+	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/routing"
+	"github.com/primrosewell/primrosewell/internal/scheduling"
+	"github.com/primrosewell/primrosewell/internal/standin/relay"
+)
+
+const (
+	pool         = "drafting"
+	interval     = 40 * time.Millisecond
+	suspectAfter = 300 * time.Millisecond
+)
+
+// slots places asks on endpoints up to their limits, first fit.
+type slots struct {
+	mu        sync.Mutex
+	endpoints []catalog.Endpoint
+	leaving   map[string]bool
+	running   map[string]string
+	loads     map[string]routing.Load
+}
+
+func (s *slots) Update(_ time.Time, endpoints []catalog.Endpoint, leaving map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endpoints, s.leaving = endpoints, leaving
+}
+
+func (s *slots) ObserveLoad(_ time.Time, load routing.Load) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads[load.Endpoint] = load
+}
+
+func (s *slots) Place(_ time.Time, ask routing.Ask) (routing.Placement, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.endpoints {
+		if !s.leaving[e.Name] && s.count(e.Name) < e.MaxConcurrent {
+			s.running[ask.ID] = e.Name
+			return routing.Placement{Endpoint: e, Alternatives: 1, Reason: "first"}, true
+		}
+	}
+	return routing.Placement{}, false
+}
+
+func (s *slots) count(endpoint string) (n int) {
+	for _, e := range s.running {
+		if e == endpoint {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *slots) Done(_ time.Time, report routing.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, report.AskID)
+}
+
+func (s *slots) Restore(_ time.Time, p routing.Progress) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[p.AskID] = p.Endpoint
+}
+
+func (s *slots) Capacity(time.Time) routing.Capacity {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := routing.Capacity{Busy: len(s.running)}
+	for _, e := range s.endpoints {
+		if !s.leaving[e.Name] {
+			c.Slots += e.MaxConcurrent
+			c.Endpoints++
+		}
+	}
+	return c
+}
+
+type fixedConfig struct{ snapshot *catalog.Snapshot }
+
+func (f fixedConfig) Current() *catalog.Snapshot { return f.snapshot }
+
+// configOf has one service with one endpoint of a number of slots.
+func configOf(slots string) fixedConfig {
+	s, skipped := catalog.NewSnapshot(1, []catalog.Record{
+		{Kind: catalog.KindService, Name: pool, Spec: []byte(`{"name":"` + pool + `","kind":"plain"}`)},
+		{Kind: catalog.KindEndpoint, Name: "e1", Spec: []byte(`{"name":"e1","service":"` + pool + `","address":"192.0.2.1:80","data_centre":"d","max_concurrent":` + slots + `}`)},
+	})
+	Expect(skipped).To(BeEmpty())
+	return fixedConfig{snapshot: s}
+}
+
+// node is one daemon's part: peer listener, membership and broker.
+type node struct {
+	id      string
+	address string
+	members *membership.Membership
+	broker  *broker.Broker
+	server  *peer.Server
+	stop    context.CancelFunc
+	mu      sync.Mutex
+	fleets  []*slots
+}
+
+func (n *node) kill() {
+	n.stop()
+	_ = n.server.Close()
+}
+
+func (n *node) factory(name string, _ bool) broker.PoolParts {
+	s := &slots{running: map[string]string{}, loads: map[string]routing.Load{}}
+	n.mu.Lock()
+	n.fleets = append(n.fleets, s)
+	n.mu.Unlock()
+	return broker.PoolParts{Fleet: s, Pool: scheduling.NewPool(name, scheduling.DefaultConfig(), s, estimate.New(estimate.Config{}))}
+}
+
+// cluster is a few nodes that call each other through relays.
+type cluster struct {
+	mesh  *relay.Mesh
+	nodes []*node
+}
+
+// clusterOptions are what a spec changes.
+type clusterOptions struct {
+	slots string
+	store platform.Store
+	loads routing.LoadReader
+}
+
+func newCluster(ids []string, opts clusterOptions) *cluster {
+	c := &cluster{mesh: relay.NewMesh()}
+	DeferCleanup(c.mesh.Close)
+	var seeds []string
+	var listeners []net.Listener
+	for range ids {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		listeners = append(listeners, l)
+		seeds = append(seeds, l.Addr().String())
+	}
+	for i, id := range ids {
+		c.nodes = append(c.nodes, c.start(id, listeners[i], seeds, opts))
+	}
+	Eventually(c.settled, 10*time.Second, 20*time.Millisecond).Should(BeTrue())
+	return c
+}
+
+func (c *cluster) start(id string, l net.Listener, seeds []string, opts clusterOptions) *node {
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{id: id, address: l.Addr().String(), stop: stop}
+	client := peer.NewClient(peer.ClientOptions{Key: "k", Dial: c.mesh.Dialer(id), SilenceTimeout: 100 * time.Millisecond})
+	n.members = membership.New(ctx, membership.Options{
+		Self:  membership.Member{ID: id, PeerAddress: n.address, DataCentre: "d"},
+		Seeds: seeds, Transport: client, Interval: interval, SuspectAfter: suspectAfter,
+	})
+	n.broker = broker.New(ctx, broker.Options{
+		View: n.members, Factory: n.factory, Peers: client, Config: configOf(opts.slots), Store: opts.store, LoadReader: opts.loads,
+		CautiousFor: 500 * time.Millisecond, ExpireAfter: 500 * time.Millisecond, VMInterval: 50 * time.Millisecond, LoadInterval: 50 * time.Millisecond,
+	})
+	n.members.Attach(membership.Attachments{Exchange: n.broker, Contacts: n.broker.Brokers})
+	n.server = peer.NewServer(peer.ServerOptions{Key: "k", Handlers: peer.Handlers{Members: n.members, Pools: n.broker}})
+	go func() { _ = n.server.Serve(l) }()
+	DeferCleanup(func() {
+		n.kill()
+		client.Close()
+	})
+	return n
+}
+
+// settled reports whether every node sees every other one live.
+func (c *cluster) settled() bool {
+	for _, n := range c.nodes {
+		if len(membership.Rank(pool, n.members.Members())) != len(c.nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// ranked lists the nodes in the order in which they broker the pool.
+func (c *cluster) ranked() []*node {
+	var out []*node
+	for _, m := range membership.Rank(pool, c.nodes[0].members.Members()) {
+		for _, n := range c.nodes {
+			if n.id == m.ID {
+				out = append(out, n)
+			}
+		}
+	}
+	return out
+}
--- a/internal/broker/route.go
+++ b/internal/broker/route.go
@@ -75,9 +75,14 @@
 	}
 	p.route = r
 	p.alone = false
+	p.wake()
+	return true
+}
+
+// wake ends the waits on the route; the lock is held.
+func (p *path) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
-	return true
 }
 
 // now returns the route and a channel that is closed when it changes.
@@ -95,11 +100,15 @@
 	p.nextProbe = now.Add(probeInterval)
 }
 
-// found notes that the broker answered.
+// found notes that the broker answered; those who wait on this daemon's own
+// decisions look for the broker again.
 func (p *path) found() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.alone = false
+	if p.alone {
+		p.alone = false
+		p.wake()
+	}
 }
 
 // decidesAlone reports whether an ask goes to the local queue at once. It is false
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -25,6 +25,8 @@
 	leaving  bool
 	rounds   int
 
+	attached atomic.Pointer[Attachments]
+
 	view atomic.Pointer[[]Member]
 	self atomic.Pointer[Member]
 }
@@ -34,6 +36,7 @@
 	opts = opts.withDefaults()
 	now := opts.Clock.Now()
 	m := &Membership{opts: opts, table: newTable(opts), seeds: opts.Seeds, lastTick: now, lastSync: now}
+	m.Attach(Attachments{})
 	m.publish(now)
 	go m.run(ctx, opts.Clock.NewTicker(opts.Interval))
 	if opts.Store != nil {
@@ -104,7 +107,7 @@
 	if m.leaving || m.table.superseded {
 		state = Leaving
 	}
-	m.table.setSelf(state, m.opts.Revision())
+	m.table.setSelf(state, m.attached.Load().Revision())
 }
 
 // outgoing makes a message to a member; the lock is held.
@@ -123,7 +126,7 @@
 	m.mu.Lock()
 	message := m.outgoing(m.opts.Clock.Now(), c.introduce)
 	m.mu.Unlock()
-	message.Payload = m.opts.Exchange.Outgoing(c.member)
+	message.Payload = m.attached.Load().Exchange.Outgoing(c.member)
 
 	bounded, cancel := context.WithTimeout(ctx, m.opts.SuspectAfter)
 	defer cancel()
@@ -134,7 +137,7 @@
 	}
 	m.returned(c, reply, err)
 	if err == nil {
-		m.opts.Exchange.Incoming(reply.Sender.Member, reply.Payload)
+		m.attached.Load().Exchange.Incoming(reply.Sender.Member, reply.Payload)
 	}
 }
 
@@ -186,8 +189,8 @@
 	m.mu.Unlock()
 
 	if !superseded {
-		m.opts.Exchange.Incoming(from, message.Payload)
-		reply.Payload = m.opts.Exchange.Outgoing(from)
+		m.attached.Load().Exchange.Incoming(from, message.Payload)
+		reply.Payload = m.attached.Load().Exchange.Outgoing(from)
 	}
 	return reply, nil
 }
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -38,13 +38,6 @@
 	Store platform.Store
 	// Transport calls peers.
 	Transport Transport
-	// Exchange takes part in heartbeats; nil means none.
-	Exchange Exchange
-	// Revision returns the configuration revision in force; nil means zero.
-	Revision func() int64
-	// Contacts names members to call in every round, above FullMeshLimit too, such as
-	// the brokers of the pools in use; nil means none.
-	Contacts func() []string
 	// Clock defaults to the real clock.
 	Clock clockwork.Clock
 	// Rand orders the calls above FullMeshLimit; it is used under a lock.
@@ -86,15 +79,6 @@
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	if o.Revision == nil {
-		o.Revision = func() int64 { return 0 }
-	}
-	if o.Contacts == nil {
-		o.Contacts = func() []string { return nil }
-	}
-	if o.Exchange == nil {
-		o.Exchange = Exchanges{}
-	}
 	if o.Logger == nil {
 		silent := logrus.New()
 		silent.SetOutput(io.Discard)
