--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -4,19 +4,99 @@
 import (
 	"context"
 	"flag"
+	"io"
+	"os"
 	"path/filepath"
 
 	"github.com/google/subcommands"
 )
 
+// Version is set at build time.
+var Version = "dev"
+
+const (
+	groupRun     = "running"
+	groupObjects = "configuration"
+	groupLook    = "looking"
+)
+
 // Main runs the command named by args and returns the exit code of the process.
 func Main(ctx context.Context, args []string) int {
+	return run(ctx, args, streams{in: os.Stdin, out: os.Stdout, err: os.Stderr})
+}
+
+// streams are what commands read from and write to.
+type streams struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+func run(ctx context.Context, args []string, std streams) int {
 	flags := flag.NewFlagSet(filepath.Base(args[0]), flag.ContinueOnError)
-	commander := subcommands.NewCommander(flags, flags.Name())
+	flags.SetOutput(std.err)
+	commander := newCommander(flags, flags.Name(), std)
+	commander.Register(&serveCommand{std: std}, groupRun)
+	commander.Register(&devCommand{std: std}, groupRun)
+	commander.Register(standinGroup(std), groupRun)
+	for _, group := range objectGroups(std) {
+		commander.Register(group, groupObjects)
+	}
+	commander.Register(settingsGroup(std), groupObjects)
+	commander.Register(&statusCommand{std: std}, groupLook)
+	commander.Register(&drainCommand{std: std}, groupRun)
+	commander.Register(&versionCommand{std: std}, groupLook)
+	return execute(ctx, commander, flags, args[1:])
+}
+
+func newCommander(flags *flag.FlagSet, name string, std streams) *subcommands.Commander {
+	commander := subcommands.NewCommander(flags, name)
+	commander.Output = std.out
+	commander.Error = std.err
 	commander.Register(commander.HelpCommand(), "")
-	commander.Register(commander.FlagsCommand(), "")
-	if err := flags.Parse(args[1:]); err != nil {
-		return int(subcommands.ExitUsageError)
+	return commander
+}
+
+func execute(ctx context.Context, commander *subcommands.Commander, flags *flag.FlagSet, args []string) int {
+	if err := flags.Parse(args); err != nil {
+		return exitUsage
 	}
 	return int(commander.Execute(ctx))
 }
+
+// group is a command that only holds others, such as "profile apply".
+type group struct {
+	name     string
+	synopsis string
+	members  []subcommands.Command
+	std      streams
+}
+
+// Name implements subcommands.Command.
+func (g *group) Name() string { return g.name }
+
+// Synopsis implements subcommands.Command.
+func (g *group) Synopsis() string { return g.synopsis }
+
+// Usage implements subcommands.Command.
+func (g *group) Usage() string {
+	text := g.name + " COMMAND [flags]: " + g.synopsis + "\n\n"
+	for _, m := range g.members {
+		text += "  " + g.name + " " + m.Name() + ": " + m.Synopsis() + "\n"
+	}
+	return text
+}
+
+// SetFlags implements subcommands.Command.
+func (g *group) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (g *group) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	flags := flag.NewFlagSet(g.name, flag.ContinueOnError)
+	flags.SetOutput(g.std.err)
+	commander := newCommander(flags, g.name, g.std)
+	for _, m := range g.members {
+		commander.Register(m, "")
+	}
+	return subcommands.ExitStatus(execute(ctx, commander, flags, f.Args()))
+}
