--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -59,7 +59,7 @@
 // MayHaveStarted reports whether the endpoint may have begun to run the request.
 func (e *Error) MayHaveStarted() bool {
 	switch e.Cause {
-	case NotReached, Refused:
+	case NotReached, Refused, Rejected:
 		return false
 	case Cancelled:
 		return e.Sent
