--- a/internal/admin/types.go
+++ b/internal/admin/types.go
@@ -57,14 +57,16 @@
 
 // EndpointStatus is one endpoint, as the broker of its pool sees it.
 type EndpointStatus struct {
-	Service    string  `json:"service"`
-	Name       string  `json:"name"`
-	Address    string  `json:"address"`
-	DataCentre string  `json:"data_centre"`
-	State      string  `json:"state"`
-	Limit      int     `json:"limit"`
-	Running    int     `json:"running"`
-	LatencyMS  float64 `json:"first_token_ms"`
+	Service    string `json:"service"`
+	Name       string `json:"name"`
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+	// State is the health, "leaving", or "reserved" for a suspect that runs alone.
+	State   string `json:"state"`
+	Limit   int    `json:"limit"`
+	Running int    `json:"running"`
+	// Speed is the latency over the pool's median: 2 is twice as slow.
+	Speed float64 `json:"speed"`
 }
 
 // DigestStatus is a request content that crashed endpoints.
