Add the claim log: one conditionally updated head for each shard

A request marked as not to be repeated may run only if its claim is in the platform. Claims are batched into an append to their shard, which is a conditional update of the shard's head; older entries are sealed into objects that the head links. A writer that was paused, read stale data or lost a reply can only fail its update, so neither a lease nor a fresh reading is trusted.

Ruled out: numbered segments, created if absent. Once an old segment is removed a paused writer can create its number again and believe that it won; a floor object read after the create does not help where reads may be stale.

With an unconditional update in place of the conditional one the history is not linearizable; a spec keeps that.

--- /dev/null
+++ b/internal/claim/fakes_test.go
@@ -0,0 +1,65 @@
+package claim
+
+import (
+	"context"
+	"sync"
+
+	"github.com/primrosewell/primrosewell/internal/platform"
+)
+
+// pausable blocks the writes of one daemon, as a frozen process or a slow network
+// would. A blocked write goes out with the version it was made with, even if its
+// caller has given up.
+type pausable struct {
+	platform.Store
+	mu     sync.Mutex
+	resume chan struct{}
+}
+
+func (p *pausable) pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resume == nil {
+		p.resume = make(chan struct{})
+	}
+}
+
+func (p *pausable) wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.resume != nil {
+		close(p.resume)
+		p.resume = nil
+	}
+}
+
+func (p *pausable) wait(ctx context.Context) context.Context {
+	p.mu.Lock()
+	resume := p.resume
+	p.mu.Unlock()
+	if resume == nil {
+		return ctx
+	}
+	<-resume
+	return context.WithoutCancel(ctx)
+}
+
+func (p *pausable) Create(ctx context.Context, o platform.Object) (platform.Object, error) {
+	return p.Store.Create(p.wait(ctx), o)
+}
+
+func (p *pausable) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+	return p.Store.Update(p.wait(ctx), o)
+}
+
+// unconditional switches the log's mechanism off: an update replaces any version.
+type unconditional struct{ platform.Store }
+
+func (u unconditional) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+	current, err := u.Get(ctx, o.Collection, o.Name)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	o.Version = current.Version
+	return u.Store.Update(ctx, o)
+}
--- /dev/null
+++ b/internal/claim/head.go
@@ -0,0 +1,87 @@
+package claim
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/samber/lo"
+)
+
+// sealRef names a seal: an immutable object that holds older entries.
+type sealRef struct {
+	Name    string `json:"s"`
+	Version int64  `json:"v"`
+	// Epoch is the newest epoch among its entries.
+	Epoch int64 `json:"e"`
+	// Level counts the merges that led to it.
+	Level int `json:"l,omitempty"`
+	Count int `json:"c"`
+	Bytes int `json:"b"`
+}
+
+// head is the one mutable object of a shard. Every append replaces it by a
+// conditional update, which is the log's only point of serialisation. A head is
+// not changed after it was built.
+type head struct {
+	Epoch int64 `json:"epoch"`
+	// Seals hold the entries before the tail, oldest first.
+	Seals []sealRef `json:"seals,omitempty"`
+	// tail holds the newest entries, oldest first.
+	tail []line
+}
+
+// encode returns a line with the epoch and the seals, and a line for each entry of the tail.
+func (h *head) encode() ([]byte, error) {
+	first, err := json.Marshal(h)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	out.Grow(len(first) + 1 + h.tailBytes())
+	out.Write(first)
+	out.WriteByte('\n')
+	writeLines(&out, h.tail)
+	return out.Bytes(), nil
+}
+
+func (h *head) tailBytes() int {
+	return lo.SumBy(h.tail, func(l line) int { return len(l.text) })
+}
+
+func decodeHead(data []byte) (*head, error) {
+	first, rest, _ := bytes.Cut(data, []byte{'\n'})
+	h := &head{}
+	if err := json.Unmarshal(first, h); err != nil {
+		return nil, err
+	}
+	tail, err := decodeLines(rest)
+	h.tail = tail
+	return h, err
+}
+
+func writeLines(out *bytes.Buffer, lines []line) {
+	for _, l := range lines {
+		out.Write(l.text)
+	}
+}
+
+func decodeLines(data []byte) ([]line, error) {
+	var lines []line
+	for text := range bytes.Lines(data) {
+		l := line{text: text}
+		if err := json.Unmarshal(text, &l.entry); err != nil {
+			return nil, err
+		}
+		lines = append(lines, l)
+	}
+	return lines, nil
+}
+
+// newest keeps the last entry of each key that has not expired, in order.
+func newest(lines []line, epoch, keep int64) []line {
+	last := make(map[string]int, len(lines))
+	for i, l := range lines {
+		last[l.keyID()] = i
+	}
+	return lo.Filter(lines, func(l line, i int) bool { return last[l.keyID()] == i && !l.expired(epoch, keep) })
+}
--- /dev/null
+++ b/internal/claim/history_test.go
@@ -0,0 +1,259 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/primrosewell/primrosewell/internal/platform"
+	platformstandin "github.com/primrosewell/primrosewell/internal/standin/platform"
+)
+
+type opKind int
+
+const (
+	opClaim opKind = iota
+	opRelease
+	// opLostClaim failed: it may have been made, and may then be released.
+	opLostClaim
+)
+
+type input struct {
+	kind            opKind
+	key, id, digest string
+}
+
+type output struct {
+	verdict Verdict
+	holder  string
+}
+
+// holding is the state of one key: the request that holds it, or none.
+type holding struct{ id, digest string }
+
+// model is what the log promises for one key. Releases take effect at any time after
+// their call, or never.
+var model = (&porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		keys := map[string][]porcupine.Operation{}
+		for _, o := range history {
+			key := o.Input.(input).key
+			keys[key] = append(keys[key], o)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range keys {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() []any { return []any{holding{}} },
+	Step: func(state, in, out any) []any { return stepModel(state.(holding), in.(input), out) },
+}).ToModel()
+
+func stepModel(h holding, in input, out any) []any {
+	switch in.kind {
+	case opRelease:
+		if h.id == in.id {
+			return []any{holding{}, h}
+		}
+		return []any{h}
+	case opLostClaim:
+		if h.id == "" {
+			return []any{h, holding{id: in.id, digest: in.digest}}
+		}
+		return []any{h}
+	default:
+		return stepClaim(h, in, out.(output))
+	}
+}
+
+func stepClaim(h holding, in input, out output) []any {
+	switch {
+	case out.verdict == Granted && h.id == "":
+		return []any{holding{id: in.id, digest: in.digest}}
+	case out.verdict == Held && h.id == out.holder && h.digest == in.digest:
+		return []any{h}
+	case out.verdict == Mismatched && h.id == out.holder && h.digest != in.digest:
+		return []any{h}
+	default:
+		return nil
+	}
+}
+
+// recorder collects a history from several clients.
+type recorder struct {
+	mu      sync.Mutex
+	started time.Time
+	history []porcupine.Operation
+}
+
+func (r *recorder) now() int64 { return int64(time.Since(r.started)) }
+
+func (r *recorder) add(client int, in input, call int64, out output, returned int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.history = append(r.history, porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: returned})
+}
+
+// claimOnce makes one claim and, now and then, releases it. It returns false for an error.
+func (r *recorder) claimOnce(client int, l *Log, random *rand.Rand, in input) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+random.IntN(60))*time.Millisecond)
+	defer cancel()
+	call := r.now()
+	verdict, holder, err := l.Claim(ctx, Claim{Workspace: "w", Key: in.key, Digest: in.digest, RequestID: in.id})
+	if err != nil {
+		in.kind = opLostClaim
+		r.add(client, in, call, output{}, math.MaxInt64)
+		in.kind = opRelease
+		r.add(client, in, call, output{}, math.MaxInt64)
+		time.Sleep(time.Duration(1+random.IntN(5)) * time.Millisecond)
+		return false
+	}
+	r.add(client, in, call, output{verdict: verdict, holder: holder.RequestID}, r.now())
+	if verdict == Granted && random.IntN(2) == 0 {
+		in.kind = opRelease
+		r.add(client, in, r.now(), output{}, math.MaxInt64)
+		l.Release(holder)
+	}
+	return true
+}
+
+const (
+	historyDaemons = 4
+	historyClients = 3 // For each daemon.
+	historyClaims  = 25
+	historyTries   = 200 // For each client.
+	keysAtOnce     = 6
+	keyPhase       = 3 // Claims of a client before it goes on to other keys.
+	historyTimeout = time.Minute
+)
+
+// disturb changes the platform's faults and pauses daemons until ctx ends.
+func disturb(ctx context.Context, random *rand.Rand, server *platformstandin.Server, stores []*pausable) {
+	for ctx.Err() == nil {
+		f := platformstandin.Faults{Seed: random.Uint64(), LoseReplyProbability: 0.1}
+		switch random.IntN(6) {
+		case 0:
+			f.Outage = platformstandin.OutageRefuse
+		case 1:
+			f.Outage = platformstandin.OutageHang
+		case 2:
+			f.DelayMS = 1 + random.IntN(10)
+		case 3:
+			f.StaleVersions = int64(1 + random.IntN(20))
+		case 4:
+			f.LoseReplyProbability = 0.7
+		}
+		server.SetFaults(f)
+		store := stores[random.IntN(len(stores))]
+		store.pause()
+		time.Sleep(time.Duration(1+random.IntN(20)) * time.Millisecond)
+		store.wake()
+		time.Sleep(time.Duration(1+random.IntN(20)) * time.Millisecond)
+	}
+	server.SetFaults(platformstandin.Faults{})
+}
+
+// runHistory lets clients of several daemons contend for few keys under faults.
+func runHistory(seed uint64, wrap func(platform.Store) platform.Store) []porcupine.Operation {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := platformstandin.New(platformstandin.Options{})
+	record := &recorder{started: time.Now()}
+	var stores []*pausable
+	var clients, driver sync.WaitGroup
+	for d := range historyDaemons {
+		store := &pausable{Store: wrap(server.Store())}
+		stores = append(stores, store)
+		name := fmt.Sprintf("d%d", d)
+		l, err := New(ctx, Options{Store: store, Daemon: name, Incarnation: name, Shards: 2, AppendInterval: time.Millisecond, MaxRetryInterval: 5 * time.Millisecond})
+		Expect(err).NotTo(HaveOccurred())
+		for c := range historyClients {
+			client := d*historyClients + c
+			clients.Go(func() {
+				random := rand.New(rand.NewPCG(seed, uint64(client)))
+				for i, decided := 0, 0; decided < historyClaims && i < historyTries; i++ {
+					if record.claimOnce(client, l, random, input{
+						key:    fmt.Sprintf("k%d", decided/keyPhase*keysAtOnce+random.IntN(keysAtOnce)),
+						id:     fmt.Sprintf("r%d-%d", client, i),
+						digest: fmt.Sprintf("b%d", random.IntN(4)/3),
+					}) {
+						decided++
+					}
+				}
+			})
+		}
+	}
+	faults, stop := context.WithCancel(ctx)
+	driver.Go(func() { disturb(faults, rand.New(rand.NewPCG(seed, math.MaxUint64)), server, stores) })
+	clients.Wait()
+	stop()
+	driver.Wait()
+	return withoutUnmade(record.history, landed(server))
+}
+
+// landed returns every request whose claim was ever in the log.
+func landed(server *platformstandin.Server) map[string]bool {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	w, err := server.Store().Watch(ctx, platform.ClaimCollection, 0)
+	Expect(err).NotTo(HaveOccurred())
+	ids := map[string]bool{}
+	for {
+		e, err := w.Next(ctx)
+		if err != nil {
+			Expect(err).To(MatchError(context.DeadlineExceeded))
+			return ids
+		}
+		if strings.HasPrefix(e.Object.Name, headPrefix) {
+			lines := bytes.Split(e.Object.Data, []byte{'\n'})
+			for _, text := range lines[min(1, len(lines)):] {
+				var made entry
+				if json.Unmarshal(text, &made) == nil {
+					ids[made.RequestID] = true
+				}
+			}
+		}
+	}
+}
+
+// withoutUnmade leaves out the failed claims that never were in the log, which keeps
+// the check short.
+func withoutUnmade(history []porcupine.Operation, landed map[string]bool) []porcupine.Operation {
+	return lo.Filter(history, func(o porcupine.Operation, _ int) bool {
+		return o.Input.(input).kind == opClaim || landed[o.Input.(input).id]
+	})
+}
+
+func granted(history []porcupine.Operation) (n int) {
+	for _, o := range history {
+		if o.Output.(output).verdict == Granted {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("concurrent histories under faults", func() {
+	DescribeTable("are linearizable", func(seed uint64) {
+		history := runHistory(seed, func(s platform.Store) platform.Store { return s })
+		Expect(granted(history)).To(BeNumerically(">", historyClaims))
+		Expect(porcupine.CheckOperationsTimeout(model, history, historyTimeout)).To(Equal(porcupine.Ok))
+	}, Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)), Entry("seed 4", uint64(4)))
+
+	It("are not linearizable once the update is unconditional", func() {
+		history := runHistory(1, func(s platform.Store) platform.Store { return unconditional{s} })
+		Expect(porcupine.CheckOperationsTimeout(model, history, historyTimeout)).To(Equal(porcupine.Illegal))
+	})
+})
