distribution: watch, peers, conditional writes, in force on n of m

Each object's version only grows on a daemon, whatever order news comes in; a reading older than what was seen is ignored. Watchers list beside the watch, which catches gaps and silence. Members report a digest of their records, so that a change that one of them missed at an equal or lower revision is found too. Members carry config_digest on the wire.

--- /dev/null
+++ b/internal/distribution/delete.go
@@ -0,0 +1,102 @@
+package distribution
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/platform"
+)
+
+// Delete removes an object that no other one names, then waits until the live
+// members report the deletion. Failures are as for Apply, and NotFound.
+func (d *Distributor) Delete(ctx context.Context, kind catalog.Kind, name string, w WriteOptions) (ApplyResult, error) {
+	if !d.Ready() {
+		return ApplyResult{}, notReady()
+	}
+	key := catalog.Record{Kind: kind, Name: name}.Key()
+	base := d.baseVersion(key, w)
+	if base == 0 {
+		return ApplyResult{}, notFound(kind, name)
+	}
+	if err := checkUnused(d.Current(), kind, name); err != nil {
+		return ApplyResult{}, err
+	}
+	version, err := d.erase(ctx, platform.Object{Collection: platform.ConfigCollection, Name: key, Version: base})
+	if err != nil {
+		return ApplyResult{}, err
+	}
+	d.change("delete", func(r *records) bool {
+		return r.remove(Tombstone{Kind: kind, Name: name, Version: version})
+	})
+	return d.awaitInForce(ctx, name, version), nil
+}
+
+// erase deletes an object at its version, and returns a version at which it is gone.
+func (d *Distributor) erase(ctx context.Context, o platform.Object) (version int64, err error) {
+	deadline := d.opts.Clock.Now().Add(d.opts.WriteTimeout)
+	uncertain := false
+	for {
+		eraseErr := d.eraseOnce(ctx, o)
+		switch platform.ReasonOf(eraseErr) {
+		case "":
+			return d.goneAt(ctx, o, deadline)
+		case platform.NotFound:
+			if uncertain {
+				return d.goneAt(ctx, o, deadline)
+			}
+			return 0, failure.New(failure.NotFound, o.Name+" was deleted already").WithOutcome(failure.NotRun)
+		case platform.Conflict:
+			return d.beaten(ctx, o, "", uncertain, deadline)
+		case platform.RateLimited, platform.Unavailable:
+		default:
+			uncertain = true
+		}
+		if !d.opts.Clock.Now().Before(deadline) || ctx.Err() != nil {
+			return 0, stayedAway(eraseErr, uncertain)
+		}
+		d.sleep(ctx, writeRetryDelay)
+	}
+}
+
+func (d *Distributor) eraseOnce(ctx context.Context, o platform.Object) error {
+	bounded, cancel := context.WithTimeout(ctx, d.opts.CallTimeout)
+	defer cancel()
+	return d.opts.Store.Delete(bounded, o.Collection, o.Name, o.Version)
+}
+
+// goneAt reads a version at which the deletion had taken place. The platform does
+// not say it in its reply.
+func (d *Distributor) goneAt(ctx context.Context, o platform.Object, deadline time.Time) (int64, error) {
+	for {
+		if version, ok := d.goneOnce(ctx, o); ok {
+			return version, nil
+		}
+		if !d.opts.Clock.Now().Before(deadline) || ctx.Err() != nil {
+			return 0, failure.New(failure.ResultUnknown, o.Name+" was deleted, but the platform stays away, so whether it is gone everywhere is not known").WithOutcome(failure.Completed)
+		}
+		d.sleep(ctx, writeRetryDelay)
+	}
+}
+
+func (d *Distributor) goneOnce(ctx context.Context, o platform.Object) (int64, bool) {
+	bounded, cancel := context.WithTimeout(ctx, d.opts.CallTimeout)
+	defer cancel()
+	listed, err := d.opts.Store.List(bounded, o.Collection, o.Name)
+	if err != nil || listed.Version <= o.Version {
+		return 0, false
+	}
+	item, present := lo.Find(listed.Items, func(x platform.Object) bool { return x.Name == o.Name })
+	switch {
+	case !present:
+		return listed.Version, true
+	case item.Version > o.Version:
+		// It was made anew since; the deletion lies between.
+		return item.Version - 1, true
+	default:
+		return 0, false
+	}
+}
--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -4,127 +4,178 @@
 
 import (
 	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/jonboulle/clockwork"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
-	"github.com/uber-go/tally/v4"
 
 	"github.com/primrosewell/primrosewell/internal/catalog"
-	"github.com/primrosewell/primrosewell/internal/membership"
+	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/platform"
 )
 
-// Defaults of Options.
-const (
-	DefaultWatchersPerDataCentre = 2
-	DefaultListInterval          = 2 * time.Second
-	DefaultInForceTimeout        = 6 * time.Second
-)
-
-// Delta is the configuration, or what changed of it after a revision.
-type Delta struct {
-	Revision int64
-	// Full is true if Records hold the whole configuration.
-	Full    bool
-	Records []catalog.Record
-	// Deleted names the records that were removed.
-	Deleted []Tombstone
-}
-
-// Tombstone is the deletion of a record at a version.
-type Tombstone struct {
-	Kind    catalog.Kind
-	Name    string
-	Version int64
-}
-
-// Peers fetches configuration from other daemons.
-type Peers interface {
-	FetchConfig(ctx context.Context, address string, since int64) (Delta, error)
-}
-
-// Options configures a Distributor. Store, Peers and View are required.
-type Options struct {
-	Store platform.Store
-	Peers Peers
-	View  membership.View
-	// Clock defaults to the real clock.
-	Clock clockwork.Clock
-	// WatchersPerDataCentre is the number of daemons that watch the platform.
-	WatchersPerDataCentre int
-	// ListInterval is the time between readings that catch skipped events.
-	ListInterval time.Duration
-	// InForceTimeout bounds the wait for the members to report a revision.
-	InForceTimeout time.Duration
-	Logger         logrus.FieldLogger
-	Scope          tally.Scope
-}
+// changesKept is the number of change IDs that are remembered, to resolve lost replies.
+const changesKept = 4096
 
 // Distributor keeps the configuration in force on this daemon. Methods may be called concurrently.
 type Distributor struct {
-	opts Options
+	opts    Options
+	started time.Time
+
+	mu          sync.Mutex
+	records     *records
+	changes     *changeLog
+	subscribers map[int]func(*catalog.Snapshot)
+	nextID      int
+	loaded      bool
+	// digests holds the digest of each revision installed lately.
+	digests *digestLog
+
+	current  atomic.Pointer[catalog.Snapshot]
+	digest   atomic.Uint64
+	ready    atomic.Bool
+	platform platformState
+	fetching fetchState
 }
 
 // New starts the distribution; it ends with ctx.
-func New(ctx context.Context, opts Options) *Distributor { return &Distributor{opts: opts} }
-
-// Current returns the snapshot in force; before Ready it is empty, never nil.
-func (d *Distributor) Current() *catalog.Snapshot {
-	s, _ := catalog.NewSnapshot(0, nil)
-	return s
+func New(ctx context.Context, opts Options) *Distributor {
+	opts = opts.withDefaults()
+	d := &Distributor{
+		opts:        opts,
+		started:     opts.Clock.Now(),
+		records:     newRecords(),
+		changes:     newChangeLog(changesKept),
+		digests:     newDigestLog(changesKept),
+		subscribers: map[int]func(*catalog.Snapshot){},
+	}
+	empty, _ := catalog.NewSnapshot(0, nil)
+	d.current.Store(empty)
+	d.platform.init()
+	go d.runPlatform(ctx)
+	go d.runPeers(ctx, opts.Clock.NewTicker(opts.TickInterval))
+	return d
 }
 
+// Current returns the snapshot in force; before Ready it may be empty, never nil.
+func (d *Distributor) Current() *catalog.Snapshot { return d.current.Load() }
+
 // Revision returns the revision in force.
-func (d *Distributor) Revision() int64 { return 0 }
+func (d *Distributor) Revision() int64 { return d.Current().Revision }
 
-// Ready reports whether a first snapshot is installed.
-func (d *Distributor) Ready() bool { return false }
+// ConfigDigest sums up the records in force. Two daemons with the same records have the same digest.
+func (d *Distributor) ConfigDigest() uint64 { return d.digest.Load() }
+
+// Ready reports whether a first snapshot is installed that is no older than those
+// of the members heard. Once true it stays so.
+func (d *Distributor) Ready() bool { return d.ready.Load() }
 
 // Subscribe calls f with each snapshot that is installed, in order, and at once with
-// the present one. f must not block. The returned function ends the subscription.
-func (d *Distributor) Subscribe(f func(*catalog.Snapshot)) (cancel func()) { return func() {} }
+// the present one. f must not block, and must not call the Distributor. The returned
+// function ends the subscription.
+func (d *Distributor) Subscribe(f func(*catalog.Snapshot)) (cancel func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	id := d.nextID
+	d.nextID++
+	d.subscribers[id] = f
+	f(d.current.Load())
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		delete(d.subscribers, id)
+	}
+}
 
 // FetchConfig answers a peer with what changed after a revision.
-func (d *Distributor) FetchConfig(ctx context.Context, since int64) (Delta, error) {
-	return Delta{}, nil
+func (d *Distributor) FetchConfig(_ context.Context, since int64) (Delta, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.loaded {
+		return Delta{}, failure.New(failure.NotFound, "this daemon has no configuration yet")
+	}
+	return d.records.since(since), nil
 }
 
-// WriteOptions goes with a change.
-type WriteOptions struct {
-	// ExpectedVersion is the version that the change is based on: zero for a new
-	// object, nil for whatever is stored now.
-	ExpectedVersion *int64
-	// ChangedBy names the operator.
-	ChangedBy string
+// change applies news to the records and installs the result. The lock is not held.
+func (d *Distributor) change(source string, apply func(*records) bool) (changed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	before := d.records.revision
+	changed = apply(d.records)
+	first := !d.loaded
+	d.loaded = true
+	if !changed && !first && d.records.revision == before {
+		return false
+	}
+	d.install(source)
+	return changed
 }
 
-// ApplyResult says what became of an accepted change.
-type ApplyResult struct {
-	Name     string `json:"name"`
-	Revision int64  `json:"revision"`
-	Version  int64  `json:"version"`
-	// InForce counts the live members that have the revision in force, of Members.
-	InForce int `json:"in_force"`
-	Members int `json:"members"`
-	// Missing names the others.
-	Missing []string `json:"missing,omitempty"`
+// install puts the records in force; the lock is held.
+func (d *Distributor) install(source string) {
+	snapshot, skipped := d.records.snapshot()
+	d.digests.add(d.records.digest, snapshot.Revision)
+	d.digest.Store(d.records.digest)
+	d.current.Store(snapshot)
+	entry := d.opts.Logger.WithFields(logrus.Fields{
+		"event": "config_installed", "revision": snapshot.Revision, "source": source, "records": len(snapshot.Records),
+	})
+	if len(skipped) > 0 {
+		entry = entry.WithField("skipped", strings.Join(skipped, ","))
+	}
+	entry.Info("configuration in force")
+	d.opts.Scope.Gauge("config_revision").Update(float64(snapshot.Revision))
+	for _, id := range slices.Sorted(slices.Values(lo.Keys(d.subscribers))) {
+		d.subscribers[id](snapshot)
+	}
 }
 
-// Apply checks and stores an object, then waits until the live members report its revision.
-func (d *Distributor) Apply(ctx context.Context, kind catalog.Kind, spec []byte, w WriteOptions) (ApplyResult, error) {
-	return ApplyResult{}, nil
+// Get returns the record in force on this daemon.
+func (d *Distributor) Get(kind catalog.Kind, name string) (catalog.Record, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r, ok := d.records.live[catalog.Record{Kind: kind, Name: name}.Key()]
+	if !ok {
+		return catalog.Record{}, notFound(kind, name)
+	}
+	return r, nil
 }
 
-// Delete removes an object, then waits until the live members report the revision.
-func (d *Distributor) Delete(ctx context.Context, kind catalog.Kind, name string, w WriteOptions) (ApplyResult, error) {
-	return ApplyResult{}, nil
+// List returns the records of a kind in force on this daemon, sorted by name.
+func (d *Distributor) List(kind catalog.Kind) []catalog.Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := lo.Filter(lo.Values(d.records.live), func(r catalog.Record, _ int) bool { return r.Kind == kind })
+	slices.SortFunc(out, func(a, b catalog.Record) int { return strings.Compare(a.Name, b.Name) })
+	return out
 }
 
-// Get returns the record in force on this daemon.
-func (d *Distributor) Get(kind catalog.Kind, name string) (catalog.Record, error) {
-	return catalog.Record{}, nil
+func notFound(kind catalog.Kind, name string) error {
+	return failure.New(failure.NotFound, "no "+string(kind)+" of the name "+name+" is in force")
 }
 
-// List returns the records of a kind in force on this daemon, sorted by name.
-func (d *Distributor) List(kind catalog.Kind) []catalog.Record { return nil }
+// decode reads the record in an object. The object's name and version rule.
+func decode(o platform.Object) (catalog.Record, bool) {
+	kind, name, ok := strings.Cut(o.Name, ".")
+	if !ok {
+		return catalog.Record{}, false
+	}
+	var r catalog.Record
+	if err := json.Unmarshal(o.Data, &r); err != nil {
+		return catalog.Record{}, false
+	}
+	r.Kind, r.Name, r.Version = catalog.Kind(kind), name, o.Version
+	return r, true
+}
+
+// tombstone reads the deletion of an object.
+func tombstone(o platform.Object) (Tombstone, bool) {
+	kind, name, ok := strings.Cut(o.Name, ".")
+	return Tombstone{Kind: catalog.Kind(kind), Name: name, Version: o.Version}, ok
+}
--- /dev/null
+++ b/internal/distribution/distribution_test.go
@@ -0,0 +1,237 @@
+package distribution_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/distribution"
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/platform"
+	standin "github.com/primrosewell/primrosewell/internal/standin/platform"
+)
+
+// promise is the time within which an accepted change is in force everywhere.
+const promise = 6 * time.Second
+
+func profile(name string, firstTokenMS int) []byte {
+	return fmt.Appendf(nil, `{"name":%q,"tier":1,"target":{"first_token_ms":%d}}`, name, firstTokenMS)
+}
+
+func by(who string) distribution.WriteOptions { return distribution.WriteOptions{ChangedBy: who} }
+
+// putDirectly writes past the daemons, as another tool of the operators may.
+func putDirectly(p *standin.Server, name string, ms int) int64 {
+	GinkgoHelper()
+	data, err := json.Marshal(catalog.Record{Kind: catalog.KindProfile, Name: name, ChangeID: name, Spec: profile(name, ms)})
+	Expect(err).NotTo(HaveOccurred())
+	o, err := p.Store().Create(context.Background(), platform.Object{Collection: platform.ConfigCollection, Name: "profile." + name, Data: data})
+	Expect(err).NotTo(HaveOccurred())
+	return o.Version
+}
+
+var _ = Describe("Distributor", func() {
+	ctx := context.Background()
+
+	It("says on how many daemons an accepted change is in force", func() {
+		i := newInstallation("a", "b", "c", "d")
+		i.ready()
+		result, err := i.get("a").d.Apply(ctx, catalog.KindProfile, profile("pilot", 380), by("op"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result).To(Equal(distribution.ApplyResult{Name: "pilot", Revision: result.Version, Version: result.Version, InForce: 4, Members: 4}))
+		for _, d := range i.all() {
+			Expect(d.version(catalog.KindProfile, "pilot")()).To(Equal(result.Version))
+		}
+		deleted, err := i.get("b").d.Delete(ctx, catalog.KindProfile, "pilot", by("op"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(deleted.InForce).To(Equal(4))
+		for _, d := range i.all() {
+			Expect(d.version(catalog.KindProfile, "pilot")()).To(BeZero())
+		}
+	})
+
+	It("names the daemon that is missing", func() {
+		i := newInstallation("a", "b", "c")
+		i.ready()
+		i.mu.Lock()
+		c := i.daemons["c"]
+		delete(i.daemons, "c") // It goes on beating with an old revision, and answers no fetch.
+		i.mu.Unlock()
+		DeferCleanup(c.stop)
+		c.stop()
+		result, err := i.get("a").d.Apply(ctx, catalog.KindProfile, profile("pilot", 380), by("op"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Missing).To(Equal([]string{"c"}))
+		Expect(result.InForce).To(Equal(2))
+		Expect(result.Members).To(Equal(3))
+	})
+
+	DescribeTable("brings a change into force that the watch does not deliver",
+		func(breakWatch func(i *installation)) {
+			i := newInstallation("a", "b", "c")
+			i.ready()
+			breakWatch(i)
+			version := putDirectly(i.platform, "pilot", 380)
+			for _, d := range i.all() {
+				Eventually(d.version(catalog.KindProfile, "pilot"), promise).Should(Equal(version))
+				Expect(d.reverted()).To(BeEmpty())
+			}
+		},
+		Entry("cut", func(i *installation) { i.platform.SetFaults(standin.Faults{CutWatches: true}) }),
+		Entry("with a gap", func(i *installation) { i.platform.SetFaults(standin.Faults{SkipEvents: 1}) }),
+		Entry("silent", func(i *installation) {
+			for _, d := range i.all() {
+				d.store.blockWatches.Store(true)
+			}
+		}),
+	)
+
+	It("never goes back to what a stale read shows", func() {
+		i := newInstallation("a", "b", "c")
+		i.ready()
+		for n := range 5 {
+			_, err := i.get("a").d.Apply(ctx, catalog.KindProfile, profile("pilot", 100+n), by("op"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		version := i.get("a").version(catalog.KindProfile, "pilot")()
+		i.platform.SetFaults(standin.Faults{StaleVersions: 3, CutWatches: true})
+		for _, d := range i.all() {
+			Consistently(d.version(catalog.KindProfile, "pilot"), time.Second).Should(Equal(version))
+			Expect(d.reverted()).To(BeEmpty())
+		}
+	})
+
+	It("gives a daemon that starts in an outage its configuration from peers", func() {
+		i := newInstallation("a", "b")
+		i.ready()
+		result, err := i.get("a").d.Apply(ctx, catalog.KindProfile, profile("pilot", 380), by("op"))
+		Expect(err).NotTo(HaveOccurred())
+		i.platform.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
+		c := i.start("c")
+		Eventually(c.d.Ready, promise).Should(BeTrue())
+		Expect(c.version(catalog.KindProfile, "pilot")()).To(Equal(result.Version))
+		Expect(c.d.Status().PlatformReachable).To(BeFalse())
+	})
+
+	It("is not ready while neither the platform nor a peer answers", func() {
+		i := newInstallation()
+		i.platform.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
+		a := i.start("a")
+		Consistently(a.d.Ready, 500*time.Millisecond).Should(BeFalse())
+		_, err := a.d.Apply(ctx, catalog.KindProfile, profile("pilot", 380), by("op"))
+		Expect(failure.CodeOf(err)).To(Equal(failure.PlatformUnavailable))
+		i.platform.SetFaults(standin.Faults{})
+		Eventually(a.d.Ready, promise).Should(BeTrue())
+	})
+
+	It("reaches a daemon that is cut off from the platform, and one cut off from its peers", func() {
+		i := newInstallation("a", "b", "c")
+		i.ready()
+		i.get("a").store.cut.Store(true)
+		i.cutPeers("b", true)
+		version := putDirectly(i.platform, "pilot", 380)
+		for _, d := range i.all() {
+			Eventually(d.version(catalog.KindProfile, "pilot"), promise).Should(Equal(version))
+		}
+	})
+
+	It("lets one of two operators win, and tells the other what beat it", func() {
+		i := newInstallation("a", "b")
+		i.ready()
+		errs := make(chan error, 2)
+		for n, id := range []string{"a", "b"} {
+			go func() {
+				_, err := i.get(id).d.Apply(ctx, catalog.KindProfile, profile("pilot", 100+n), by("operator-"+id))
+				errs <- err
+			}()
+		}
+		lost := lo.Compact([]error{<-errs, <-errs})
+		Expect(lost).To(HaveLen(1))
+		Expect(failure.CodeOf(lost[0])).To(Equal(failure.Conflict))
+		Expect(failure.From(lost[0]).Outcome).To(Equal(failure.NotRun))
+		stored, err := i.platform.Store().Get(ctx, platform.ConfigCollection, "profile.pilot")
+		Expect(err).NotTo(HaveOccurred())
+		var winner catalog.Record
+		Expect(json.Unmarshal(stored.Data, &winner)).To(Succeed())
+		Expect(lost[0].Error()).To(And(ContainSubstring(winner.ChangedBy), ContainSubstring(winner.ChangeID)))
+	})
+
+	DescribeTable("resolves a lost reply by reading the change back",
+		func(faults standin.Faults) {
+			i := newInstallation("a", "b")
+			i.ready()
+			a := i.get("a")
+			first, err := a.d.Apply(ctx, catalog.KindProfile, profile("pilot", 100), by("op"))
+			Expect(err).NotTo(HaveOccurred())
+			i.platform.SetFaults(faults)
+			a.store.blockWatches.Store(true)
+			a.store.loseReplies.Store(1)
+			second, err := a.d.Apply(ctx, catalog.KindProfile, profile("pilot", 200), by("op"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(second.Version).To(Equal(first.Version + 1))
+			i.platform.SetFaults(standin.Faults{})
+		},
+		Entry("at once", standin.Faults{}),
+		Entry("when reads are stale for a while", standin.Faults{StaleMS: 300}),
+	)
+
+	It("says unknown only if the platform stays away after a lost reply", func() {
+		i := newInstallation("a", "b")
+		i.ready()
+		a := i.get("a")
+		for _, d := range i.all() {
+			d.store.blockWatches.Store(true)
+			d.store.readsDown.Store(true)
+		}
+		a.store.loseReplies.Store(100)
+		_, err := a.d.Apply(ctx, catalog.KindProfile, profile("pilot", 100), by("op"))
+		Expect(failure.CodeOf(err)).To(Equal(failure.ResultUnknown))
+		Expect(failure.From(err).Outcome).To(Equal(failure.Unknown))
+
+		a.store.loseReplies.Store(0)
+		a.store.cut.Store(true)
+		_, err = a.d.Apply(ctx, catalog.KindProfile, profile("other", 100), by("op"))
+		Expect(failure.CodeOf(err)).To(Equal(failure.PlatformUnavailable))
+		Expect(failure.From(err).Outcome).To(Equal(failure.NotRun))
+	})
+
+	It("refuses a change that breaks a reference, or that is based on an old version", func() {
+		i := newInstallation("a")
+		i.ready()
+		a := i.get("a").d
+		apply := func(kind catalog.Kind, spec string) error {
+			_, err := a.Apply(ctx, kind, []byte(spec), by("op"))
+			return err
+		}
+		endpoint := `{"name":"e1","service":"s1","address":"192.0.2.1:80","data_centre":"d"}`
+		Expect(failure.CodeOf(apply(catalog.KindEndpoint, endpoint))).To(Equal(failure.InvalidObject))
+		Expect(apply(catalog.KindService, `{"name":"s1","kind":"engine","models":["m"]}`)).To(Succeed())
+		Expect(failure.CodeOf(apply(catalog.KindService, `{"name":"s2","kind":"engine","models":["m"]}`))).To(Equal(failure.InvalidObject))
+		Expect(apply(catalog.KindEndpoint, endpoint)).To(Succeed())
+		_, err := a.Delete(ctx, catalog.KindService, "s1", by("op"))
+		Expect(failure.CodeOf(err)).To(Equal(failure.Conflict))
+
+		key := strings.Repeat("ab", 32)
+		workspace := func(name string) string {
+			return fmt.Sprintf(`{"name":%q,"key_hashes":[%q],"default_profile":"pilot"}`, name, key)
+		}
+		Expect(failure.CodeOf(apply(catalog.KindWorkspace, workspace("w1")))).To(Equal(failure.InvalidObject))
+		Expect(apply(catalog.KindProfile, string(profile("pilot", 1)))).To(Succeed())
+		Expect(apply(catalog.KindWorkspace, workspace("w1"))).To(Succeed())
+		Expect(failure.CodeOf(apply(catalog.KindWorkspace, workspace("w2")))).To(Equal(failure.InvalidObject))
+		_, err = a.Delete(ctx, catalog.KindProfile, "pilot", by("op"))
+		Expect(failure.CodeOf(err)).To(Equal(failure.Conflict))
+
+		_, err = a.Apply(ctx, catalog.KindProfile, profile("pilot", 2), distribution.WriteOptions{ExpectedVersion: lo.ToPtr(int64(0))})
+		Expect(failure.CodeOf(err)).To(Equal(failure.Conflict))
+		_, err = a.Delete(ctx, catalog.KindProfile, "absent", by("op"))
+		Expect(failure.CodeOf(err)).To(Equal(failure.NotFound))
+	})
+})
--- a/internal/membership/attach.go
+++ b/internal/membership/attach.go
@@ -7,6 +7,8 @@
 	Exchange Exchange
 	// Revision returns the configuration revision in force; nil means zero.
 	Revision func() int64
+	// ConfigDigest sums up the configuration records in force; nil means zero.
+	ConfigDigest func() uint64
 	// Contacts names members to call in every round, above FullMeshLimit too, such as
 	// the brokers of the pools in use; nil means none.
 	Contacts func() []string
@@ -19,6 +21,9 @@
 	if a.Revision == nil {
 		a.Revision = func() int64 { return 0 }
 	}
+	if a.ConfigDigest == nil {
+		a.ConfigDigest = func() uint64 { return 0 }
+	}
 	if a.Contacts == nil {
 		a.Contacts = func() []string { return nil }
 	}
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -26,6 +26,8 @@
 	State        State  `json:"state"`
 	// Revision is the configuration revision in force on the member.
 	Revision int64 `json:"revision"`
+	// ConfigDigest sums up the configuration records in force on the member.
+	ConfigDigest uint64 `json:"config_digest"`
 }
 
 // View is the present membership as this daemon sees it. Methods may be called concurrently.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -107,7 +107,8 @@
 	if m.leaving || m.table.superseded {
 		state = Leaving
 	}
-	m.table.setSelf(state, m.attached.Load().Revision())
+	attached := m.attached.Load()
+	m.table.setSelf(state, attached.Revision(), attached.ConfigDigest())
 }
 
 // outgoing makes a message to a member; the lock is held.
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -116,12 +116,13 @@
 }
 
 // setSelf changes what this daemon says of itself.
-func (t *table) setSelf(state State, revision int64) {
-	if t.self.Member.State == state && t.self.Member.Revision == revision {
+func (t *table) setSelf(state State, revision int64, digest uint64) {
+	m := t.self.Member
+	m.State, m.Revision, m.ConfigDigest = state, revision, digest
+	if m == t.self.Member {
 		return
 	}
-	t.self.Member.State = state
-	t.self.Member.Revision = revision
+	t.self.Member = m
 	t.self.Sequence++
 }
 
--- a/internal/peer/convert_membership.go
+++ b/internal/peer/convert_membership.go
@@ -72,6 +72,7 @@
 		DataCentre:   f.Member.DataCentre,
 		State:        stateToProto[f.Member.State],
 		Revision:     f.Member.Revision,
+		ConfigDigest: f.Member.ConfigDigest,
 		Sequence:     f.Sequence,
 	}
 }
@@ -87,6 +88,7 @@
 			DataCentre:   m.GetDataCentre(),
 			State:        stateFromProto(m.GetState()),
 			Revision:     m.GetRevision(),
+			ConfigDigest: m.GetConfigDigest(),
 		},
 	}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -109,7 +109,7 @@
 	It("carries every field of every message", func() {
 		h := membership.Heartbeat{
 			Sender: membership.Fact{Sequence: 4, Member: membership.Member{
-				ID: "m", Incarnation: "i", PeerAddress: "p", AdminAddress: "a", DataCentre: "d", State: membership.Leaving, Revision: 7,
+				ID: "m", Incarnation: "i", PeerAddress: "p", AdminAddress: "a", DataCentre: "d", State: membership.Leaving, Revision: 7, ConfigDigest: 1 << 63,
 			}},
 			Facts:       []membership.Fact{{Sequence: 1, Member: membership.Member{ID: "n", State: membership.Suspected}}},
 			Unreachable: []string{"u"}, Introduction: true, Superseded: true,
