--- a/internal/scheduling/check/check.go
+++ b/internal/scheduling/check/check.go
@@ -105,6 +105,8 @@
 	// scale reduces the floors if they sum to more than the whole.
 	scale float64
 	open  map[string]routing.Ask
+	// parked holds the asks that the placer held back for a reason of their own.
+	parked map[string]bool
 	// passed is, for each tier, how far lower tiers are ahead of their floors.
 	passed     map[catalog.Tier]float64
 	violations []Violation
@@ -114,10 +116,14 @@
 	v := &verifier{
 		classes: map[string]*classState{},
 		open:    map[string]routing.Ask{},
+		parked:  map[string]bool{},
 		passed:  map[catalog.Tier]float64{},
 	}
 	total := 0.0
 	for _, e := range events {
+		if e.decision != nil && e.decision.Parked {
+			v.parked[e.ask.ID] = true
+		}
 		if _, ok := v.classes[e.ask.Class]; ok {
 			continue
 		}
@@ -165,7 +171,7 @@
 		v.passed[c.tier] = 0
 	}
 	c.waiting++
-	if unconstrained(e.ask) {
+	if v.unconstrained(e.ask) {
 		if c.free == 0 {
 			c.owed = 0
 		}
@@ -177,13 +183,15 @@
 	delete(v.open, ask.ID)
 	c := v.classes[ask.Class]
 	c.waiting--
-	if unconstrained(ask) {
+	if v.unconstrained(ask) {
 		c.free--
 	}
 }
 
 // unconstrained reports whether any free endpoint may take ask.
-func unconstrained(ask routing.Ask) bool { return !ask.Suspect && len(ask.Avoid) == 0 }
+func (v *verifier) unconstrained(ask routing.Ask) bool {
+	return !ask.Suspect && len(ask.Avoid) == 0 && !v.parked[ask.ID]
+}
 
 // tierWaits counts the waiting asks of a tier that any endpoint may take.
 func (v *verifier) tierWaits(tier catalog.Tier) int {
--- a/internal/scheduling/decision.go
+++ b/internal/scheduling/decision.go
@@ -79,6 +79,9 @@
 	Failure *failure.Failure
 	// Reason says in one word why.
 	Reason string
+	// Parked is true if the ask was set aside at some time, because the placer held it
+	// back for a reason of the ask's own.
+	Parked bool
 	// QueueWait is the time since Submit.
 	QueueWait time.Duration
 	// Alternatives counts the endpoints that could have been chosen.
--- a/internal/scheduling/dispatch.go
+++ b/internal/scheduling/dispatch.go
@@ -132,7 +132,7 @@
 	it.class.dispatches.add(now, p.cfg.DrainWindow)
 	p.record(Decision{
 		At: now, Kind: Granted, Ask: it.ask, Grant: grant, Reason: placement.Reason,
-		QueueWait: wait, Alternatives: placement.Alternatives,
+		QueueWait: wait, Alternatives: placement.Alternatives, Parked: it.parked,
 	})
 }
 
@@ -177,6 +177,7 @@
 
 // park sets aside a constrained item that the free endpoints can not take.
 func (p *Pool) park(it *item) {
+	it.parked = true
 	it.class.remove(it)
 	at, _ := slices.BinarySearchFunc(p.parked, it, compareParked)
 	p.parked = slices.Insert(p.parked, at, it)
@@ -253,6 +254,6 @@
 		it.class.refusals.add(now, p.cfg.DrainWindow)
 	}
 	p.record(Decision{
-		At: now, Kind: Refused, Ask: it.ask, Failure: f, Reason: reason, QueueWait: now.Sub(it.submitted),
+		At: now, Kind: Refused, Ask: it.ask, Failure: f, Reason: reason, QueueWait: now.Sub(it.submitted), Parked: it.parked,
 	})
 }
--- a/internal/scheduling/queue.go
+++ b/internal/scheduling/queue.go
@@ -20,6 +20,8 @@
 	seq  uint64
 	// position is the index in the flow's heap, or -1 while the item is parked.
 	position int
+	// parked is true once the item was set aside.
+	parked bool
 	// expiry is the index in the pool's expiry heap.
 	expiry int
 }
