Scheduling: one freed slot, one grant

Cause: each release tried a second placement in vain, on a full pool. Change: a blocked pool makes as many grants as slots came free and is then blocked again; the next tick tries anew.

--- a/internal/scheduling/dispatch.go
+++ b/internal/scheduling/dispatch.go
@@ -27,6 +27,7 @@
 	for !p.blocked && parks < parksPerCall {
 		it := p.next()
 		if it == nil || !p.cautionAllows(now) {
+			p.freed = 0
 			return
 		}
 		if now.After(it.latest) {
@@ -40,7 +41,7 @@
 			continue
 		}
 		if !p.constrained(now, it.ask) {
-			p.blocked = true
+			p.blocked, p.freed = true, 0
 			return
 		}
 		p.park(it)
@@ -83,9 +84,19 @@
 	}
 	p.leave(it)
 	p.grant(now, it, placement)
+	p.useFreed()
 	return true
 }
 
+// useFreed counts a grant against the slots that came free.
+func (p *Pool) useFreed() {
+	if p.freed == 0 {
+		return
+	}
+	p.freed--
+	p.blocked = p.freed == 0
+}
+
 // creditFloors gives each class in demand its share of one dispatch, and takes
 // the dispatch from the class that got it.
 func (p *Pool) creditFloors(now time.Time, served *class) {
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -45,7 +45,10 @@
 	seq   uint64
 
 	// blocked is set when no slot was free, until one may be.
-	blocked  bool
+	blocked bool
+	// freed counts the slots that came free while the pool was blocked; after as many
+	// grants it is blocked again, which spares a vain try. The next tick tries anew.
+	freed    int
 	capacity routing.Capacity
 	// capacityAt is when capacity was read.
 	capacityAt time.Time
@@ -193,6 +196,9 @@
 		p.cautious--
 	}
 	p.placer.Done(now, report)
+	if p.blocked || p.freed > 0 {
+		p.freed++
+	}
 	p.blocked = false
 }
 
@@ -219,7 +225,7 @@
 	if p.capacity.Endpoints == 0 {
 		p.refuseAll(now)
 	}
-	p.blocked = false
+	p.blocked, p.freed = false, 0
 	p.dispatch(now)
 	p.prune(now)
 	return p.take()
