broker: a new broker grants nothing until the members have restated

Ruled out: a longer caution, which costs a second and still over-commits a pool of one slot. Change: asks are let in once every member that answers has restated, after 250 ms (HoldFor) at the latest; the caution stays for what comes after that.

--- a/internal/broker/options.go
+++ b/internal/broker/options.go
@@ -20,6 +20,7 @@
 // Defaults of Options.
 const (
 	DefaultTickInterval = 10 * time.Millisecond
+	DefaultHoldFor      = 250 * time.Millisecond
 	DefaultCautiousFor  = time.Second
 	DefaultAloneAfter   = 800 * time.Millisecond
 	DefaultExpireAfter  = 5 * time.Second
@@ -89,6 +90,9 @@
 	Clock clockwork.Clock
 	// TickInterval is the time between the rounds of the queues.
 	TickInterval time.Duration
+	// HoldFor bounds how long a new broker grants nothing; it grants as soon as every
+	// member that answers has restated its grants.
+	HoldFor time.Duration
 	// CautiousFor bounds the caution of a new broker; it ends early once every
 	// member has restated its grants.
 	CautiousFor time.Duration
@@ -107,6 +111,7 @@
 
 func (o Options) withDefaults() Options {
 	o.TickInterval = lo.CoalesceOrEmpty(o.TickInterval, DefaultTickInterval)
+	o.HoldFor = lo.CoalesceOrEmpty(o.HoldFor, DefaultHoldFor)
 	o.CautiousFor = lo.CoalesceOrEmpty(o.CautiousFor, DefaultCautiousFor)
 	o.AloneAfter = lo.CoalesceOrEmpty(o.AloneAfter, DefaultAloneAfter)
 	o.ExpireAfter = lo.CoalesceOrEmpty(o.ExpireAfter, DefaultExpireAfter)
--- a/internal/broker/queue.go
+++ b/internal/broker/queue.go
@@ -32,6 +32,10 @@
 	granted map[string]granted
 	ended   *lru.Cache[string, struct{}]
 	closed  bool
+	// opened is closed when a new broker starts to grant, or gives up the role.
+	opened chan struct{}
+	// holdUntil is when it starts at the latest.
+	holdUntil time.Time
 	// restated holds the incarnation of each daemon that has restated its grants.
 	restated map[string]string
 	cautious time.Time
@@ -58,6 +62,7 @@
 		waiting:    map[string]chan scheduling.Decision{},
 		granted:    map[string]granted{},
 		ended:      ended,
+		opened:     make(chan struct{}),
 		restated:   map[string]string{},
 		mismatches: map[string]int{},
 		askedAt:    map[string]time.Time{},
@@ -71,6 +76,13 @@
 // acquire waits for the decision on ask. A second call with the same ask ID takes
 // the place of the first, or gets the same grant again.
 func (q *queue) acquire(ctx context.Context, now func() time.Time, ask routing.Ask) (routing.Grant, error) {
+	held := now()
+	select {
+	case <-q.opened:
+	case <-ctx.Done():
+		return routing.Grant{}, gone()
+	}
+	ask.Waited += now().Sub(held)
 	w, known, err := q.enter(ask.ID)
 	if err != nil {
 		return routing.Grant{}, err
@@ -188,12 +200,22 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.closed = true
+	q.open()
 	for id, w := range q.waiting {
 		w <- q.refusal(routing.Ask{ID: id})
 		delete(q.waiting, id)
 	}
 }
 
+// open lets asks in; the lock is held.
+func (q *queue) open() {
+	select {
+	case <-q.opened:
+	default:
+		close(q.opened)
+	}
+}
+
 func (q *queue) refusal(ask routing.Ask) scheduling.Decision {
 	return scheduling.Decision{Kind: scheduling.Refused, Ask: ask, Failure: failure.From(notBroker(q.name))}
 }
--- a/internal/broker/restate.go
+++ b/internal/broker/restate.go
@@ -109,24 +109,34 @@
 	return true
 }
 
-// endCaution ends the caution once every member that answers has restated.
-func (q *queue) endCaution(now time.Time, members []membership.Member) {
+// takeOver lets asks in, and ends the caution, once every member that answers has
+// restated its grants.
+func (q *queue) takeOver(now time.Time, members []membership.Member) {
 	q.mu.Lock()
-	done := now.Before(q.cautious)
-	for _, m := range members {
-		if m.State != membership.Suspected && q.restated[m.ID] != m.Incarnation {
-			done = false
-		}
+	all := q.allRestated(members)
+	if all || !now.Before(q.holdUntil) {
+		q.open()
 	}
-	if done {
+	ended := all && now.Before(q.cautious)
+	if ended {
 		q.cautious = now
 	}
 	q.mu.Unlock()
-	if done {
+	if ended {
 		q.parts.Pool.SetCautious(now, now)
 	}
 }
 
+// allRestated reports whether every member that answers has restated; the lock is held.
+func (q *queue) allRestated(members []membership.Member) bool {
+	for _, m := range members {
+		if m.State != membership.Suspected && q.restated[m.ID] != m.Incarnation {
+			return false
+		}
+	}
+	return true
+}
+
 // expire ends everything of a daemon that is gone.
 func (q *queue) expire(now time.Time, daemon string) {
 	q.mu.Lock()
--- a/internal/broker/rounds.go
+++ b/internal/broker/rounds.go
@@ -69,7 +69,7 @@
 		}
 		b.updateFleet(now, q, members)
 		if !q.local {
-			q.endCaution(now, members)
+			q.takeOver(now, members)
 		}
 		q.tick(now)
 	}
@@ -127,6 +127,7 @@
 func (b *Broker) newBrokeredQueue(pool string) *queue {
 	self, now := b.self(), b.now()
 	q := newQueue(pool, false, b.opts.Factory(pool, false), self.ID+"/"+self.Incarnation, b.opts.Recorder)
+	q.holdUntil = now.Add(b.opts.HoldFor)
 	q.beCautious(now, now.Add(b.opts.CautiousFor))
 	b.updateFleet(now, q, b.opts.View.Members())
 	return q
@@ -146,6 +147,7 @@
 	self := b.self()
 	q := newQueue(pool, true, b.opts.Factory(pool, true), self.ID+"/"+self.Incarnation, b.opts.Recorder)
 	b.updateFleet(now, q, b.opts.View.Members())
+	q.takeOver(now, nil)
 	q.restate(now, self.ID, self.Incarnation, b.ledger.running(now, pool))
 	b.locals[pool] = q
 	return q
