Scheduling: try set-aside asks also while a higher tier waits for a full pool

Ruled out: trying them before the queue, which would pass over a higher tier. Change: once an ask that any endpoint may take has found none, every set-aside ask is tried.

--- a/internal/scheduling/dispatch.go
+++ b/internal/scheduling/dispatch.go
@@ -22,13 +22,21 @@
 	if len(p.waiting) == 0 || p.blocked {
 		return
 	}
-	p.dispatchParked(now)
+	p.dispatchParked(now, false)
+	if full := p.dispatchReady(now); full {
+		p.dispatchParked(now, true)
+	}
+}
+
+// dispatchReady grants to the queue in order, and reports whether it was stopped
+// because no endpoint could take an ask that is not constrained.
+func (p *Pool) dispatchReady(now time.Time) (full bool) {
 	parks := 0
 	for !p.blocked && parks < parksPerCall {
 		it := p.next()
 		if it == nil || !p.cautionAllows(now) {
 			p.freed = 0
-			return
+			return false
 		}
 		if now.After(it.latest) {
 			p.expire(now, it)
@@ -42,11 +50,12 @@
 		}
 		if !p.constrained(now, it.ask) {
 			p.blocked, p.freed = true, 0
-			return
+			return true
 		}
 		p.park(it)
 		parks++
 	}
+	return false
 }
 
 // next picks the item to run: a class whose floor is due, else by tier and time left.
@@ -208,14 +217,15 @@
 }
 
 // dispatchParked tries the first parked items again. A parked item goes before
-// the queue only if no ready item is of a higher tier.
-func (p *Pool) dispatchParked(now time.Time) {
+// the queue only if no ready item is of a higher tier. Once the pool is full every
+// parked item is tried, since endpoints may be kept free for it.
+func (p *Pool) dispatchParked(now time.Time, full bool) {
 	if len(p.parked) == 0 {
 		return
 	}
 	tries := slices.Clone(p.parked[:min(parkedTries, len(p.parked))])
 	for _, it := range tries {
-		if head := p.next(); head != nil && head.ask.Tier < it.ask.Tier {
+		if head := p.next(); !full && head != nil && head.ask.Tier < it.ask.Tier {
 			return
 		}
 		if !p.cautionAllows(now) {
--- a/internal/scheduling/order_test.go
+++ b/internal/scheduling/order_test.go
@@ -98,4 +98,18 @@
 		Expect(b.grants).To(HaveLen(3))
 		expectLawful(b, true)
 	})
+
+	It("tries a set-aside ask of a low tier while a higher tier waits for a full pool", func() {
+		b := newBed(1, nil)
+		b.submit(ask("running", 1))
+		suspect := ask("suspect", 3)
+		suspect.Suspect = true
+		b.slots.refuses["suspect"], b.slots.refuses["high"] = true, true
+		b.submit(suspect)
+		b.release("running", time.Second)
+		b.submit(ask("high", 1))
+		delete(b.slots.refuses, "suspect")
+		b.tick()
+		Expect(b.grants).To(Equal([]string{"running", "suspect"}))
+	})
 })
