Scheduling: a new broker orders before it grants, and holds lower tiers back for a while

Change: in caution only ticks grant, so that asks are put in order first; for 5 s after it, lower tiers get a growing share of the free slots, floors aside.

--- a/internal/scheduling/config.go
+++ b/internal/scheduling/config.go
@@ -12,6 +12,9 @@
 	// CautiousShare is the share of the free slots that a new broker grants until
 	// it has rebuilt its counts, 0 to 1. Default 0.25.
 	CautiousShare float64
+	// CautiousRamp is the time after caution in which the share grows to the whole.
+	// Default 5 s.
+	CautiousRamp time.Duration
 	// MinRetryAfter is the shortest time that a refused caller is asked to wait. Default 1 s.
 	MinRetryAfter time.Duration
 	// MaxRetryAfter is the longest time that a refused caller is asked to wait. Default 60 s.
@@ -38,6 +41,7 @@
 // Defaults of Config.
 const (
 	DefaultCautiousShare = 0.25
+	DefaultCautiousRamp  = 5 * time.Second
 	DefaultMinRetryAfter = time.Second
 	DefaultMaxRetryAfter = time.Minute
 	DefaultRetryJitter   = 0.25
@@ -53,6 +57,7 @@
 func DefaultConfig() Config {
 	return Config{
 		CautiousShare:  DefaultCautiousShare,
+		CautiousRamp:   DefaultCautiousRamp,
 		MinRetryAfter:  DefaultMinRetryAfter,
 		MaxRetryAfter:  DefaultMaxRetryAfter,
 		RetryJitter:    DefaultRetryJitter,
@@ -68,6 +73,7 @@
 func (c Config) withDefaults() Config {
 	d := DefaultConfig()
 	c.CautiousShare = cmp.Or(c.CautiousShare, d.CautiousShare)
+	c.CautiousRamp = cmp.Or(c.CautiousRamp, d.CautiousRamp)
 	c.MinRetryAfter = cmp.Or(c.MinRetryAfter, d.MinRetryAfter)
 	c.MaxRetryAfter = cmp.Or(c.MaxRetryAfter, d.MaxRetryAfter)
 	c.RetryJitter = cmp.Or(c.RetryJitter, d.RetryJitter)
--- a/internal/scheduling/dispatch.go
+++ b/internal/scheduling/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -17,11 +16,17 @@
 	parksPerCall = 8
 )
 
-// dispatch grants to waiting items in order, until no slot is free.
+// dispatch grants to waiting items in order, until no slot is free. In caution only
+// a tick grants, so that asks which come again after a takeover are put in order first.
 func (p *Pool) dispatch(now time.Time) {
-	if len(p.waiting) == 0 || p.blocked {
+	if len(p.waiting) == 0 || p.blocked || now.Before(p.cautiousUntil) {
 		return
 	}
+	p.grantInOrder(now)
+}
+
+// grantInOrder grants to waiting items in order, in caution too.
+func (p *Pool) grantInOrder(now time.Time) {
 	p.dispatchParked(now, false)
 	if full := p.dispatchReady(now); full {
 		p.dispatchParked(now, true)
@@ -34,7 +39,7 @@
 	parks := 0
 	for !p.blocked && parks < parksPerCall {
 		it := p.next()
-		if it == nil || !p.cautionAllows(now) {
+		if it == nil || !p.cautionAllows(now, it) {
 			p.freed = 0
 			return false
 		}
@@ -142,7 +147,7 @@
 		Reason:       placement.Reason,
 		HedgeAfter:   placement.HedgeAfter,
 	}
-	inCaution := now.Before(p.cautiousUntil)
+	inCaution := p.cautionShare(now) < 1
 	if inCaution {
 		p.cautious++
 	}
@@ -185,16 +190,6 @@
 	return failure.New(failure.Quarantined, "the request crashed endpoints and is refused")
 }
 
-// cautionAllows reports whether a new broker may grant one more slot.
-func (p *Pool) cautionAllows(now time.Time) bool {
-	if !now.Before(p.cautiousUntil) {
-		return true
-	}
-	capacity := p.placer.Capacity(now)
-	free := capacity.Slots - len(p.running) + p.cautious
-	return float64(p.cautious) < math.Ceil(p.cfg.CautiousShare*float64(free))
-}
-
 // park sets aside a constrained item that the free endpoints can not take.
 func (p *Pool) park(it *item) {
 	it.parked = true
@@ -228,7 +223,7 @@
 		if head := p.next(); !full && head != nil && head.ask.Tier < it.ask.Tier {
 			return
 		}
-		if !p.cautionAllows(now) {
+		if !p.cautionAllows(now, it) {
 			return
 		}
 		if now.After(it.latest) {
--- a/internal/scheduling/lifecycle_test.go
+++ b/internal/scheduling/lifecycle_test.go
@@ -1,11 +1,13 @@
 package scheduling_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/primrosewell/primrosewell/internal/catalog"
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/routing"
 	"github.com/primrosewell/primrosewell/internal/scheduling"
@@ -59,18 +61,23 @@
 		Expect(b.slots.busy).To(Equal(2))
 	})
 
-	It("grants only a share of the free slots while cautious, then the rest", func() {
-		b := newBed(9, func(c *scheduling.Config) { c.CautiousShare = 0.25 })
+	It("grants a share of the free slots while cautious, then a growing one", func() {
+		b := newBed(9, nil)
 		b.pool.Restore(b.now, routing.Progress{AskID: "old", Ask: ask("old", 1)})
 		b.pool.SetCautious(b.now, b.now.Add(time.Second))
-		for _, id := range []string{"a", "b", "c", "d", "e"} {
-			b.submit(ask(id, 1))
+		for i := range 9 {
+			b.submit(ask(fmt.Sprint(i), catalog.Tier(1+i%2)))
 		}
-		Expect(b.grants).To(HaveLen(2))
-		Expect(b.refused).To(BeEmpty())
-		b.pass(time.Second)
+		Expect(b.grants).To(BeEmpty(), "asks that come again are put in order first")
+		b.tick()
+		Expect(b.grants).To(Equal([]string{"0", "2"}), "a quarter of eight, the higher tier first")
+		b.pass(time.Second + scheduling.DefaultCautiousRamp/3)
 		b.tick()
-		Expect(b.grants).To(HaveLen(5))
+		Expect(b.grants).To(Equal([]string{"0", "2", "4", "6", "8"}), "the lower tier waits for its half of eight")
+		b.pass(scheduling.DefaultCautiousRamp)
+		b.tick()
+		Expect(b.grants).To(HaveLen(8))
+		Expect(b.refused).To(BeEmpty())
 	})
 
 	It("drops the asks and frees the grants of a daemon that is gone", func() {
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -226,7 +226,7 @@
 		p.refuseAll(now)
 	}
 	p.blocked, p.freed = false, 0
-	p.dispatch(now)
+	p.grantInOrder(now)
 	p.prune(now)
 	return p.take()
 }
--- a/internal/scheduling/recovery.go
+++ b/internal/scheduling/recovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -28,7 +29,10 @@
 	p.placer.Restore(now, progress)
 }
 
-// SetCautious limits grants to a share of the free slots until the given time.
+// SetCautious limits grants to a share of the free slots until the given time, and
+// makes them on ticks only. After that the share grows to the whole within
+// CautiousRamp; the highest tier and the floors are not limited any more, so that
+// long work of lower tiers does not take every slot at once.
 func (p *Pool) SetCautious(now, until time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -36,6 +40,32 @@
 	p.cautiousUntil = until
 }
 
+// cautionShare is the share of the free slots that may be granted.
+func (p *Pool) cautionShare(now time.Time) float64 {
+	if p.cautiousUntil.IsZero() {
+		return 1
+	}
+	if now.Before(p.cautiousUntil) {
+		return p.cfg.CautiousShare
+	}
+	grown := now.Sub(p.cautiousUntil).Seconds() / p.cfg.CautiousRamp.Seconds()
+	return min(1, p.cfg.CautiousShare+(1-p.cfg.CautiousShare)*grown)
+}
+
+// cautionAllows reports whether a new broker may grant a slot to it.
+func (p *Pool) cautionAllows(now time.Time, it *item) bool {
+	share := p.cautionShare(now)
+	if share >= 1 {
+		return true
+	}
+	if !now.Before(p.cautiousUntil) && (it.class.tier == p.ordered[0].tier || it.class.credit >= 1) {
+		return true
+	}
+	capacity := p.placer.Capacity(now)
+	free := capacity.Slots - len(p.running) + p.cautious
+	return float64(p.cautious) < math.Ceil(share*float64(free))
+}
+
 // Expire drops the waiting asks of a daemon that is gone and frees its running grants.
 func (p *Pool) Expire(now time.Time, daemon string) []Decision {
 	p.mu.Lock()
