--- a/internal/bench/policy_broker.go
+++ b/internal/bench/policy_broker.go
@@ -15,7 +15,8 @@
 	takeoverDelay = 500 * time.Millisecond
 	// heartbeatSpread is the time within which every daemon has restated its grants.
 	heartbeatSpread = 250 * time.Millisecond
-	// cautiousFor is how long a new broker is cautious.
+	// cautiousFor is how long a new broker is cautious, unless all daemons have
+	// restated their grants before.
 	cautiousFor = time.Second
 )
 
@@ -110,6 +111,10 @@
 	r.start()
 	now := r.sim.clock.now()
 	r.queue.pool.SetCautious(now, now.Add(cautiousFor))
+	r.sim.clock.after(heartbeatSpread, func() {
+		now := r.sim.clock.now()
+		r.queue.pool.SetCautious(now, now)
+	})
 	for _, a := range r.sim.liveAttempts() {
 		if a.job.pool != r.pool {
 			continue
