--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -1,9 +1,8 @@
 package placement
 
 import (
+	"math/bits"
 	"sort"
-
-	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // CacheEvents is one message of an engine about its prefix cache. Sequence counts
@@ -66,31 +65,78 @@
 	}
 }
 
+// ways is the number of blocks that share one set of the table.
+const ways = 4
+
+// block is what is believed of one prompt block. It holds no pointers, so that
+// the table costs the garbage collector nothing.
+type block struct {
+	hash    uint64
+	used    uint64 // the table's clock at the last use; zero marks a free place.
+	holders holders
+}
+
 // prefixIndex remembers which endpoints are believed to have which prompt blocks.
-// It is bounded: the least recently used block goes first.
+// It is a set-associative table of fixed size: within a set, the least recently
+// used block goes first. The table is allocated when the first block is stored.
 type prefixIndex struct {
-	blocks *simplelru.LRU[uint64, *holders]
+	size  int // number of sets, a power of two.
+	sets  [][ways]block
+	clock uint64
 }
 
 func newPrefixIndex(maxBlocks int) *prefixIndex {
-	// The size is positive, which is the only thing that NewLRU checks.
-	blocks, _ := simplelru.NewLRU[uint64, *holders](maxBlocks, nil)
-	return &prefixIndex{blocks: blocks}
+	sets := max(1, maxBlocks/ways)
+	return &prefixIndex{size: 1 << (bits.Len(uint(sets)) - 1)}
+}
+
+// set returns the places for a hash. The hashes are chained and thus well mixed
+// already, but engines may count them up; the multiplication spreads those too.
+func (p *prefixIndex) set(hash uint64) *[ways]block {
+	const goldenRatio = 0x9E3779B97F4A7C15
+	mixed := hash * goldenRatio
+	return &p.sets[(mixed>>32)&uint64(p.size-1)]
+}
+
+// find returns the block of that hash, or nil.
+func (p *prefixIndex) find(hash uint64) *block {
+	if p.sets == nil {
+		return nil
+	}
+	set := p.set(hash)
+	for i := range set {
+		if set[i].hash == hash && set[i].used > 0 {
+			p.clock++
+			set[i].used = p.clock
+			return &set[i]
+		}
+	}
+	return nil
 }
 
-func (p *prefixIndex) store(block uint64, x holder) {
-	if found, ok := p.blocks.Get(block); ok {
-		found.add(x)
+func (p *prefixIndex) store(hash uint64, x holder) {
+	if found := p.find(hash); found != nil {
+		found.holders.add(x)
 		return
 	}
-	created := &holders{}
-	created.add(x)
-	p.blocks.Add(block, created)
+	if p.sets == nil {
+		p.sets = make([][ways]block, p.size)
+	}
+	set := p.set(hash)
+	oldest := &set[0]
+	for i := range set {
+		if set[i].used < oldest.used {
+			oldest = &set[i]
+		}
+	}
+	p.clock++
+	*oldest = block{hash: hash, used: p.clock}
+	oldest.holders.add(x)
 }
 
-func (p *prefixIndex) evict(block uint64, slot int32) {
-	if found, ok := p.blocks.Peek(block); ok {
-		found.remove(slot)
+func (p *prefixIndex) evict(hash uint64, slot int32) {
+	if found := p.find(hash); found != nil {
+		found.holders.remove(slot)
 	}
 }
 
@@ -133,11 +179,11 @@
 }
 
 func (p *prefixIndex) visitBlock(prefix []uint64, depth int, use func(x holder, depth int) bool) bool {
-	found, ok := p.blocks.Get(prefix[depth-1])
-	if !ok {
+	found := p.find(prefix[depth-1])
+	if found == nil {
 		return true
 	}
-	for _, x := range found.list[:found.len] {
+	for _, x := range found.holders.list[:found.holders.len] {
 		if !use(x, depth) {
 			return false
 		}
--- a/internal/placement/done.go
+++ b/internal/placement/done.go
@@ -34,8 +34,8 @@
 func (f *Fleet) uncount(r *run) {
 	e := r.endpoint
 	e.running.remove(r)
-	delete(f.runs, r.ask.ID)
-	f.copies.remove(r.ask.Digest, e)
+	delete(f.runs, r.askID)
+	f.copies.remove(r.digest, e)
 	if r.suspect {
 		e.suspects--
 		f.suspects.running--
@@ -52,7 +52,7 @@
 	var digests []string
 	for other := e.running.first; other != nil; other = other.next {
 		if other.sent.After(e.lastCrash) {
-			digests = append(digests, other.ask.Digest)
+			digests = append(digests, other.digest)
 		}
 	}
 	e.lastCrash = now
@@ -67,7 +67,7 @@
 	uncached := uncachedTokens(r, report)
 	e.health.Observe(now, health.Sample{
 		Result:         report.Result,
-		Daemon:         r.ask.Daemon,
+		Daemon:         r.daemon,
 		Sent:           r.sent,
 		Alone:          alone,
 		Probe:          r.probe,
@@ -88,28 +88,28 @@
 		FirstToken:       report.FirstToken,
 		Gap:              report.Gap,
 		FirstTokenRatio:  f.health.Typical().FirstTokenRatio(report.FirstToken, uncached),
-		FirstTokenTarget: r.ask.Target.FirstToken(),
-		GapTarget:        r.ask.Target.BetweenTokens(),
+		FirstTokenTarget: r.target.FirstToken(),
+		GapTarget:        r.target.BetweenTokens(),
 	})
 }
 
 func uncachedTokens(r *run, report routing.Report) int {
 	prompt := report.PromptTokens
 	if prompt == 0 {
-		prompt = r.ask.PromptTokens
+		prompt = r.promptTokens
 	}
 	return max(prompt-report.CachedTokens, 0)
 }
 
 // completed clears the digest, and corrects the belief about the endpoint's cache.
 func (f *Fleet) completed(now time.Time, r *run, report routing.Report) {
-	if r.ask.Digest != "" {
-		f.cfg.Quarantine.Cleared(now, r.ask.Digest)
-		f.copies.proved(r.ask.Digest)
+	if r.digest != "" {
+		f.cfg.Quarantine.Cleared(now, r.digest)
+		f.copies.proved(r.digest)
 	}
 	f.output.add(now, report.OutputTokens)
 	if r.matched > 0 && report.PromptTokens > 0 && report.CachedTokens == 0 {
-		f.prefixes.forget(r.ask.Prefix, r.endpoint.slot)
+		f.prefixes.forget(r.prefix, r.endpoint.slot)
 	}
 }
 
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -13,14 +13,33 @@
 // notOpen is the position of an endpoint that is not in the index of open ones.
 const notOpen = -1
 
+// hot is what a decision reads of an endpoint. It is copied from the rest by
+// Fleet.refresh, so that a candidate costs one or two cache lines.
+type hot struct {
+	// position is the place in the fleet's index of open endpoints.
+	position int
+	// limit is the number of requests that may run.
+	limit int
+	// drawn is the number of the last decision that considered the endpoint.
+	drawn   uint64
+	speed   float64
+	state   health.State
+	leaving bool
+}
+
 // endpoint is the state of one endpoint.
 type endpoint struct {
+	hot
+	running runList
+	// suspects counts the suspects that run here; reservedUntil keeps it free for one.
+	suspects      int
+	reservedUntil time.Time
+
 	config catalog.Endpoint
 	// slot numbers the endpoint in the fleet; slots are not used again.
 	slot    int32
 	health  *health.Endpoint
 	limiter *limit.Limiter
-	running runList
 
 	// listedLeaving comes from the configuration and the platform's list, saysLeaving
 	// from the endpoint itself. gone is true once the configuration no longer names it.
@@ -28,10 +47,7 @@
 	saysLeaving   bool
 	gone          bool
 
-	// suspects counts the suspects that run here; reservedUntil keeps it free for one.
-	suspects      int
-	reservedUntil time.Time
-	lastCrash     time.Time
+	lastCrash time.Time
 
 	reportedAt   time.Time
 	lastAgeCheck time.Time
@@ -39,12 +55,8 @@
 	cacheSequence uint64
 	cacheEpoch    uint32
 
-	// position is the place in the fleet's index of open endpoints.
-	position int
 	// counted is what the endpoint adds to the fleet's capacity.
 	counted contribution
-	// drawn is the number of the last decision that considered the endpoint.
-	drawn uint64
 }
 
 // contribution is an endpoint's part of the pool's capacity.
@@ -54,17 +66,21 @@
 	eligible int
 }
 
-func (e *endpoint) leaving() bool { return e.gone || e.listedLeaving || e.saysLeaving }
+// update copies to hot what holds at now.
+func (e *endpoint) update(now time.Time) {
+	e.leaving = e.gone || e.listedLeaving || e.saysLeaving
+	e.state = e.health.State(now)
+	e.speed = e.health.Speed()
+	e.limit = e.currentLimit(now)
+}
 
 // eligible reports whether the endpoint takes any new work.
-func (e *endpoint) eligible(now time.Time) bool {
-	return !e.leaving() && e.health.State(now) != health.Ejected
-}
+func (e *endpoint) eligible() bool { return !e.leaving && e.state != health.Ejected }
 
-// limit is the number of requests that may run now. A half-open endpoint may run
-// its probe beside what was left from before.
-func (e *endpoint) limit(now time.Time) int {
-	if e.health.State(now) == health.Healthy {
+// currentLimit is the number of requests that may run now. A half-open endpoint
+// may run its probe beside what was left from before.
+func (e *endpoint) currentLimit(now time.Time) int {
+	if e.state == health.Healthy {
 		return e.limiter.Limit(now)
 	}
 	if e.health.MayProbe(now) {
@@ -80,18 +96,18 @@
 
 // open reports whether the endpoint has a free slot for work that is not suspect.
 func (e *endpoint) open(now time.Time) bool {
-	return e.eligible(now) && !e.closed(now) && e.running.len < e.limit(now)
+	return e.eligible() && !e.closed(now) && e.running.len < e.limit
 }
 
 func (e *endpoint) contribution(now time.Time) contribution {
-	if !e.eligible(now) {
+	if !e.eligible() {
 		return contribution{}
 	}
 	busy := e.running.len
 	if e.closed(now) {
 		return contribution{slots: busy, busy: busy, eligible: 1}
 	}
-	return contribution{slots: max(e.limit(now), busy), busy: busy, eligible: 1}
+	return contribution{slots: max(e.limit, busy), busy: busy, eligible: 1}
 }
 
 // matches reports whether the platform's list names the endpoint, by name,
@@ -106,7 +122,13 @@
 
 // run is one request that runs on an endpoint.
 type run struct {
-	ask      routing.Ask
+	askID        string
+	digest       string
+	daemon       string
+	target       catalog.Target
+	prefix       []uint64
+	promptTokens int
+
 	endpoint *endpoint
 	sent     time.Time
 	// inFlight is what ran on the endpoint when the request was placed, itself included.
@@ -119,6 +141,20 @@
 	previous, next *run
 }
 
+// newRun keeps what of ask is needed when it ends.
+func newRun(now time.Time, ask *routing.Ask, e *endpoint) *run {
+	return &run{
+		askID:        ask.ID,
+		digest:       ask.Digest,
+		daemon:       ask.Daemon,
+		target:       ask.Target,
+		prefix:       ask.Prefix,
+		promptTokens: ask.PromptTokens,
+		endpoint:     e,
+		sent:         now,
+	}
+}
+
 // runList holds the runs of one endpoint, oldest first.
 type runList struct {
 	first, last *run
--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -26,7 +26,7 @@
 // leavingFilter drops endpoints that go away, by the list or by their own word.
 type leavingFilter struct{}
 
-func (leavingFilter) keep(_ *decision, e *endpoint) bool { return !e.leaving() }
+func (leavingFilter) keep(_ *decision, e *endpoint) bool { return !e.leaving }
 
 // healthFilter drops ejected endpoints, and half-open ones but for their probe.
 type healthFilter struct{}
@@ -36,7 +36,7 @@
 const keyedProbeAfter = 5 * time.Second
 
 func (healthFilter) keep(d *decision, e *endpoint) bool {
-	switch e.health.State(d.now) {
+	switch e.state {
 	case health.Healthy:
 		return true
 	case health.HalfOpen:
@@ -49,7 +49,7 @@
 // fullFilter drops endpoints at their limit.
 type fullFilter struct{}
 
-func (fullFilter) keep(d *decision, e *endpoint) bool { return e.running.len < e.limit(d.now) }
+func (fullFilter) keep(d *decision, e *endpoint) bool { return e.running.len < e.limit }
 
 // closedFilter drops endpoints on which a suspect runs alone, or that are kept free for one.
 type closedFilter struct{}
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -23,7 +23,7 @@
 
 // refreshPerCall is the number of endpoints brought up to date by each call, in
 // turn, so that changes that come with time alone are seen.
-const refreshPerCall = 16
+const refreshPerCall = 4
 
 // Fleet places the requests of one pool. All methods may be called concurrently;
 // one lock guards the whole pool.
@@ -100,11 +100,11 @@
 		f.refresh(now, e)
 	}
 	e := &endpoint{
-		config:   c,
-		slot:     int32(len(f.slots)),
-		health:   f.health.Add(),
-		limiter:  limit.New(f.cfg.Limit, c.MaxConcurrent),
-		position: notOpen,
+		config:  c,
+		slot:    int32(len(f.slots)),
+		health:  f.health.Add(),
+		limiter: limit.New(f.cfg.Limit, c.MaxConcurrent),
+		hot:     hot{position: notOpen},
 	}
 	if joinsPool {
 		e.limiter.StartSlowly(now)
@@ -130,6 +130,7 @@
 
 // refresh brings the index of open endpoints and the capacity up to date with e.
 func (f *Fleet) refresh(now time.Time, e *endpoint) {
+	e.update(now)
 	next := e.contribution(now)
 	f.total.slots += next.slots - e.counted.slots
 	f.total.busy += next.busy - e.counted.busy
@@ -254,11 +255,12 @@
 }
 
 func (e *endpoint) status(now time.Time) EndpointStatus {
+	e.update(now)
 	s := EndpointStatus{
 		Endpoint:           e.config,
 		Running:            e.running.len,
-		Limit:              e.limit(now),
-		Leaving:            e.leaving(),
+		Limit:              e.limit,
+		Leaving:            e.leaving,
 		Health:             e.health.State(now),
 		Speed:              e.health.Speed(),
 		ReservedForSuspect: e.closed(now),
--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -72,14 +72,17 @@
 
 // fill places asks until no endpoint is free and returns how many each got.
 func (w *world) fill(ask routing.Ask) map[string]int {
+	const tooMany = 10_000
 	count := map[string]int{}
-	for {
+	for range tooMany {
 		_, name := w.place(ask)
 		if name == "" {
 			return count
 		}
 		count[name]++
 	}
+	Fail("no limit holds")
+	return count
 }
 
 var repeatable = routing.Ask{Repeatable: true}
@@ -94,8 +97,9 @@
 	DescribeTable("gives an endpoint that leaves no new work",
 		func(leave func(w *world)) {
 			w := newWorld(placement.Config{}, 2, 4)
+			w.ObserveCache(w.now, "e0000", placement.CacheEvents{Sequence: 1, Stored: []uint64{5}})
 			leave(w)
-			Expect(w.fill(repeatable)).To(Equal(map[string]int{"e0001": 4}))
+			Expect(w.fill(routing.Ask{Repeatable: true, Prefix: []uint64{5}})).To(Equal(map[string]int{"e0001": 4}))
 			Expect(w.Capacity(w.now).Endpoints).To(Equal(1))
 		},
 		Entry("by the list, IP number", func(w *world) { w.Update(w.now, w.endpoints, map[string]bool{"10.0.0.0": true}) }),
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -67,7 +67,7 @@
 }
 
 func (f *Fleet) placeScored(now time.Time, ask *routing.Ask) (routing.Placement, bool) {
-	d := &decision{now: now, ask: ask, strictAvoid: f.strictAvoid(now, ask), only: f.copies.endpoints(ask.Digest)}
+	d := &decision{now: now, ask: ask, strictAvoid: f.strictAvoid(ask), only: f.copies.endpoints(ask.Digest)}
 	f.drawCandidates(d)
 	best := f.best(d)
 	if best == nil {
@@ -97,10 +97,10 @@
 }
 
 // strictAvoid reports whether an eligible endpoint is left beside those to avoid.
-func (f *Fleet) strictAvoid(now time.Time, ask *routing.Ask) bool {
+func (f *Fleet) strictAvoid(ask *routing.Ask) bool {
 	avoided := 0
 	for _, name := range ask.Avoid {
-		if e, ok := f.byName[name]; ok && e.eligible(now) {
+		if e, ok := f.byName[name]; ok && e.eligible() {
 			avoided++
 		}
 	}
@@ -159,7 +159,8 @@
 
 // start counts ask as running on e.
 func (f *Fleet) start(now time.Time, ask *routing.Ask, e *endpoint, matched int) *run {
-	r := &run{ask: *ask, endpoint: e, sent: now, matched: matched}
+	r := newRun(now, ask, e)
+	r.matched = matched
 	if e.health.State(now) == health.HalfOpen {
 		r.probe = true
 		e.health.StartProbe(now)
@@ -174,8 +175,8 @@
 	e := r.endpoint
 	e.running.add(r)
 	r.inFlight = e.running.len
-	f.runs[r.ask.ID] = r
-	f.copies.add(r.ask.Digest, e)
+	f.runs[r.askID] = r
+	f.copies.add(r.digest, e)
 	if r.suspect {
 		e.suspects++
 		f.suspects.running++
@@ -211,6 +212,7 @@
 	}
 	ask := progress.Ask
 	ask.ID = progress.AskID
-	suspect := f.stateOf(now, &ask) == quarantine.Suspect
-	f.count(now, &run{ask: ask, endpoint: e, sent: now.Add(-progress.Elapsed), suspect: suspect})
+	r := newRun(now.Add(-progress.Elapsed), &ask, e)
+	r.suspect = f.stateOf(now, &ask) == quarantine.Suspect
+	f.count(now, r)
 }
--- a/internal/placement/scorer.go
+++ b/internal/placement/scorer.go
@@ -19,7 +19,7 @@
 type loadScorer struct{}
 
 func (loadScorer) score(d *decision, c *candidate) float64 {
-	limit := c.endpoint.limit(d.now)
+	limit := c.endpoint.limit
 	if limit <= 0 {
 		return 0
 	}
@@ -40,7 +40,7 @@
 type speedScorer struct{}
 
 func (speedScorer) score(_ *decision, c *candidate) float64 {
-	return min(1, 1/(1+c.endpoint.health.Speed()))
+	return min(1, 1/(1+c.endpoint.speed))
 }
 
 // weighted is a scorer with its weight.
--- a/internal/placement/suspect.go
+++ b/internal/placement/suspect.go
@@ -27,7 +27,7 @@
 	if f.suspects.running >= f.cfg.MaxSuspects || f.copies.running(ask.Digest) {
 		return routing.Placement{}, false
 	}
-	d := &decision{now: now, ask: ask, strictAvoid: f.strictAvoid(now, ask)}
+	d := &decision{now: now, ask: ask, strictAvoid: f.strictAvoid(ask)}
 	e := f.leastBusy(d)
 	if e == nil {
 		return routing.Placement{}, false
@@ -37,7 +37,8 @@
 		return routing.Placement{}, false
 	}
 	f.releaseReserved(now)
-	r := &run{ask: *ask, endpoint: e, sent: now, suspect: true}
+	r := newRun(now, ask, e)
+	r.suspect = true
 	if e.health.State(now) == health.HalfOpen {
 		r.probe = true
 		e.health.StartProbe(now)
@@ -65,8 +66,8 @@
 }
 
 func (d *decision) lessBusy(a, b *endpoint) bool {
-	healthyA := a.health.State(d.now) == health.Healthy
-	healthyB := b.health.State(d.now) == health.Healthy
+	healthyA := a.state == health.Healthy
+	healthyB := b.state == health.Healthy
 	if healthyA != healthyB {
 		return healthyA
 	}
