endpoint: work that may not be repeated has its own connection, whatever its method

Cause: a keyed GET went over a kept connection; only the lower-case spelling of the key kept net/http from repeating it. Ruled out: relying on the spelling. The transport repeats on kept connections alone. Change: keyed calls and calls that may change something use a new connection each; the key is sent in its usual form. The plain stand-in can drop one connection after it ran a call. The spec of a resent poison request clears the faults first, so that only the quarantine stands in its way.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -261,6 +261,7 @@
 			Expect(got.result.Outcome).To(Equal(failure.Completed), "%v", got.result.Failure)
 			Expect(got.sink.stream().text).To(Equal(b.chatAnswer(got.prompt, 0)))
 		}
+		b.setAll(engine.Faults{}) // nothing but the quarantine stands between a resend and an engine.
 		resent := d.Run(ctx, b.request("POISON", nil), &recorder{})
 		Expect(resent.Failure.Code).To(Equal(failure.Quarantined))
 		Expect(resent.Outcome).To(Equal(failure.NotRun))
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -37,9 +37,10 @@
 // Client calls endpoints. It keeps connections and may be used concurrently.
 type Client struct {
 	pooled *http.Transport
-	// single makes a connection for each call. Work that runs once uses it: a kept
-	// connection that the endpoint has closed can take bytes that nobody reads, and the
-	// call would end as unknown where a new connection is refused for certain.
+	// single makes a connection for each call. Work that may not be repeated uses it: the
+	// transport repeats requests by itself on kept connections only, and a kept connection
+	// that the endpoint has closed can take bytes that nobody reads, so that the call would
+	// end as unknown where a new connection is refused for certain.
 	single *http.Transport
 }
 
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -73,7 +73,7 @@
 	return c.pooled
 }
 
-// newRequest returns a request that the transport can not send a second time by
+// newRequest returns a request whose body the transport can not send a second time by
 // itself: it has no GetBody.
 func newRequest(method, url string, body []byte) (*http.Request, error) {
 	request, err := http.NewRequestWithContext(context.Background(), method, url, nil)
@@ -87,13 +87,11 @@
 	return request, nil
 }
 
-// setIdentity names the request to the endpoint. The transport repeats requests with
-// the canonical Idempotency-Key header on its own; the lower-case form keeps it from that.
+// setIdentity names the request to the endpoint.
 func setIdentity(h http.Header, requestID, key string) {
 	h.Set(RequestIDHeader, requestID)
 	if key != "" {
-		delete(h, IdempotencyKeyHeader)
-		h["idempotency-key"] = []string{key}
+		h.Set(IdempotencyKeyHeader, key)
 	}
 }
 
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -59,7 +59,7 @@
 		request.Header.Del(name)
 	}
 	setIdentity(request.Header, call.RequestID, call.IdempotencyKey)
-	response, err := x.roundTrip(c.transport(!isSafe(call.Method)), request)
+	response, err := x.roundTrip(c.transport(!isSafe(call.Method) || call.IdempotencyKey != ""), request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/endpoint/plain_test.go
+++ b/internal/endpoint/plain_test.go
@@ -65,12 +65,18 @@
 		Entry("half an answer", service.Faults{Half: true}, endpoint.Broken),
 	)
 
-	It("ends a call without a body a single time too", func(ctx SpecContext) {
-		s.SetFaults(service.Faults{CrashAfterRun: true, Times: 1})
-		_, err := client.Do(ctx, endpoint.PlainCall{Endpoint: e, Method: http.MethodDelete, Path: "/x", IdempotencyKey: "k2"})
-		var failed *endpoint.Error
-		Expect(errors.As(err, &failed)).To(BeTrue())
-		Expect(failed.MayHaveStarted()).To(BeTrue())
-		Expect(s.RunsByKey()).To(Equal(map[string]int{"k2": 1}))
-	})
+	DescribeTable("ends a keyed call without a body a single time too, with a kept connection at hand",
+		func(ctx SpecContext, method string) {
+			_, err := do(ctx, http.MethodGet, "")
+			Expect(err).NotTo(HaveOccurred())
+			s.SetFaults(service.Faults{DropAfterRun: true, Times: 1})
+			_, err = client.Do(ctx, endpoint.PlainCall{Endpoint: e, Method: method, Path: "/x", IdempotencyKey: "k2"})
+			var failed *endpoint.Error
+			Expect(errors.As(err, &failed)).To(BeTrue())
+			Expect(failed.MayHaveStarted()).To(BeTrue())
+			Consistently(s.RunsByKey).Should(Equal(map[string]int{"k2": 1}))
+		},
+		Entry("DELETE", http.MethodDelete),
+		Entry("GET", http.MethodGet),
+	)
 })
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -31,6 +31,8 @@
 type Faults struct {
 	// CrashAfterRun crashes the service after it ran a call, before the answer.
 	CrashAfterRun bool `json:"crash_after_run,omitempty"`
+	// DropAfterRun closes the call's connection after it ran, before the answer.
+	DropAfterRun bool `json:"drop_after_run,omitempty"`
 	// DownMS is how long it refuses connections after a crash, in milliseconds; negative
 	// means for good.
 	DownMS int `json:"down_ms,omitempty"`
@@ -199,6 +201,8 @@
 	case f.CrashAfterRun:
 		s.Crash(time.Duration(f.DownMS) * time.Millisecond)
 		panic(http.ErrAbortHandler)
+	case f.DropAfterRun:
+		panic(http.ErrAbortHandler)
 	case f.Silent:
 		<-r.Context().Done()
 		return
