Limits: judge a window of answers and several reports, not single ones

Single answers are slow by their prompts and their neighbours' prefill, and a single report shows as waiting what came between two steps of the engine.

Change: the limit shrinks when most of ten answers were slow, or when three reports in a row show more than a quarter of the running work waiting.

The old test of a report older than the last decrease is replaced by one that also asks for reports in a row.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -22,6 +22,10 @@
 	Increase float64
 	// BusyShare is the share of the limit in use from which good answers raise it.
 	BusyShare float64
+	// Window is the number of samples that are judged together.
+	Window int
+	// QueueingReports is the number of load reports in a row that must show queueing.
+	QueueingReports int
 	// GapTolerance is the allowed gap between tokens over the endpoint's best.
 	GapTolerance float64
 	// FirstTokenTolerance is the allowed time to the first token over the pool's median.
@@ -38,6 +42,8 @@
 	DefaultDecrease            = 0.9
 	DefaultIncrease            = 4.0
 	DefaultBusyShare           = 0.8
+	DefaultWindow              = 10
+	DefaultQueueingReports     = 3
 	DefaultGapTolerance        = 4.0
 	DefaultFirstTokenTolerance = 4.0
 	DefaultSlowStart           = 10 * time.Second
@@ -49,6 +55,8 @@
 	setDefault(&c.Decrease, DefaultDecrease)
 	setDefault(&c.Increase, DefaultIncrease)
 	setDefault(&c.BusyShare, DefaultBusyShare)
+	setDefault(&c.Window, DefaultWindow)
+	setDefault(&c.QueueingReports, DefaultQueueingReports)
 	setDefault(&c.GapTolerance, DefaultGapTolerance)
 	setDefault(&c.FirstTokenTolerance, DefaultFirstTokenTolerance)
 	setDefault(&c.SlowStart, DefaultSlowStart)
@@ -62,9 +70,9 @@
 	}
 }
 
-// Sample is the evidence of one request that completed, or of one load report.
+// Sample is the evidence of one request that completed.
 type Sample struct {
-	// Sent is when the request was placed, or when the report was made.
+	// Sent is when the request was placed.
 	Sent time.Time
 	// InFlight is what ran on the endpoint when the request was placed.
 	InFlight int
@@ -76,8 +84,12 @@
 	// FirstTokenTarget and GapTarget are the profile's targets; zero if it states none.
 	FirstTokenTarget time.Duration
 	GapTarget        time.Duration
-	// Queueing is true if the engine reported work that waits inside it.
-	Queueing bool
+}
+
+// window counts the samples since the last decision to shrink or not.
+type window struct {
+	samples   int
+	congested int
 }
 
 const (
@@ -91,6 +103,8 @@
 	// slowRatio is the first-token ratio from which a missed target counts: a long prompt
 	// on an idle engine is not congestion.
 	slowRatio = 1.5
+	// queueingShare is the waiting work over the running work from which a report shows queueing.
+	queueingShare = 0.25
 )
 
 // Limiter holds the limit of one endpoint. It is not safe for concurrent use.
@@ -102,6 +116,9 @@
 	// started is when the slow start began; zero if it is over.
 	started time.Time
 	bestGap float64
+	recent  window
+	// queueing counts the reports in a row that showed work waiting inside the engine.
+	queueing int
 }
 
 // New returns a limiter at the full limit.
@@ -145,31 +162,74 @@
 	return l.cfg.StartShare + (1-l.cfg.StartShare)*max(share, 0)
 }
 
-// Observe takes in one sample.
+// Observe takes in one sample. Slow answers shrink the limit when they are the
+// majority of a window: with a mix of prompts and answers, single ones are slow
+// on an engine that has room.
 func (l *Limiter) Observe(now time.Time, s Sample) {
-	congested := l.congested(s)
+	fresh := s.Sent.After(l.lastDecrease)
+	slow := l.slow(s)
 	l.learnBest(s.Gap.Seconds())
 	switch {
-	case congested && s.Sent.After(l.lastDecrease):
-		l.decrease(now, s)
-	case !congested && !s.Queueing && float64(s.InFlight) >= l.cfg.BusyShare*l.limit:
+	case slow && fresh:
+		l.recent.samples++
+		l.recent.congested++
+	case !slow:
+		l.recent.samples++
+		l.raise(s)
+	}
+	l.closeWindow(now, s)
+}
+
+// ObserveReport takes in an engine's load report that was made at that time. Work
+// that waits inside the engine in several reports in a row shrinks the limit; a
+// single report also shows what arrived between two steps of the engine.
+func (l *Limiter) ObserveReport(now, made time.Time, running, waiting int) {
+	if float64(waiting) <= queueingShare*float64(running) {
+		l.queueing = 0
+		return
+	}
+	if !made.After(l.lastDecrease) {
+		return
+	}
+	l.queueing++
+	if l.queueing >= l.cfg.QueueingReports {
+		l.queueing = 0
+		l.decrease(now, running)
+	}
+}
+
+// raise grows the limit if it binds.
+func (l *Limiter) raise(s Sample) {
+	if float64(s.InFlight) >= l.cfg.BusyShare*l.limit {
 		l.limit = min(l.limit+l.cfg.Increase/l.limit, l.max)
 	}
 }
 
+// closeWindow shrinks the limit if most samples of a full window were slow.
+func (l *Limiter) closeWindow(now time.Time, s Sample) {
+	if l.recent.samples < l.cfg.Window {
+		return
+	}
+	if 2*l.recent.congested > l.recent.samples {
+		l.decrease(now, s.InFlight)
+	}
+	l.recent = window{}
+}
+
 // decrease shrinks from what was in flight if the limit did not bind, so that a
 // limit far above the load reacts too.
-func (l *Limiter) decrease(now time.Time, s Sample) {
+func (l *Limiter) decrease(now time.Time, inFlight int) {
 	from := l.limit
-	if s.InFlight > 0 {
-		from = min(from, float64(s.InFlight)/l.cfg.BusyShare)
+	if inFlight > 0 {
+		from = min(from, float64(inFlight)/l.cfg.BusyShare)
 	}
 	l.limit = max(from*l.cfg.Decrease, float64(l.cfg.Min))
 	l.lastDecrease = now
+	l.recent = window{}
 }
 
-func (l *Limiter) congested(s Sample) bool {
-	if s.Queueing || s.FirstTokenRatio > l.cfg.FirstTokenTolerance {
+func (l *Limiter) slow(s Sample) bool {
+	if s.FirstTokenRatio > l.cfg.FirstTokenTolerance {
 		return true
 	}
 	if l.limit > targetFloorShare*l.max && l.missesTarget(s) {
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -185,7 +185,7 @@
 	}
 	e.reportedAt = made
 	e.saysLeaving = load.Leaving
-	e.limiter.Observe(now, limit.Sample{Sent: made, InFlight: load.Running, Queueing: load.Waiting > 0})
+	e.limiter.ObserveReport(now, made, load.Running, load.Waiting)
 	f.refresh(now, e)
 }
 
