Scheduling: a further attempt keeps its urgency, and may wait longer

Change: the time that orders an ask is apart from the time at which it expires. A further attempt is ordered by its first target, and expires after MaxWait of the pool (30 s) if its own bound is shorter; its caller decides on leaving earlier.

--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -79,12 +79,14 @@
 
 func (p *Pool) newItem(now time.Time, ask routing.Ask, c *class) *item {
 	p.seq++
+	due := now.Add(p.slack(ask, c))
 	return &item{
 		ask:       ask,
 		class:     c,
 		flow:      c.flowOf(ask),
 		submitted: now,
-		latest:    now.Add(p.slack(ask, c)),
+		due:       due,
+		latest:    p.latest(now, ask, due),
 		cost:      float64(p.expectedTokens(ask)),
 		seq:       p.seq,
 		position:  -1,
@@ -101,17 +103,21 @@
 	return max(1, tokens)
 }
 
-// slack is how long ask may wait from now and still meet its target. A further
-// attempt has its wait bounded anew: its target may have passed, and its caller
-// still wants the whole answer.
+// latest is when ask expires. A further attempt has its wait bounded anew: its
+// target may have passed, and its caller still wants the whole answer.
+func (p *Pool) latest(now time.Time, ask routing.Ask, due time.Time) time.Time {
+	if ask.Attempt > 1 {
+		return now.Add(max(ask.MaxWait, p.cfg.MaxWait))
+	}
+	return due
+}
+
+// slack is how long ask may wait from now and still meet its target.
 func (p *Pool) slack(ask routing.Ask, c *class) time.Duration {
 	bound := ask.MaxWait
 	if bound <= 0 {
 		bound = p.cfg.MaxWait
 	}
-	if ask.Attempt > 1 {
-		return bound
-	}
 	if target, planned := p.planned(ask, c); target > 0 {
 		planned = min(planned, target*maxPlannedShare)
 		bound = min(bound, seconds(target-planned))
@@ -185,26 +191,26 @@
 		case c.tier < it.class.tier:
 			ahead += float64(c.waiting)
 		case c.tier == it.class.tier:
-			ahead += float64(c.waiting) * shareBefore(c, it.latest)
+			ahead += float64(c.waiting) * shareBefore(c, it.due)
 		}
 	}
 	return ahead
 }
 
-// shareBefore estimates the share of a class's items that must start before latest.
-func shareBefore(c *class, latest time.Time) float64 {
+// shareBefore estimates the share of a class's items that must start before due.
+func shareBefore(c *class, due time.Time) float64 {
 	head := c.head()
-	if head == nil || !latest.Before(c.newest) {
+	if head == nil || !due.Before(c.newest) {
 		return 1
 	}
-	if latest.Before(head.latest) {
+	if due.Before(head.due) {
 		return 0
 	}
-	span := c.newest.Sub(head.latest).Seconds()
+	span := c.newest.Sub(head.due).Seconds()
 	if span <= 0 {
 		return 1
 	}
-	return latest.Sub(head.latest).Seconds() / span
+	return due.Sub(head.due).Seconds() / span
 }
 
 // orderRate is what remains of the drain rate for the class's tier after the floors
--- a/internal/scheduling/class.go
+++ b/internal/scheduling/class.go
@@ -34,7 +34,7 @@
 	running int
 	granted int64
 	refused int64
-	// newest is the latest start of the item that has most time left.
+	// newest is the due time of the item that has most time left.
 	newest      time.Time
 	lastRefused time.Time
 	refusals    counter
--- a/internal/scheduling/config.go
+++ b/internal/scheduling/config.go
@@ -28,7 +28,8 @@
 	AdmissionShare float64
 	// MaxWaiting bounds the waiting asks, as a guard on memory. Default 20000.
 	MaxWaiting int
-	// MaxWait bounds the time in the queue of an ask that states no bound. Default 30 s.
+	// MaxWait bounds the time in the queue of an ask that states no bound, and of a
+	// further attempt whose own bound is shorter. Default 30 s.
 	MaxWait time.Duration
 	// SizeQuantile is the quantile of the answer length that is planned for. Default 0.5.
 	SizeQuantile float64
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -267,7 +267,7 @@
 // enqueue makes an item wait.
 func (p *Pool) enqueue(now time.Time, it *item) {
 	it.class.waiting++
-	it.class.newest = maxTime(it.class.newest, it.latest)
+	it.class.newest = maxTime(it.class.newest, it.due)
 	it.class.admitted.add(now, p.cfg.DrainWindow)
 	it.class.push(it)
 	p.waiting[it.ask.ID] = it
--- a/internal/scheduling/queue.go
+++ b/internal/scheduling/queue.go
@@ -13,7 +13,9 @@
 	class     *class
 	flow      *flow
 	submitted time.Time
-	// latest is the last time at which a start can still meet the target.
+	// due orders the item: the last time at which a start can still meet the target.
+	due time.Time
+	// latest is when the item expires. It is due, but later for a further attempt.
 	latest time.Time
 	// cost is the expected work, in tokens.
 	cost float64
@@ -28,7 +30,7 @@
 
 // before orders the items of one flow: time left, then expected size, then arrival.
 func (a *item) before(b *item) bool {
-	left, right := a.latest.Truncate(deadlineStep), b.latest.Truncate(deadlineStep)
+	left, right := a.due.Truncate(deadlineStep), b.due.Truncate(deadlineStep)
 	if !left.Equal(right) {
 		return left.Before(right)
 	}
