Placement: leave a suspect's endpoint to the next suspect that waits

Cause: after a crash up to a whole batch is suspect. Each suspect emptied an endpoint anew, as the endpoint was filled again as soon as the last one ended; suspects of higher tiers ran out of time while lower tiers were served.

Change: while a suspect waits, the endpoint stays closed between two of them.

--- a/internal/placement/done.go
+++ b/internal/placement/done.go
@@ -26,6 +26,9 @@
 	if report.Result == routing.ResultCompleted {
 		f.completed(now, r, report)
 	}
+	if r.suspect {
+		f.keepForNext(now, r.endpoint)
+	}
 	f.refresh(now, r.endpoint)
 	f.dropIfDone(r.endpoint)
 }
--- a/internal/placement/suspect.go
+++ b/internal/placement/suspect.go
@@ -15,6 +15,8 @@
 type suspectRuns struct {
 	running  int
 	reserved []*endpoint
+	// waiting is when a suspect last had to wait.
+	waiting time.Time
 }
 
 // restAfterCrash is how long an endpoint that crashed takes no suspect, so that
@@ -25,6 +27,7 @@
 // the least busy endpoint free of new work until the next try.
 func (f *Fleet) placeSuspect(now time.Time, ask *routing.Ask) (routing.Placement, bool) {
 	if f.suspects.running >= f.cfg.MaxSuspects || f.copies.running(ask.Digest) {
+		f.suspects.waiting = now
 		return routing.Placement{}, false
 	}
 	d := &decision{now: now, ask: ask, strictAvoid: f.strictAvoid(ask)}
@@ -91,6 +94,14 @@
 	f.refresh(now, e)
 }
 
+// keepForNext keeps the endpoint of a suspect that has ended free for the next
+// one, if one waits, so that it need not be emptied again.
+func (f *Fleet) keepForNext(now time.Time, e *endpoint) {
+	if now.Sub(f.suspects.waiting) < f.cfg.ReserveFor && e.running.len == 0 {
+		f.reserve(now, e)
+	}
+}
+
 // releaseReserved opens the reserved endpoints again.
 func (f *Fleet) releaseReserved(now time.Time) {
 	for _, e := range f.suspects.reserved {
--- a/internal/placement/suspect_test.go
+++ b/internal/placement/suspect_test.go
@@ -136,6 +136,18 @@
 		Expect(name).To(BeEmpty())
 	})
 
+	It("leaves its endpoint to the next suspect that waits", func() {
+		i := newIncident(placement.Config{}, 1)
+		first, name := i.place(routing.Ask{Digest: "s", Suspect: true})
+		Expect(name).NotTo(BeEmpty())
+		i.place(routing.Ask{Digest: "t", Suspect: true})
+		i.end(first, routing.ResultCompleted)
+		_, other := i.place(routing.Ask{Repeatable: true})
+		Expect(other).To(BeEmpty())
+		_, next := i.place(routing.Ask{Digest: "t", Suspect: true})
+		Expect(next).To(Equal(name))
+	})
+
 	It("gives the endpoint back when it asks no more", func() {
 		i := newIncident(placement.Config{}, 1)
 		i.place(routing.Ask{Repeatable: true})
