--- a/internal/distribution/distribution.go
+++ b/internal/distribution/distribution.go
@@ -68,8 +68,11 @@
 // Revision returns the revision in force.
 func (d *Distributor) Revision() int64 { return d.Current().Revision }
 
-// ConfigDigest sums up the records in force. Two daemons with the same records have the same digest.
-func (d *Distributor) ConfigDigest() uint64 { return d.digest.Load() }
+// ConfigDigest sums up the records in force. Two daemons with the same records have
+// the same digest. It is never zero, which stands for a digest that is not reported.
+func (d *Distributor) ConfigDigest() uint64 { return reported(d.digest.Load()) }
+
+func reported(digest uint64) uint64 { return max(digest, 1) }
 
 // Ready reports whether a first snapshot is installed that is no older than those
 // of the members heard. Once true it stays so.
@@ -120,7 +123,7 @@
 // install puts the records in force; the lock is held.
 func (d *Distributor) install(source string) {
 	snapshot, skipped := d.records.snapshot()
-	d.digests.add(d.records.digest, snapshot.Revision)
+	d.digests.add(reported(d.records.digest), snapshot.Revision)
 	d.digest.Store(d.records.digest)
 	d.current.Store(snapshot)
 	entry := d.opts.Logger.WithFields(logrus.Fields{
--- a/internal/distribution/inforce.go
+++ b/internal/distribution/inforce.go
@@ -35,7 +35,8 @@
 }
 
 // inForce counts the live members that have reported the change. A member has it
-// if its records are those of this daemon at the change or at a later one.
+// if its records are those of this daemon at the change or at a later one; of a
+// member that reports no digest, the revision has to do.
 func (d *Distributor) inForce(name string, version int64) ApplyResult {
 	result := ApplyResult{Name: name, Revision: version, Version: version}
 	self := d.opts.View.Self()
@@ -44,7 +45,7 @@
 			continue
 		}
 		result.Members++
-		if m.ID == self.ID && d.Revision() >= version || m.Revision >= version && d.hadDigest(m.ConfigDigest, version) {
+		if m.ID == self.ID && d.Revision() >= version || d.reports(m, version) {
 			result.InForce++
 			continue
 		}
@@ -53,8 +54,8 @@
 	return result
 }
 
-func (d *Distributor) hadDigest(digest uint64, version int64) bool {
+func (d *Distributor) reports(m membership.Member, version int64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.digests.since(digest, version)
+	return m.Revision >= version && (m.ConfigDigest == 0 || d.digests.since(m.ConfigDigest, version))
 }
--- a/internal/distribution/peers.go
+++ b/internal/distribution/peers.go
@@ -82,7 +82,7 @@
 	present := map[string]difference{}
 	var out []membership.Member
 	for _, m := range others {
-		if m.ConfigDigest == own || m.Revision == 0 {
+		if m.ConfigDigest == own || m.ConfigDigest == 0 || m.Revision == 0 {
 			continue
 		}
 		known := f.differs[m.ID]
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -23,6 +23,9 @@
 const (
 	DefaultDialTimeout    = 500 * time.Millisecond
 	DefaultSilenceTimeout = 400 * time.Millisecond
+	// clientIdleTimeout is how long a connection without calls is kept. A kept one is
+	// probed each SilenceTimeout, which adds up when there are many peers.
+	clientIdleTimeout = 2 * time.Second
 	// callTimeout bounds the calls that are answered at once.
 	callTimeout = 2 * time.Second
 )
@@ -71,7 +74,7 @@
 			TLSHandshakeTimeout: opts.DialTimeout,
 			ForceAttemptHTTP2:   opts.TLS != nil,
 			Protocols:           &protocols,
-			IdleConnTimeout:     idleTimeout,
+			IdleConnTimeout:     clientIdleTimeout,
 			HTTP2: &http.HTTP2Config{
 				SendPingTimeout:  opts.SilenceTimeout,
 				PingTimeout:      opts.SilenceTimeout,
