Health: judge stragglers by the gap between tokens

Cause: endpoints that read long prompts were ejected as stragglers by their first tokens, which vary with the prompts read at the same time.

Change: gaps decide; first tokens where there are no gaps; requests given up before an overdue first token count in a row.

--- a/internal/health/endpoint.go
+++ b/internal/health/endpoint.go
@@ -70,6 +70,8 @@
 	gap        average
 	// overdue counts the checks in a row that found the running work overdue.
 	overdue int
+	// stalled counts the requests in a row that were given up while their first token was overdue.
+	stalled int
 }
 
 // State returns the judgement at now.
@@ -163,8 +165,8 @@
 }
 
 // cancelled takes in a request that was given up. If its first token had not come
-// for long, the wait so far is a lower bound that counts as a sample: the losers
-// of hedges are the only evidence that a straggler may give.
+// for long, the endpoint has stalled: the losers of hedges are the only evidence
+// that a straggler may give.
 func (e *Endpoint) cancelled(now time.Time, s Sample) {
 	if s.Probe {
 		e.probeSent = time.Time{}
@@ -172,7 +174,10 @@
 	waited := e.pool.typical.FirstTokenRatio(s.Elapsed, s.UncachedTokens)
 	if e.state == Healthy && s.FirstToken == 0 && waited >= e.pool.cfg.SlowFactor {
 		e.firstToken.add(waited)
-		e.judgeSpeed(now)
+		e.stalled++
+	}
+	if e.stalled >= e.pool.cfg.MinSamples {
+		e.eject(now, CauseSlow)
 	}
 }
 
@@ -182,6 +187,7 @@
 
 func (e *Endpoint) succeeded(now time.Time, s Sample) {
 	e.resetFailures()
+	e.stalled = 0
 	typical := e.pool.typical
 	firstRatio := typical.FirstTokenRatio(s.FirstToken, s.UncachedTokens)
 	gapRatio := typical.GapRatio(s.Gap)
@@ -207,15 +213,17 @@
 	}
 	e.setState(Healthy, e.cause)
 	e.since = now
-	e.firstToken, e.gap, e.overdue = average{}, average{}, 0
+	e.firstToken, e.gap, e.overdue, e.stalled = average{}, average{}, 0, 0
 }
 
-// judgeSpeed ejects a straggler.
+// judgeSpeed ejects a straggler by the gap between its tokens, or by its first
+// tokens where there are no gaps to judge by: first tokens also vary with the
+// prompts that are read at the same time.
 func (e *Endpoint) judgeSpeed(now time.Time) {
 	slow := func(a average) bool {
 		return a.samples >= e.pool.cfg.MinSamples && a.value >= e.pool.cfg.SlowFactor
 	}
-	if slow(e.gap) || slow(e.firstToken) {
+	if slow(e.gap) || (e.gap.samples == 0 && slow(e.firstToken)) {
 		e.eject(now, CauseSlow)
 	}
 }
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -184,6 +184,36 @@
 		Expect(all[0].Speed()).To(BeNumerically("~", 2, 0.6))
 	})
 
+	It("is not taken for a straggler by first tokens alone while its gaps are usual", func() {
+		_, all := newPool(9)
+		warm(all)
+		for range 100 {
+			s := answer(1)
+			s.FirstToken *= 5
+			all[0].Observe(start, s)
+		}
+		Expect(ejectedCount(start, all)).To(BeZero())
+	})
+
+	It("is taken for a straggler by first tokens where answers have no gaps", func() {
+		_, all := newPool(9)
+		show := func(e *health.Endpoint, slowdown float64) {
+			s := answer(slowdown)
+			s.Gap = 0
+			e.Observe(start, s)
+		}
+		for range 20 {
+			for _, e := range all {
+				show(e, 1)
+			}
+		}
+		for range 40 {
+			show(all[0], 10)
+		}
+		Expect(all[0].Cause()).To(Equal(health.CauseSlow))
+		Expect(ejectedCount(start, all)).To(Equal(1))
+	})
+
 	It("returns when the progress of its probe is fast, and stays out when it is slow", func() {
 		_, all := newPool(9)
 		warm(all)
