membership: what is learnt at an introduction is no news; revisions by direct contact only

Change: facts of an introduction are not passed on; a new revision does not raise the sequence, and spreads by direct heartbeats; Refresh calls every member once, for the count of those in force; the HTTP server's own messages go to the debug log.

--- a/internal/distribution/inforce.go
+++ b/internal/distribution/inforce.go
@@ -7,8 +7,12 @@
 	"github.com/primrosewell/primrosewell/internal/membership"
 )
 
-// inForcePoll is the time between looks at the members' revisions.
-const inForcePoll = 20 * time.Millisecond
+const (
+	// inForcePoll is the time between looks at the members' revisions.
+	inForcePoll = 20 * time.Millisecond
+	// refreshInterval is the time between refreshments of the view.
+	refreshInterval = 1500 * time.Millisecond
+)
 
 // ApplyResult says what became of an accepted change.
 type ApplyResult struct {
@@ -24,8 +28,14 @@
 
 // awaitInForce waits until every live member reports the change, or for InForceTimeout.
 func (d *Distributor) awaitInForce(ctx context.Context, name string, version int64) ApplyResult {
-	deadline := d.opts.Clock.Now().Add(d.opts.InForceTimeout)
+	now := d.opts.Clock.Now()
+	deadline := now.Add(d.opts.InForceTimeout)
+	refresh := now.Add(refreshInterval)
 	for {
+		if now := d.opts.Clock.Now(); now.After(refresh) {
+			d.opts.Refresh(ctx)
+			refresh = now.Add(refreshInterval)
+		}
 		result := d.inForce(name, version)
 		if result.InForce == result.Members || !d.opts.Clock.Now().Before(deadline) || ctx.Err() != nil {
 			return result
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -36,6 +36,9 @@
 	Store platform.Store
 	Peers Peers
 	View  membership.View
+	// Refresh brings the members' revisions up to date while a change is awaited; nil
+	// if View does that by itself.
+	Refresh func(ctx context.Context)
 	// Clock defaults to the real clock.
 	Clock clockwork.Clock
 	// Rand chooses peers; it is used under a lock.
@@ -68,6 +71,9 @@
 	o.CallTimeout = lo.CoalesceOrEmpty(o.CallTimeout, DefaultCallTimeout)
 	o.TickInterval = lo.CoalesceOrEmpty(o.TickInterval, DefaultTickInterval)
 	o.StartGrace = lo.CoalesceOrEmpty(o.StartGrace, DefaultStartGrace)
+	if o.Refresh == nil {
+		o.Refresh = func(context.Context) {}
+	}
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -84,7 +84,8 @@
 			b.Fatal("the members did not settle")
 		}
 	}
-	time.Sleep(10 * time.Second) // What is new has been passed on by then.
+	// What is new about the members has been passed on by then.
+	time.Sleep(5*time.Second + time.Duration(count)*150*time.Millisecond)
 	b.ResetTimer()
 	for range b.N {
 		bytesBefore, cpuBefore, start := bytes.Load(), cpuTime(), time.Now()
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -42,8 +42,8 @@
 	// Unreachable lists members that the sender's own calls do not reach.
 	Unreachable []string
 	Payload     Payload
-	// Introduction is set until the receiver has answered once; the reply then holds
-	// every member that the receiver knows.
+	// Introduction asks the receiver for every member that it knows; in a reply it
+	// says that Facts holds those, so that they are no news.
 	Introduction bool
 	// Superseded is set in a reply to an incarnation that a newer one has replaced.
 	Superseded bool
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,8 +10,12 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
 )
 
+// maxRefreshCalls bounds the calls that Refresh makes at once.
+const maxRefreshCalls = 32
+
 // Membership tracks the live daemons. It implements View. Methods may be called concurrently.
 type Membership struct {
 	opts Options
@@ -154,7 +158,7 @@
 		m.publish(now)
 		return
 	}
-	m.take(now, reply)
+	m.take(now, reply, reply.Introduction)
 	m.table.answered(now, reply.Sender.Member.ID)
 	if reply.Superseded {
 		m.table.superseded = true
@@ -163,10 +167,14 @@
 }
 
 // take merges a message; the lock is held.
-func (m *Membership) take(now time.Time, message Heartbeat) {
+func (m *Membership) take(now time.Time, message Heartbeat, introduction bool) {
 	m.table.merge(now, message.Sender, true)
-	for _, f := range message.Facts {
-		m.table.merge(now, f, false)
+	if introduction {
+		m.table.introduce(now, message.Facts)
+	} else {
+		for _, f := range message.Facts {
+			m.table.merge(now, f, false)
+		}
 	}
 	if !m.table.supersedes(message.Sender) {
 		m.table.heard(now, message.Sender.Member.ID, message.Unreachable)
@@ -179,10 +187,11 @@
 	m.mu.Lock()
 	now := m.opts.Clock.Now()
 	_, known := m.table.peers[from.ID]
-	m.take(now, message)
+	m.take(now, message, false)
 	superseded := m.table.supersedes(message.Sender)
 	reply := m.outgoing(now, false)
 	if message.Introduction || !known {
+		reply.Introduction = true
 		reply.Facts = m.table.all()
 	}
 	reply.Superseded = superseded
@@ -196,6 +205,27 @@
 	return reply, nil
 }
 
+// Refresh calls every member once, so that the revisions in the view are of now. It
+// returns when all were called, or with ctx. Up to FullMeshLimit each round does that.
+func (m *Membership) Refresh(ctx context.Context) {
+	m.mu.Lock()
+	full := m.table.fullMesh()
+	calls := m.everyone()
+	m.mu.Unlock()
+	if full {
+		return
+	}
+	var group errgroup.Group
+	group.SetLimit(maxRefreshCalls)
+	for _, c := range calls {
+		group.Go(func() error {
+			m.call(ctx, c)
+			return nil
+		})
+	}
+	_ = group.Wait() // No call returns an error.
+}
+
 // Leave announces to all members that this daemon is leaving. It returns when they
 // were told, or with ctx; heartbeats go on, so that late comers learn it too.
 func (m *Membership) Leave(ctx context.Context) {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -115,15 +115,28 @@
 	return out
 }
 
-// setSelf changes what this daemon says of itself.
+// setSelf changes what this daemon says of itself. The configuration does not raise
+// the sequence: it is learnt in direct contact only, since passing every member's
+// revision on at every change would cost more than all else.
 func (t *table) setSelf(state State, revision int64, digest uint64) {
-	m := t.self.Member
-	m.State, m.Revision, m.ConfigDigest = state, revision, digest
-	if m == t.self.Member {
-		return
+	t.self.Member.Revision = revision
+	t.self.Member.ConfigDigest = digest
+	if t.self.Member.State != state {
+		t.self.Member.State = state
+		t.self.Sequence++
+	}
+}
+
+// introduce takes in everything that a member knows. It is news to this daemon
+// alone, and is not passed on.
+func (t *table) introduce(now time.Time, facts []Fact) {
+	for _, f := range facts {
+		before := t.peers[f.Member.ID]
+		t.merge(now, f, false)
+		if p := t.peers[f.Member.ID]; p != nil && p != before {
+			p.sendsLeft = 0
+		}
 	}
-	t.self.Member = m
-	t.self.Sequence++
 }
 
 // merge takes in a fact. Direct facts come from the member itself.
@@ -169,17 +182,21 @@
 	if direct && f.Sequence >= p.fact.Sequence {
 		p.suspectedSince = time.Time{}
 		p.fact.Member.State = f.Member.State
-		p.fact.Member.Revision = max(p.fact.Member.Revision, f.Member.Revision)
 	}
-	if !newer && !rumour {
-		return
+	config := p.fact.Member
+	if f.Member.Revision >= config.Revision {
+		config = f.Member
 	}
-	p.fact = f
-	p.sendsLeft = t.sends()
-	p.suspectedSince = time.Time{}
-	if f.Member.State == Suspected {
-		p.suspectedSince = now
+	if newer || rumour {
+		p.fact = f
+		p.sendsLeft = t.sends()
+		p.suspectedSince = time.Time{}
+		if f.Member.State == Suspected {
+			p.suspectedSince = now
+		}
 	}
+	p.fact.Member.Revision = config.Revision
+	p.fact.Member.ConfigDigest = config.ConfigDigest
 }
 
 // mergeSelf takes in what others say of this daemon: a newer incarnation ends its
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"log"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -58,11 +60,23 @@
 		TLSConfig:         opts.TLS,
 		Protocols:         &protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ErrorLog:          log.New(debugWriter{opts.Logger}, "", 0),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 	}}
 }
 
+// debugWriter passes the HTTP server's own messages on at the debug level.
+type debugWriter struct{ logger logrus.FieldLogger }
+
+// Write implements io.Writer.
+func (w debugWriter) Write(p []byte) (int, error) {
+	if w.logger != nil {
+		w.logger.WithField("event", "peer_http").Debug(strings.TrimSpace(string(p)))
+	}
+	return len(p), nil
+}
+
 // recovered turns a panic in a handler into a failure and a log line.
 func recovered(logger logrus.FieldLogger) func(context.Context, connect.Spec, http.Header, any) error {
 	return func(_ context.Context, spec connect.Spec, _ http.Header, value any) error {
