distribution: the specs' fake watch hid its end

Cause: the fake took every end of a watch for its own time-out, so that the spec of a cut watch was one of a silent watch; and faults could be set before any daemon watched. Change: the fake returns the end of a watch; those specs wait for two open watches.

--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -77,6 +77,7 @@
 		func(breakWatch func(i *installation)) {
 			i := newInstallation("a", "b", "c")
 			i.ready()
+			Eventually(func() int64 { return i.platform.Stats()["watch"] }, promise).Should(BeNumerically(">=", 2))
 			breakWatch(i)
 			version := putDirectly(i.platform, "pilot", 380)
 			for _, d := range i.all() {
--- a/internal/distribution/installation_test.go
+++ b/internal/distribution/installation_test.go
@@ -99,11 +99,12 @@
 	for {
 		bounded, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 		e, err := w.Watch.Next(bounded)
+		timedOut := bounded.Err() != nil
 		cancel()
 		if w.store.cut.Load() {
 			return platform.Event{}, &platform.Error{Reason: platform.WatchEnded}
 		}
-		if ctx.Err() != nil || (err != nil && bounded.Err() == nil) {
+		if ctx.Err() != nil || (err != nil && !timedOut) {
 			return e, err
 		}
 		if err == nil && !w.store.blockWatches.Load() {
