Scheduling: keep a few slots free for higher tiers that come steadily

Change: lower tiers leave free what higher tiers are expected to need beyond what they hold (Little's law, half as much again, two deviations), less what lower tiers were seen to free within the slack; at most a tenth of the slots; floors aside. Its test failed with the mechanism off.

--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -79,7 +79,11 @@
 
 func (p *Pool) newItem(now time.Time, ask routing.Ask, c *class) *item {
 	p.seq++
-	due := now.Add(p.slack(ask, c))
+	slack := p.slack(ask, c)
+	if ask.Attempt <= 1 {
+		c.slack = max(0, slack.Seconds())
+	}
+	due := now.Add(slack)
 	return &item{
 		ask:       ask,
 		class:     c,
--- a/internal/scheduling/class.go
+++ b/internal/scheduling/class.go
@@ -34,11 +34,14 @@
 	running int
 	granted int64
 	refused int64
+	// slack is the time that the latest first attempt had left, in seconds.
+	slack float64
 	// newest is the due time of the item that has most time left.
 	newest      time.Time
 	lastRefused time.Time
 	refusals    counter
 	dispatches  counter
+	released    counter
 	firstToken  latency
 	gap         latency
 	service     latency
--- a/internal/scheduling/dispatch.go
+++ b/internal/scheduling/dispatch.go
@@ -27,6 +27,7 @@
 
 // grantInOrder grants to waiting items in order, in caution too.
 func (p *Pool) grantInOrder(now time.Time) {
+	p.held = false
 	p.dispatchParked(now, false)
 	if full := p.dispatchReady(now); full {
 		p.dispatchParked(now, true)
@@ -47,6 +48,10 @@
 			p.expire(now, it)
 			continue
 		}
+		if !p.headroomAllows(now, it) {
+			p.held, p.freed = true, 0
+			return false
+		}
 		if p.place(now, it) {
 			continue
 		}
--- a/internal/scheduling/order_test.go
+++ b/internal/scheduling/order_test.go
@@ -112,4 +112,29 @@
 		b.tick()
 		Expect(b.grants).To(Equal([]string{"running", "suspect"}))
 	})
+
+	It("keeps a few slots free for a higher tier that comes steadily", func() {
+		b := newBed(50, nil)
+		steady := func(n int) {
+			for range n {
+				b.submit(ask(fmt.Sprint("high", b.now.UnixNano()), 1))
+				b.pass(100 * time.Millisecond)
+				if len(b.grants) > 5 {
+					b.release(b.grants[len(b.grants)-6], 500*time.Millisecond)
+				}
+			}
+		}
+		steady(60)
+		for i := range 100 {
+			b.submit(ask(fmt.Sprint("low", i), 3))
+		}
+		Expect(b.slots.busy).To(BeNumerically("<", 50))
+		Expect(b.slots.busy).To(BeNumerically(">=", 45), "at most a tenth is kept free")
+		b.submit(ask("urgent0", 1), ask("urgent1", 1))
+		Expect(b.grants).To(ContainElements("urgent0", "urgent1"))
+		b.pass(20 * time.Second)
+		b.tick()
+		b.submit(lo.Times(9, func(i int) routing.Ask { return ask(fmt.Sprint("later", i), 3) })...)
+		Expect(b.slots.busy).To(Equal(50), "nothing is kept free for a tier that stays away")
+	})
 })
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -46,6 +46,8 @@
 
 	// blocked is set when no slot was free, until one may be.
 	blocked bool
+	// held is set when the next item is held back for higher tiers.
+	held bool
 	// freed counts the slots that came free while the pool was blocked; after as many
 	// grants it is blocked again, which spares a vain try. The next tick tries anew.
 	freed    int
@@ -192,6 +194,7 @@
 	}
 	delete(p.running, report.AskID)
 	r.class.running--
+	r.class.released.add(now, p.cfg.DrainWindow)
 	if r.cautious {
 		p.cautious--
 	}
@@ -237,7 +240,7 @@
 }
 
 // saturated reports whether asks wait for a slot.
-func (p *Pool) saturated() bool { return p.blocked && len(p.waiting) > 0 }
+func (p *Pool) saturated() bool { return (p.blocked || p.held) && len(p.waiting) > 0 }
 
 // prune forgets idle workspaces now and then.
 func (p *Pool) prune(now time.Time) {
