broker: tell a fleet of a new configuration before the next ask

Cause: a fleet was told of endpoints by the 10 ms tick alone, so a request that came 2 ms after apply had answered 'in force on 1 of 1' was refused with no_endpoint (seen by the end-to-end spec of the second signal, which failed so). The spec passes after it.

--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -170,7 +170,9 @@
 		p.goAlone(b.now())
 	}
 	b.opts.Scope.Tagged(map[string]string{"pool": sent.Pool}).Counter("asks_decided_alone").Inc(1)
-	return b.localQueue(sent.Pool).acquire(ctx, b.now, sent)
+	q := b.localQueue(sent.Pool)
+	b.updateFleet(b.now(), q, b.opts.View.Members())
+	return q.acquire(ctx, b.now, sent)
 }
 
 // Release implements routing.Broker. The report is offered to the pool's broker,
@@ -266,6 +268,7 @@
 	if err != nil {
 		return routing.Grant{}, err
 	}
+	b.updateFleet(b.now(), q, b.opts.View.Members())
 	return q.acquire(ctx, b.now, ask)
 }
 
