Placement: a suspect takes no endpoint that a higher tier needs

Cause: after a crash in a pool of three the suspects of the lowest tier closed one of the two endpoints left, and the top tier was refused meanwhile.

Ruled out as causes: keyed work kept from probing (no change without the rule), slow start (1 s in place of 10 s: no change for the top tier).

Change: an endpoint is closed for a suspect if the others can carry what runs with a tenth to spare, or if no higher tier runs.

A suspect of a low tier may run out of time in a full pool and is then refused as its tier is.

Seen failing with the mechanism off: the rule, and its share to spare.

--- a/internal/placement/done.go
+++ b/internal/placement/done.go
@@ -38,6 +38,7 @@
 	e := r.endpoint
 	e.running.remove(r)
 	delete(f.runs, r.askID)
+	f.tiers[r.tier]--
 	f.copies.remove(r.digest, e)
 	if r.suspect {
 		e.suspects--
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -125,6 +125,7 @@
 	askID        string
 	digest       string
 	daemon       string
+	tier         catalog.Tier
 	target       catalog.Target
 	prefix       []uint64
 	promptTokens int
@@ -147,6 +148,7 @@
 		askID:        ask.ID,
 		digest:       ask.Digest,
 		daemon:       ask.Daemon,
+		tier:         min(max(ask.Tier, 0), catalog.LowestTier),
 		target:       ask.Target,
 		prefix:       ask.Prefix,
 		promptTokens: ask.PromptTokens,
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -39,6 +39,7 @@
 	turn   int
 	open   []*endpoint
 	total  contribution
+	tiers  [catalog.LowestTier + 1]int // running requests by tier.
 
 	health   *health.Pool
 	runs     map[string]*run
--- a/internal/placement/place.go
+++ b/internal/placement/place.go
@@ -176,6 +176,7 @@
 	e.running.add(r)
 	r.inFlight = e.running.len
 	f.runs[r.askID] = r
+	f.tiers[r.tier]++
 	f.copies.add(r.digest, e)
 	if r.suspect {
 		e.suspects++
--- a/internal/placement/suspect.go
+++ b/internal/placement/suspect.go
@@ -6,6 +6,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/primrosewell/primrosewell/internal/catalog"
 	"github.com/primrosewell/primrosewell/internal/health"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/routing"
@@ -15,8 +16,9 @@
 type suspectRuns struct {
 	running  int
 	reserved []*endpoint
-	// waiting is when a suspect last had to wait.
-	waiting time.Time
+	// waiting is when a suspect last had to wait, and waitingTier its tier.
+	waiting     time.Time
+	waitingTier catalog.Tier
 }
 
 // restAfterCrash is how long an endpoint that crashed takes no suspect, so that
@@ -27,12 +29,12 @@
 // the least busy endpoint free of new work until the next try.
 func (f *Fleet) placeSuspect(now time.Time, ask *routing.Ask) (routing.Placement, bool) {
 	if f.suspects.running >= f.cfg.MaxSuspects || f.copies.running(ask.Digest) {
-		f.suspects.waiting = now
+		f.suspects.waiting, f.suspects.waitingTier = now, ask.Tier
 		return routing.Placement{}, false
 	}
 	d := &decision{now: now, ask: ask, strictAvoid: f.strictAvoid(ask)}
 	e := f.leastBusy(d)
-	if e == nil {
+	if e == nil || !f.mayClose(e, ask.Tier) {
 		return routing.Placement{}, false
 	}
 	if e.running.len > 0 {
@@ -97,11 +99,31 @@
 // keepForNext keeps the endpoint of a suspect that has ended free for the next
 // one, if one waits, so that it need not be emptied again.
 func (f *Fleet) keepForNext(now time.Time, e *endpoint) {
-	if now.Sub(f.suspects.waiting) < f.cfg.ReserveFor && e.running.len == 0 {
+	waits := now.Sub(f.suspects.waiting) < f.cfg.ReserveFor
+	if waits && e.running.len == 0 && f.mayClose(e, f.suspects.waitingTier) {
 		f.reserve(now, e)
 	}
 }
 
+// spareShare is the share of the other endpoints' slots that may be busy when an
+// endpoint is closed for a suspect of a tier that is not the highest.
+const spareShare = 0.9
+
+// mayClose reports whether e may be closed for a suspect of that tier: if the
+// other endpoints can carry what runs, or no higher tier runs that would lose by it.
+func (f *Fleet) mayClose(e *endpoint, tier catalog.Tier) bool {
+	others := f.total.slots - e.counted.slots
+	if float64(f.total.busy) <= spareShare*float64(others) {
+		return true
+	}
+	for other, running := range f.tiers {
+		if catalog.Tier(other) < tier && running > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // releaseReserved opens the reserved endpoints again.
 func (f *Fleet) releaseReserved(now time.Time) {
 	for _, e := range f.suspects.reserved {
--- a/internal/placement/suspect_test.go
+++ b/internal/placement/suspect_test.go
@@ -7,8 +7,10 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
+	"github.com/primrosewell/primrosewell/internal/catalog"
 	"github.com/primrosewell/primrosewell/internal/health"
 	"github.com/primrosewell/primrosewell/internal/placement"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
@@ -148,6 +150,22 @@
 		Expect(next).To(Equal(name))
 	})
 
+	DescribeTable("closes an endpoint only if others can carry the load, or no higher tier runs",
+		func(endpoints int, running, tier catalog.Tier, closes bool) {
+			i := newIncident(placement.Config{}, endpoints)
+			for range 24 {
+				i.place(routing.Ask{Repeatable: true, Tier: running})
+			}
+			i.place(routing.Ask{Digest: "s", Suspect: true, Tier: tier})
+			closed := lo.ContainsBy(i.Endpoints(i.now), func(s placement.EndpointStatus) bool { return s.ReservedForSuspect })
+			Expect(closed).To(Equal(closes))
+		},
+		Entry("no room, a higher tier runs", 2, catalog.Tier(1), catalog.Tier(3), false),
+		Entry("no room, the same tier runs", 2, catalog.Tier(1), catalog.Tier(1), true),
+		Entry("no room, a lower tier runs", 2, catalog.Tier(3), catalog.Tier(2), true),
+		Entry("room, a higher tier runs", 4, catalog.Tier(1), catalog.Tier(3), true),
+	)
+
 	It("gives the endpoint back when it asks no more", func() {
 		i := newIncident(placement.Config{}, 1)
 		i.place(routing.Ask{Repeatable: true})
