--- a/internal/claim/fakes_test.go
+++ b/internal/claim/fakes_test.go
@@ -3,10 +3,38 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	. "github.com/onsi/ginkgo/v2"
 
 	"github.com/primrosewell/primrosewell/internal/platform"
 )
 
+// runningClock is a fake clock that also runs by itself, so that the short waits
+// between tries pass, until stop is closed.
+func runningClock(stop <-chan struct{}) *clockwork.FakeClock {
+	clock := clockwork.NewFakeClock()
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(100 * time.Microsecond):
+				clock.Advance(time.Millisecond)
+			}
+		}
+	}()
+	return clock
+}
+
+// specClock runs until the spec ends.
+func specClock() *clockwork.FakeClock {
+	stop := make(chan struct{})
+	DeferCleanup(func() { close(stop) })
+	return runningClock(stop)
+}
+
 // pausable blocks the writes of one daemon, as a frozen process or a slow network
 // would. A blocked write goes out with the version it was made with, even if its
 // caller has given up.
@@ -63,3 +91,17 @@
 	o.Version = current.Version
 	return u.Store.Update(ctx, o)
 }
+
+// hiding answers the first readings of seals as if they did not exist yet.
+type hiding struct {
+	platform.Store
+	left int
+}
+
+func (h *hiding) Get(ctx context.Context, collection, name string) (platform.Object, error) {
+	if name != layoutName && name != headName(0) && h.left > 0 {
+		h.left--
+		return platform.Object{}, &platform.Error{Reason: platform.NotFound, Op: "get", Key: name}
+	}
+	return h.Store.Get(ctx, collection, name)
+}
--- a/internal/claim/log.go
+++ b/internal/claim/log.go
@@ -32,7 +32,7 @@
 	// DefaultMaxRetryInterval bounds the wait between tries while the platform fails.
 	DefaultMaxRetryInterval = time.Second
 	// DefaultAppendInterval is the least time between two appends to a shard.
-	DefaultAppendInterval = 20 * time.Millisecond
+	DefaultAppendInterval = 40 * time.Millisecond
 
 	// retentionPerDispatch is how often the dispatch delay must fit into the retention.
 	retentionPerDispatch = 10
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -79,7 +79,9 @@
 	for {
 		batch := s.take(maxBatch)
 		if len(batch) == 0 {
-			s.collect(ctx)
+			if s.collect(ctx) && ctx.Err() == nil {
+				continue
+			}
 			select {
 			case <-ctx.Done():
 				return
@@ -88,6 +90,9 @@
 			}
 		}
 		s.serve(ctx, batch)
+		if len(s.garbage) >= maxGarbage {
+			s.collect(ctx)
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -140,8 +145,10 @@
 }
 
 // attempt makes one append and answers the batch. It returns what is left of the
-// batch if it did not succeed.
+// batch if it did not succeed. It may take half of the time that a claim has.
 func (s *shard) attempt(ctx context.Context, batch []*pending) ([]*pending, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.log.options.Timeout/2)
+	defer cancel()
 	if s.behind {
 		if err := s.refresh(ctx); err != nil {
 			return batch, err
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -18,6 +18,8 @@
 	headPrefix = "shard-"
 	// collectAtOnce bounds the objects removed between two batches.
 	collectAtOnce = 16
+	// maxGarbage is how many objects may wait for removal while claims keep coming.
+	maxGarbage = 64
 )
 
 func headName(number int) string { return fmt.Sprintf("%s%03d", headPrefix, number) }
@@ -92,21 +94,26 @@
 	return lo.SliceToMap(h.Seals, func(r sealRef) (string, bool) { return r.Name, true })
 }
 
-// collect removes objects that no head will link again. It is best effort: what a
-// crash leaves behind is found by the sweep of its epoch.
-func (s *shard) collect(ctx context.Context) {
+// collect removes objects that no head will link again, a few at a time, and returns
+// whether more are left. It is best effort: what a crash leaves behind is found by
+// the sweep of its epoch.
+func (s *shard) collect(ctx context.Context) bool {
+	if len(s.garbage) == 0 && s.sweep < 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.log.options.Timeout)
+	defer cancel()
+	if epoch := s.sweep; epoch >= 0 {
+		s.sweep = -1
+		s.sweepEpoch(ctx, epoch)
+		s.sweepEpoch(ctx, epoch-epochsKept)
+	}
 	n := min(collectAtOnce, len(s.garbage))
 	for _, r := range s.garbage[:n] {
 		_ = s.log.store.Delete(ctx, platform.ClaimCollection, r.Name, r.Version)
 	}
 	s.garbage = s.garbage[n:]
-	if s.sweep < 0 || s.version == 0 {
-		return
-	}
-	epoch := s.sweep
-	s.sweep = -1
-	s.sweepEpoch(ctx, epoch)
-	s.sweepEpoch(ctx, epoch-epochsKept)
+	return len(s.garbage) > 0
 }
 
 // sweepEpoch finds the seals that were created in a past epoch and are not linked.
