dispatch: only a fresh connection can convict a suspect

It had been beside the poison once; run alone, it took a kept connection to the engine that the poison had just crashed, and the reset counted as its own second crash. Ruled out: counting no crash before the first byte of an answer, because an engine that sends its head with the first token would fall again and again. Change: calls of suspects have a connection of their own, as keyed ones have; a fallen engine then refuses, which is no evidence. The bed now uses 10 s where silence is not what is tested.

--- a/internal/dispatch/keyed_test.go
+++ b/internal/dispatch/keyed_test.go
@@ -39,7 +39,7 @@
 	DescribeTable("runs at most once at the engines, whatever happens",
 		func(ctx SpecContext, faults engine.Faults, want failure.Outcome, runs int) {
 			b := newBed(3, engine.Options{})
-			b.options.Silence = 200 * time.Millisecond
+			b.shorten(faults.SilentOnArrival || faults.SilentAfterTokens > 0)
 			b.setAll(faults)
 			d := dispatch.New(b.options)
 			first := d.Run(ctx, b.request("push", keyed("k1")), &recorder{})
@@ -103,7 +103,7 @@
 	DescribeTable("repeats only what may be repeated",
 		func(ctx SpecContext, method, key string, faults service.Faults, want failure.Outcome, runs int) {
 			b, s := newServiceBed(service.Options{})
-			b.options.Silence = 200 * time.Millisecond
+			b.shorten(faults.Silent)
 			faults.Times = 1
 			s.SetFaults(faults)
 			result, _ := b.run(ctx, b.request("", plain(method, key)))
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -45,7 +45,7 @@
 	l.sentAt = l.run.now()
 	stream, err := d.options.Endpoints.Open(l.ctx, endpoint.Call{
 		Endpoint: l.grant.Endpoint, Path: path, RequestID: request.ID, IdempotencyKey: request.IdempotencyKey,
-		Body: body, Silence: d.options.Silence,
+		Body: body, Fresh: l.ask.Suspect, Silence: d.options.Silence,
 	})
 	if err != nil {
 		return l.fail(err)
--- a/internal/dispatch/plainexchange.go
+++ b/internal/dispatch/plainexchange.go
@@ -29,7 +29,7 @@
 	name := grant.Endpoint.Name
 	r.dispatcher.running.add(name, ask.ID, ask.Digest)
 	sentAt := r.now()
-	end := p.call(grant)
+	end := p.call(ask, grant)
 	if end.err != nil && end.err.Cause == endpoint.Broken {
 		r.dispatcher.crashed(r.now(), name)
 	}
@@ -54,12 +54,12 @@
 }
 
 // call sends the request and passes the answer on.
-func (p *plainExchange) call(grant routing.Grant) attemptEnd {
+func (p *plainExchange) call(ask routing.Ask, grant routing.Grant) attemptEnd {
 	r := p.run
 	answer, err := r.dispatcher.options.Endpoints.Do(r.work, endpoint.PlainCall{
 		Endpoint: grant.Endpoint, Method: r.request.Method, Path: r.request.Path, Query: r.request.Query,
 		Header: r.request.Header, Body: r.request.Body, RequestID: r.request.ID,
-		IdempotencyKey: r.request.IdempotencyKey, Silence: r.dispatcher.options.Silence,
+		IdempotencyKey: r.request.IdempotencyKey, Fresh: ask.Suspect, Silence: r.dispatcher.options.Silence,
 	})
 	if err != nil {
 		return p.failed(err, grant)
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -33,6 +33,8 @@
 	IdempotencyKey string
 	// Body is the JSON body; it asks for a stream.
 	Body []byte
+	// Fresh asks for a connection of its own; see PlainCall.
+	Fresh bool
 	// Silence ends the call when the engine sends nothing for so long; zero means never.
 	Silence time.Duration
 }
@@ -48,7 +50,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", eventStream)
 	setIdentity(request.Header, call.RequestID, call.IdempotencyKey)
-	response, err := x.roundTrip(c.transport(call.IdempotencyKey != ""), request)
+	response, err := x.roundTrip(c.transport(call.Fresh || call.IdempotencyKey != ""), request)
 	if err != nil {
 		return nil, err
 	}
@@ -65,9 +67,9 @@
 	return newStream(x, response.Body), nil
 }
 
-// transport chooses a new connection for work that runs once.
-func (c *Client) transport(runsOnce bool) *http.Transport {
-	if runsOnce {
+// transport chooses kept connections, or a new one.
+func (c *Client) transport(fresh bool) *http.Transport {
+	if fresh {
 		return c.single
 	}
 	return c.pooled
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -20,6 +20,9 @@
 	Body           []byte
 	RequestID      string
 	IdempotencyKey string
+	// Fresh asks for a connection of its own, so that a broken one says that the endpoint
+	// fell while it had this call. Keyed calls always have one.
+	Fresh bool
 	// Silence ends the call when the service sends nothing for so long; zero means never.
 	Silence time.Duration
 }
@@ -59,7 +62,7 @@
 		request.Header.Del(name)
 	}
 	setIdentity(request.Header, call.RequestID, call.IdempotencyKey)
-	response, err := x.roundTrip(c.transport(!isSafe(call.Method) || call.IdempotencyKey != ""), request)
+	response, err := x.roundTrip(c.transport(call.Fresh || !isSafe(call.Method) || call.IdempotencyKey != ""), request)
 	if err != nil {
 		return nil, err
 	}
