Scheduling: one file for each of admission, shedding and Retry-After

A failed try, not in this change: at each tick, refusing asks from the end of a queue whose expected wait was 1.5 times the time left. An ask may wait for as long as it can still be met.

--- a/internal/bench/job.go
+++ b/internal/bench/job.go
@@ -46,6 +46,9 @@
 	code       failure.Code
 	produced   int
 	attempts   []*attempt
+	// heldBack is true if placement held the job back for a reason of its own, such
+	// as having run on an endpoint that crashed.
+	heldBack bool
 	// answered is set on the root once any of its jobs completed.
 	answered bool
 }
@@ -331,7 +334,7 @@
 		after = impatientDelay
 	}
 	again := *j
-	again.id, again.resends, again.attempts = s.nextID(), j.resends+1, nil
+	again.id, again.resends, again.attempts, again.heldBack = s.nextID(), j.resends+1, nil, false
 	again.firstToken, again.started, again.ended, again.ending, again.code, again.produced = 0, 0, 0, "", "", 0
 	s.clock.after(after, func() { s.send(&again) })
 }
--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -86,6 +86,7 @@
 		if !ok {
 			continue
 		}
+		a.job.heldBack = a.job.heldBack || d.Parked
 		q.sim.clock.after(delay, func() {
 			if d.Kind == scheduling.Granted {
 				q.sim.granted(a, d.Grant.Endpoint.Name, d.Grant.Priority)
--- a/internal/scheduling/admission.go
+++ b/internal/scheduling/admission.go
@@ -14,8 +14,6 @@
 	// maxPlannedShare bounds the planned service to a share of the target, so that a
 	// bad measurement can not refuse a whole class for good.
 	maxPlannedShare = 0.75
-	// reservedPlaces is how many waiting asks each class has beyond MaxWaiting.
-	reservedPlaces = 4
 )
 
 // refusal says why an ask is not admitted.
@@ -244,72 +242,3 @@
 	}
 	return (rank - c.credit) / (share * rate)
 }
-
-// makeRoom keeps the queue within MaxWaiting. The victim is of the lowest tier
-// present; each class has a few reserved places that take room from nobody.
-func (p *Pool) makeRoom(now time.Time, it *item) bool {
-	if len(p.waiting) < p.cfg.MaxWaiting || it.class.waiting < reservedPlaces {
-		return true
-	}
-	c := p.lowest()
-	if c == nil || c.tier < it.class.tier {
-		return false
-	}
-	f := c.largestFlow()
-	if f == nil || (c.tier == it.class.tier && f.load() <= (float64(len(it.flow.items))+1)/it.flow.weight) {
-		return false
-	}
-	victim := f.last()
-	p.leave(victim)
-	p.refuse(now, victim, ReasonShed, p.overloaded(now, victim, "the request gave way to another"))
-	return true
-}
-
-// lowest returns the class of the lowest tier that waits beyond its reserved places.
-func (p *Pool) lowest() *class {
-	var found *class
-	for _, c := range p.ordered {
-		if c.waiting <= reservedPlaces || c.ready == 0 {
-			continue
-		}
-		if found == nil || c.tier > found.tier || c.waiting > found.waiting {
-			found = c
-		}
-	}
-	return found
-}
-
-// overloaded returns a refusal that says when to come back.
-func (p *Pool) overloaded(now time.Time, it *item, message string) *failure.Failure {
-	return failure.New(failure.Overloaded, message).WithRetryAfter(p.retryAfter(now, it))
-}
-
-func (p *Pool) noEndpoint() *failure.Failure {
-	return failure.New(failure.NoEndpoint, "no endpoint of the service takes work").
-		WithRetryAfter(p.jitter(p.cfg.MinRetryAfter.Seconds()))
-}
-
-// retryAfter is the time in which the class's queue and its recent refusals drain.
-func (p *Pool) retryAfter(now time.Time, it *item) time.Duration {
-	rate := p.drainRate()
-	if rate <= 0 {
-		return p.jitter(p.cfg.MinRetryAfter.Seconds())
-	}
-	c := it.class
-	own := max(p.orderRate(now, c, rate), c.floor*p.floorScale(now)*rate)
-	if own <= 0 {
-		return p.jitter(p.cfg.MaxRetryAfter.Seconds())
-	}
-	c.refusals.advance(now, p.cfg.DrainWindow)
-	return p.jitter((float64(c.waiting) + p.aheadOf(it) + c.refusals.count) / own)
-}
-
-// jitter clamps a wait, in seconds, and spreads it upwards.
-func (p *Pool) jitter(wait float64) time.Duration {
-	low, high := p.cfg.MinRetryAfter.Seconds(), p.cfg.MaxRetryAfter.Seconds()
-	wait = min(max(wait, low), high)
-	if p.cfg.Rand != nil {
-		wait *= 1 + p.cfg.RetryJitter*p.cfg.Rand.Float64()
-	}
-	return seconds(min(wait, high))
-}
--- a/internal/scheduling/decision.go
+++ b/internal/scheduling/decision.go
@@ -50,8 +50,7 @@
 	ReasonLateOnArrival = "late_on_arrival"
 	// ReasonExpired means that the ask waited for as long as it may.
 	ReasonExpired = "expired"
-	// ReasonShed means that the ask gave way to one of a higher tier, or that it can
-	// not meet its target any more.
+	// ReasonShed means that the ask gave way to another when the queue was full.
 	ReasonShed = "shed"
 	// ReasonQueueFull means that the queue holds MaxWaiting asks.
 	ReasonQueueFull = "queue_full"
