Placement: the benchmark makes its prompts beforehand

Cause: the benchmark made 2 KB of prompt between two placements, and the collection of that garbage fell into the measured time.

Change: 20,000 prompts made before; they repeat after 20,000 decisions.

--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -18,6 +18,8 @@
 	benchRunning   = 10_000
 	benchPrefixes  = 200
 	benchBlocks    = 256
+	// benchPrompts prompts are made beforehand, so that their garbage is not measured.
+	benchPrompts = 20_000
 )
 
 func makeEndpoints(n, maxConcurrent int) []catalog.Endpoint {
@@ -41,9 +43,13 @@
 	fleet.Update(now, makeEndpoints(benchEndpoints, 16), nil)
 	running := make([]routing.Report, 0, benchRunning)
 	times := hdrhistogram.New(1, int64(time.Second), 3)
+	prefixes := make([][]uint64, benchPrompts)
+	for i := range prefixes {
+		prefixes[i] = benchPrefix(rng, i)
+	}
 	place := func(i int) {
 		now = now.Add(150 * time.Microsecond)
-		ask := routing.Ask{ID: fmt.Sprint(i), Digest: fmt.Sprint("d", i), Prefix: benchPrefix(rng, i), PromptTokens: 4096, Repeatable: true}
+		ask := routing.Ask{ID: fmt.Sprint(i), Digest: fmt.Sprint("d", i), Prefix: prefixes[i%benchPrompts], PromptTokens: 4096, Repeatable: true}
 		began := time.Now()
 		placed, ok := fleet.Place(now, ask)
 		if err := times.RecordValue(int64(time.Since(began))); err != nil || !ok {
