dispatch: note progress to the broker; count attainment, goodput and waste under test

Cause: a new broker is told of running grants with their tokens, and nobody noted them. Change: every 32 tokens a running attempt notes its length, without a call over the network. A resumed ask counts the text so far as prompt. Specs for progress and for the metrics.

--- a/internal/dispatch/dispatch_suite_test.go
+++ b/internal/dispatch/dispatch_suite_test.go
@@ -41,6 +41,13 @@
 	granted    map[string]routing.Ask
 	reports    map[string][]routing.Report
 	hedgeAfter time.Duration
+	progress   map[string]int
+}
+
+func (b *fakeBroker) Progress(askID string, outputTokens int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.progress[askID] = outputTokens
 }
 
 const acquirePoll = time.Millisecond
@@ -270,7 +277,7 @@
 
 func newBed(count int, options engine.Options) *bed {
 	b := &bed{
-		broker:     &fakeBroker{busy: map[string]int{}, alone: map[string]bool{}, granted: map[string]routing.Ask{}, reports: map[string][]routing.Report{}},
+		broker:     &fakeBroker{busy: map[string]int{}, alone: map[string]bool{}, granted: map[string]routing.Ask{}, reports: map[string][]routing.Report{}, progress: map[string]int{}},
 		claims:     &fakeClaims{held: map[string]claim.Claim{}, ended: map[string]dispatch.HeldState{}, answers: map[string]*dispatch.KeptAnswer{}},
 		quarantine: quarantine.New(quarantine.Config{}),
 	}
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/primrosewell/primrosewell/internal/dispatch"
 	"github.com/primrosewell/primrosewell/internal/failure"
@@ -70,6 +72,30 @@
 		Expect(sink.kind).To(Equal("text/event-stream"))
 	})
 
+	It("tells the broker of the tokens while the answer streams", func(ctx SpecContext) {
+		b := newBed(1, engine.Options{MinTokens: 70, MaxTokens: 70})
+		b.run(ctx, b.request("hello", nil))
+		Expect(b.broker.progress).To(Equal(map[string]int{"r1/1": 64}))
+	})
+
+	It("counts attainment, goodput and waste by class", func(ctx SpecContext) {
+		b := newBed(1, engine.Options{})
+		scope := tally.NewTestScope("", nil)
+		b.options.Scope = scope
+		b.options.Retries = retry.NewBudget(retry.Config{MaxAttempts: 1})
+		timed := func(r *dispatch.Request) { r.Profile.Target.FirstTokenMS = int(limit.Milliseconds()) }
+		b.run(ctx, b.request("hello", timed))
+		b.setAll(engine.Faults{HalfAfterTokens: 3})
+		b.run(ctx, b.request("hello", timed))
+		counts := lo.MapValues(scope.Snapshot().Counters(), func(c tally.CounterSnapshot, _ string) int64 { return c.Value() })
+		Expect(counts).To(HaveKeyWithValue("dispatch.attainment_met+class=c,target=first_token", int64(1)))
+		Expect(counts).To(HaveKeyWithValue("dispatch.attainment_missed+class=c,target=first_token", int64(1)))
+		Expect(counts).To(HaveKeyWithValue("dispatch.answers_completed+class=c", int64(1)))
+		Expect(counts).To(HaveKeyWithValue("dispatch.tokens_completed+class=c", int64(words(b.chatAnswer("hello", 0)))))
+		Expect(counts).To(HaveKeyWithValue("dispatch.wasted_tokens+class=c", int64(3)))
+		Expect(counts).To(HaveKeyWithValue("dispatch.requests+class=c,outcome=unknown", int64(1)))
+	})
+
 	It("assembles a whole answer in the published form", func(ctx SpecContext) {
 		b := newBed(1, engine.Options{})
 		result, sink := b.run(ctx, b.request("hello", whole))
--- a/internal/dispatch/lane.go
+++ b/internal/dispatch/lane.go
@@ -11,6 +11,9 @@
 	"github.com/primrosewell/primrosewell/internal/routing"
 )
 
+// progressEvery is the number of tokens between two notes of progress.
+const progressEvery = 32
+
 // lane is one call on an engine under one grant. A request has two while it is hedged.
 type lane struct {
 	run    *run
@@ -75,15 +78,23 @@
 		l.usage = chunk.Usage
 	}
 	if chunk.Text != "" || !chunk.TextOnly {
-		l.tokens++
-		l.lastAt = l.run.now()
-		if l.firstAt.IsZero() {
-			l.firstAt = l.lastAt
-		}
+		l.count()
 	}
 	return chunk, nil
 }
 
+// count notes one token.
+func (l *lane) count() {
+	l.tokens++
+	l.lastAt = l.run.now()
+	if l.firstAt.IsZero() {
+		l.firstAt = l.lastAt
+	}
+	if progress := l.run.dispatcher.options.Progress; progress != nil && l.tokens%progressEvery == 0 {
+		progress.Progress(l.ask.ID, l.tokens)
+	}
+}
+
 // fail ends the lane by an error of its endpoint, which it returns.
 func (l *lane) fail(err error) error {
 	failed := l.run.asEndpointError(err, l.grant)
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -35,6 +35,12 @@
 	Cleared(now time.Time, digest string)
 }
 
+// Progress hears of the tokens of running attempts, so that a new broker can be told of
+// them; *broker.Broker implements it.
+type Progress interface {
+	Progress(askID string, outputTokens int)
+}
+
 // KeptAnswer is the whole answer of keyed work, as it went to the caller.
 type KeptAnswer struct {
 	Status      int
@@ -75,11 +81,13 @@
 	Daemon      string
 	Incarnation string
 	Broker      routing.Broker
-	Claims      claim.Claims
-	Endpoints   Endpoints
-	Retries     Retries
-	Quarantine  Quarantine
-	Answers     Answers
+	// Progress defaults to Broker, if that implements it.
+	Progress   Progress
+	Claims     claim.Claims
+	Endpoints  Endpoints
+	Retries    Retries
+	Quarantine Quarantine
+	Answers    Answers
 	// Silence ends an attempt whose endpoint sends nothing for so long. Default 30 s.
 	Silence time.Duration
 	// KeptAnswerBytes bounds one kept answer, in bytes. Default 1 MiB.
@@ -105,6 +113,9 @@
 	if o.KeptAnswerBytes <= 0 {
 		o.KeptAnswerBytes = DefaultKeptAnswerBytes
 	}
+	if o.Progress == nil {
+		o.Progress, _ = o.Broker.(Progress)
+	}
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -155,7 +155,7 @@
 		Waited:          r.now().Sub(request.Arrived),
 		Target:          request.Profile.Target,
 		MaxWait:         time.Duration(request.Profile.MaxWaitMS) * time.Millisecond,
-		PromptTokens:    prompt.Tokens(r.promptText),
+		PromptTokens:    prompt.Tokens(r.promptText) + r.exchange.outputTokens(),
 		MaxOutputTokens: outputLimit(request),
 		Prefix:          prompt.PrefixBlocks(r.promptText),
 		Digest:          r.digest,
