--- a/internal/bench/metrics.go
+++ b/internal/bench/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/samber/lo"
 
 	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/scheduling/check"
 )
 
 // Report is the outcome of one run.
@@ -51,11 +52,9 @@
 	// Share is the class's part of the pool's starts, Floor what it is guaranteed.
 	Share float64
 	Floor float64
-}
-
-// Starved reports whether the class got less than its floor although it was refused work.
-func (c ClassReport) Starved() bool {
-	return c.Refused+c.Left > 0 && c.Share < c.Floor
+	// Starved is true if the class was refused work and got less than its floor, by
+	// more than the dispatches that a floor may run behind.
+	Starved bool
 }
 
 func measure(s *simulation, options Options) Report {
@@ -99,6 +98,8 @@
 		report := measureClass(c, jobs)
 		own := lo.CountBy(starts, func(x start) bool { return x.class == c })
 		report.Share = float64(own) / float64(max(1, len(starts)))
+		short := report.Floor*float64(len(starts)) - float64(own)
+		report.Starved = report.Refused+report.Left > 0 && short > check.FloorCredit
 		reports = append(reports, report)
 	}
 	return reports
--- a/internal/bench/table.go
+++ b/internal/bench/table.go
@@ -34,7 +34,7 @@
 
 // starvedMark marks a share below the floor.
 func starvedMark(c ClassReport) string {
-	if c.Starved() {
+	if c.Starved {
 		return "!"
 	}
 	return ""
