--- a/internal/placement/fleet_test.go
+++ b/internal/placement/fleet_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/primrosewell/primrosewell/internal/catalog"
 	"github.com/primrosewell/primrosewell/internal/health"
@@ -94,6 +96,61 @@
 		Expect(w.Capacity(w.now)).To(And(HaveField("Slots", 12), HaveField("Busy", 12), HaveField("Endpoints", 3)))
 	})
 
+	It("finds every free slot of a pool that is larger than its sample", func() {
+		w := newWorld(placement.Config{}, 100, 4)
+		count := w.fill(repeatable)
+		Expect(count).To(HaveLen(100))
+		Expect(lo.Sum(lo.Values(count))).To(Equal(400))
+	})
+
+	It("spreads equal choices over all endpoints", func() {
+		w := newWorld(placement.Config{}, 4, 4)
+		count := map[string]int{}
+		for range 400 {
+			id, name := w.place(repeatable)
+			count[name]++
+			w.end(id, routing.ResultCancelled)
+		}
+		Expect(lo.Min(lo.Values(count))).To(BeNumerically(">", 50))
+		Expect(count).To(HaveLen(4))
+	})
+
+	It("gives a faster engine more", func() {
+		w := newWorld(placement.Config{}, 2, 20)
+		for range 100 {
+			id, name := w.place(repeatable)
+			report := routing.Report{AskID: id, Result: routing.ResultCompleted, Elapsed: time.Second, Gap: 20 * time.Millisecond}
+			if name == "e0000" {
+				report.Gap *= 2
+			}
+			w.Done(w.now, report)
+		}
+		for range 20 {
+			w.place(repeatable)
+		}
+		Expect(w.status("e0001").Running).To(BeNumerically(">", w.status("e0000").Running+1))
+	})
+
+	It("keeps its counts when used by many at once", func() {
+		w := newWorld(placement.Config{}, 5, 8)
+		var group sync.WaitGroup
+		for g := range 8 {
+			group.Go(func() {
+				for i := range 300 {
+					id := fmt.Sprint(g, "-", i)
+					_, ok := w.Place(start, routing.Ask{ID: id, Digest: id, Repeatable: true})
+					w.Restore(start, routing.Progress{AskID: id, Endpoint: "none"})
+					w.Capacity(start)
+					if ok {
+						w.Done(start, routing.Report{AskID: id, Result: routing.ResultCompleted})
+					}
+				}
+			})
+		}
+		group.Wait()
+		Expect(w.Capacity(start)).To(And(HaveField("Busy", 0), HaveField("Slots", 40)))
+	})
+
 	DescribeTable("gives an endpoint that leaves no new work",
 		func(leave func(w *world)) {
 			w := newWorld(placement.Config{}, 2, 4)
