--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -165,20 +165,51 @@
 	server.SetFaults(platformstandin.Faults{})
 }
 
+// unreliable forwards to the shard's usual writer; it loses replies and gives up early.
+type unreliable struct {
+	self   int
+	logs   []*Log
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func (u *unreliable) Local(shard int) bool { return shard == u.self }
+
+func (u *unreliable) Forward(ctx context.Context, shard int, claims []Claim) ([]Answer, error) {
+	u.mu.Lock()
+	lose, limit := u.random.IntN(5) == 0, time.Duration(1+u.random.IntN(40))*time.Millisecond
+	u.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	answers, err := u.logs[shard].Serve(ctx, claims)
+	if lose {
+		return nil, context.DeadlineExceeded
+	}
+	return answers, err
+}
+
 // runHistory lets clients of several daemons contend for few keys under faults.
-func runHistory(seed uint64, wrap func(platform.Store) platform.Store) []porcupine.Operation {
+func runHistory(seed uint64, forwarding bool, wrap func(platform.Store) platform.Store) []porcupine.Operation {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	server := platformstandin.New(platformstandin.Options{})
 	record := &recorder{started: time.Now()}
 	var stores []*pausable
 	var clients, driver sync.WaitGroup
+	logs := make([]*Log, historyDaemons)
 	for d := range historyDaemons {
 		store := &pausable{Store: wrap(server.Store())}
 		stores = append(stores, store)
 		name := fmt.Sprintf("d%d", d)
-		l, err := New(ctx, Options{Store: store, Daemon: name, Incarnation: name, Shards: 2, AppendInterval: time.Millisecond, MaxRetryInterval: 5 * time.Millisecond})
+		options := Options{Store: store, Daemon: name, Incarnation: name, Shards: 2, AppendInterval: time.Millisecond, MaxRetryInterval: 5 * time.Millisecond}
+		if forwarding {
+			options.Forwarder = &unreliable{self: d, logs: logs, random: rand.New(rand.NewPCG(seed, uint64(1000+d)))}
+		}
+		l, err := New(ctx, options)
 		Expect(err).NotTo(HaveOccurred())
+		logs[d] = l
+	}
+	for d, l := range logs {
 		for c := range historyClients {
 			client := d*historyClients + c
 			clients.Go(func() {
@@ -246,14 +277,21 @@
 }
 
 var _ = Describe("concurrent histories under faults", func() {
-	DescribeTable("are linearizable", func(seed uint64) {
-		history := runHistory(seed, func(s platform.Store) platform.Store { return s })
+	DescribeTable("are linearizable", func(seed uint64, forwarding bool) {
+		history := runHistory(seed, forwarding, func(s platform.Store) platform.Store { return s })
 		Expect(granted(history)).To(BeNumerically(">", historyClaims))
 		Expect(porcupine.CheckOperationsTimeout(model, history, historyTimeout)).To(Equal(porcupine.Ok))
-	}, Entry("seed 1", uint64(1)), Entry("seed 2", uint64(2)), Entry("seed 3", uint64(3)), Entry("seed 4", uint64(4)))
+	},
+		Entry("seed 1", uint64(1), false),
+		Entry("seed 2", uint64(2), false),
+		Entry("seed 3", uint64(3), false),
+		Entry("seed 4, forwarding", uint64(4), true),
+		Entry("seed 5, forwarding", uint64(5), true),
+		Entry("seed 6, forwarding", uint64(6), true),
+	)
 
 	It("are not linearizable once the update is unconditional", func() {
-		history := runHistory(1, func(s platform.Store) platform.Store { return unconditional{s} })
+		history := runHistory(1, false, func(s platform.Store) platform.Store { return unconditional{s} })
 		Expect(porcupine.CheckOperationsTimeout(model, history, historyTimeout)).To(Equal(porcupine.Illegal))
 	})
 })
