--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -45,6 +45,7 @@
 	commander.Register(settingsGroup(std), groupObjects)
 	commander.Register(&statusCommand{std: std}, groupLook)
 	commander.Register(&drainCommand{std: std}, groupRun)
+	commander.Register(benchGroup(std), groupLook)
 	commander.Register(&versionCommand{std: std}, groupLook)
 	return execute(ctx, commander, flags, args[1:])
 }
