dispatch: fuzz the bodies of engine calls; the history check no longer rests on chance

Change: one call refused by all engines, one keyed call cut in half and one sound call frame the random part; the checks stay the same. A fuzz target for the bodies that are sent on.

--- /dev/null
+++ b/internal/dispatch/enginebody_fuzz_test.go
@@ -0,0 +1,41 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/primrosewell/primrosewell/internal/failure"
+)
+
+// FuzzEngineBody feeds any bytes as the body of an engine call. It must not panic; a
+// body that is taken must be sent on as JSON that asks for a stream, also when it is resumed.
+func FuzzEngineBody(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`), true, "")
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text"}]}],"max_completion_tokens":3,"tools":[]}`), true, " w0.1234")
+	f.Add([]byte(`{"prompt":"x","stream_options":{"include_usage":true},"max_tokens":-1}`), false, "\xff")
+	f.Add([]byte(`null`), false, "")
+	f.Add([]byte(`{"messages":null}`), true, "x")
+	f.Fuzz(func(t *testing.T, body []byte, chat bool, sent string) {
+		request := Request{API: Completions, Body: body}
+		if chat {
+			request.API = ChatCompletions
+		}
+		parsed, refused := parseEngineBody(request)
+		if refused != nil {
+			if refused.Code != failure.InvalidRequest || refused.Outcome != failure.NotRun {
+				t.Fatalf("refused as %s, %s", refused.Code, refused.Outcome)
+			}
+			return
+		}
+		_ = parsed.promptText()
+		for _, done := range []progress{{}, {text: sent, tokens: 1}} {
+			var out struct {
+				Stream   bool `json:"stream"`
+				Priority int  `json:"priority"`
+			}
+			if err := json.Unmarshal(parsed.encode(2, done), &out); err != nil || !out.Stream || out.Priority != 2 {
+				t.Fatalf("sent on as %s", parsed.encode(2, done))
+			}
+		}
+	})
+}
--- a/internal/dispatch/keyed_test.go
+++ b/internal/dispatch/keyed_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -136,48 +137,34 @@
 	It("says not_run only of what no engine ran, and completed only of whole answers", func(ctx SpecContext) {
 		b := newBed(4, engine.Options{})
 		b.options.Silence = 150 * time.Millisecond
-		d := dispatch.New(b.options)
+		h := &history{bed: b, dispatcher: dispatch.New(b.options), outcomes: map[failure.Outcome]int{}}
+		b.setAll(engine.Faults{Refuse: true})
+		h.call(ctx, requests, "")
+		b.setAll(engine.Faults{HalfAfterTokens: 1})
+		h.call(ctx, requests+1, "half")
 		stop := make(chan struct{})
-		var chaos sync.WaitGroup
+		var chaos, work sync.WaitGroup
 		chaos.Go(func() { b.disturb(seed, stop) })
-		ids := make(chan int, requests)
-		for i := range requests {
-			ids <- i
-		}
-		close(ids)
-		var (
-			mu       sync.Mutex
-			outcomes = map[failure.Outcome]int{}
-			work     sync.WaitGroup
-			notRun   []string
-		)
+		var next atomic.Int64
 		for range callers {
 			work.Go(func() {
 				defer GinkgoRecover()
-				for i := range ids {
-					key := lo.Ternary(i%4 == 0, fmt.Sprintf("k%d", i), "")
-					prompt := fmt.Sprintf("prompt %d", i)
-					r := b.request(prompt, keyed(key))
+				for i := int(next.Add(1)); i <= requests; i = int(next.Add(1)) {
 					callCtx, cancel := context.WithCancel(ctx)
 					if i%10 == 9 {
 						time.AfterFunc(5*time.Millisecond, cancel)
 					}
-					sink := &recorder{}
-					result := d.Run(callCtx, r, sink)
+					h.call(callCtx, i, lo.Ternary(i%4 == 0, fmt.Sprintf("k%d", i), ""))
 					cancel()
-					mu.Lock()
-					outcomes[result.Outcome]++
-					if result.Outcome == failure.NotRun {
-						notRun = append(notRun, r.ID)
-					}
-					mu.Unlock()
-					checkAnswer(result, sink, b.chatAnswer(prompt, 0))
 				}
 			})
 		}
 		work.Wait()
 		close(stop)
 		chaos.Wait()
+		Eventually(b.down).WithTimeout(limit).Should(BeEmpty())
+		h.call(ctx, requests+2, "")
+		notRun, outcomes := h.notRun, h.outcomes
 		ran := lo.GroupBy(b.runs(), func(r engine.Run) string { return r.RequestID })
 		for _, id := range notRun {
 			Expect(ran).NotTo(HaveKey(id), "not_run, yet an engine took it")
@@ -194,6 +181,30 @@
 	})
 })
 
+// history makes calls and keeps what callers were told.
+type history struct {
+	bed        *bed
+	dispatcher *dispatch.Dispatcher
+
+	mu       sync.Mutex
+	outcomes map[failure.Outcome]int
+	notRun   []string
+}
+
+func (h *history) call(ctx context.Context, i int, key string) {
+	prompt := fmt.Sprintf("prompt %d", i)
+	r := h.bed.request(prompt, keyed(key))
+	sink := &recorder{}
+	result := h.dispatcher.Run(ctx, r, sink)
+	h.mu.Lock()
+	h.outcomes[result.Outcome]++
+	if result.Outcome == failure.NotRun {
+		h.notRun = append(h.notRun, r.ID)
+	}
+	h.mu.Unlock()
+	checkAnswer(result, sink, h.bed.chatAnswer(prompt, 0))
+}
+
 // checkAnswer holds a caller's bytes against its own answer.
 func checkAnswer(result dispatch.Result, sink *recorder, want string) {
 	if sink.String() == "" {
