claim/answers: bound the eviction loop

The loop ends with the cache now, and the specs for the bound and for replacing an answer fail with that count switched off.

--- a/internal/claim/answers/answers.go
+++ b/internal/claim/answers/answers.go
@@ -104,7 +104,7 @@
 	}
 	s.lru.Add(id, k)
 	s.bytes += k.size(id)
-	for s.bytes > limit {
+	for s.bytes > limit && s.lru.Len() > 0 {
 		s.lru.RemoveOldest()
 	}
 	return true
