--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -121,6 +121,41 @@
 		Expect(c.d.Status().PlatformReachable).To(BeFalse())
 	})
 
+	It("is not ready while it is older than the members that it hears", func() {
+		i := newInstallation("a", "b")
+		i.ready()
+		result, err := i.get("a").d.Apply(ctx, catalog.KindProfile, profile("pilot", 380), by("op"))
+		Expect(err).NotTo(HaveOccurred())
+		i.platform.SetFaults(standin.Faults{StaleVersions: 1})
+		i.mu.Lock()
+		i.fetchDown = true
+		i.mu.Unlock()
+		c := i.start("c")
+		Consistently(c.d.Ready, time.Second).Should(BeFalse())
+		i.mu.Lock()
+		i.fetchDown = false
+		i.mu.Unlock()
+		Eventually(c.d.Ready, promise).Should(BeTrue())
+		Expect(c.version(catalog.KindProfile, "pilot")()).To(Equal(result.Version))
+	})
+
+	It("finds a record that it missed at a lower revision, and is not counted before", func() {
+		i := newInstallation("a", "b")
+		i.ready()
+		i.get("b").store.cut.Store(true)
+		i.cutPeers("b", true)
+		first, err := i.get("a").d.Apply(ctx, catalog.KindProfile, profile("missed", 1), by("op"))
+		Expect(err).NotTo(HaveOccurred())
+		i.mu.Lock()
+		i.hideOnce = "missed"
+		i.mu.Unlock()
+		i.cutPeers("b", false)
+		second, err := i.get("a").d.Apply(ctx, catalog.KindProfile, profile("seen", 1), by("op"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(second.InForce).To(Equal(2))
+		Expect(i.get("b").version(catalog.KindProfile, "missed")()).To(Equal(first.Version))
+	})
+
 	It("is not ready while neither the platform nor a peer answers", func() {
 		i := newInstallation()
 		i.platform.SetFaults(standin.Faults{Outage: standin.OutageRefuse})
--- a/internal/distribution/installation_test.go
+++ b/internal/distribution/installation_test.go
@@ -132,6 +132,10 @@
 	started  []*daemon
 	known    map[string]membership.Member
 	cuts     map[string]bool
+	// fetchDown makes peers hear each other, but fetch nothing.
+	fetchDown bool
+	// hideOnce is left out of the next answer to a fetch.
+	hideOnce string
 }
 
 func newInstallation(ids ...string) *installation {
@@ -279,10 +283,14 @@
 	i := p.n.inst
 	i.mu.Lock()
 	other, ok := i.daemons[address]
-	cut := i.cuts[address] || i.cuts[p.n.id]
+	cut := i.cuts[address] || i.cuts[p.n.id] || i.fetchDown
+	hidden := i.hideOnce
+	i.hideOnce = ""
 	i.mu.Unlock()
 	if !ok || cut {
 		return distribution.Delta{}, failure.New(failure.PeerUnreachable, address)
 	}
-	return other.d.FetchConfig(ctx, since)
+	delta, err := other.d.FetchConfig(ctx, since)
+	delta.Records = slices.DeleteFunc(delta.Records, func(r catalog.Record) bool { return r.Name == hidden })
+	return delta, err
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -26,8 +26,10 @@
 	seeds    []string
 	lastTick time.Time
 	lastSync time.Time
-	leaving  bool
-	rounds   int
+	// syncDelay is the time from the last full exchange to the next.
+	syncDelay time.Duration
+	leaving   bool
+	rounds    int
 
 	attached atomic.Pointer[Attachments]
 
@@ -39,7 +41,7 @@
 func New(ctx context.Context, opts Options) *Membership {
 	opts = opts.withDefaults()
 	now := opts.Clock.Now()
-	m := &Membership{opts: opts, table: newTable(opts), seeds: opts.Seeds, lastTick: now, lastSync: now}
+	m := &Membership{opts: opts, table: newTable(opts), seeds: opts.Seeds, lastTick: now, lastSync: now, syncDelay: firstSync}
 	m.Attach(Attachments{})
 	m.publish(now)
 	go m.run(ctx, opts.Clock.NewTicker(opts.Interval))
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -134,4 +134,30 @@
 			Eventually(stateOf(x, "m99"), bound).Should(Equal(membership.Live))
 		}
 	})
+
+	It("believes a rumour of suspicion that is not contradicted in time", func() {
+		ctx := context.Background()
+		clock := clockwork.NewFakeClock()
+		n := newNetwork()
+		m := n.start("m01", func(o *membership.Options) {
+			o.Seeds, o.Clock, o.Interval, o.FullMeshLimit = nil, clock, time.Hour, 1
+		})
+		fact := func(state membership.State, sequence uint64) membership.Fact {
+			return membership.Fact{Sequence: sequence, Member: membership.Member{ID: "m07", Incarnation: "1", PeerAddress: "m07", State: state}}
+		}
+		told := func(facts ...membership.Fact) {
+			from := membership.Member{ID: "m02", Incarnation: "1", PeerAddress: "m02", State: membership.Live}
+			_, err := m.Receive(ctx, membership.Heartbeat{Sender: membership.Fact{Member: from, Sequence: 1}, Facts: facts})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		told(fact(membership.Live, 1))
+		told(fact(membership.Suspected, 1))
+		Expect(stateOf(m, "m07")()).To(Equal(membership.Live))
+		clock.Advance(testSuspect + time.Millisecond)
+		told()
+		Expect(stateOf(m, "m07")()).To(Equal(membership.Suspected))
+		told(fact(membership.Suspected, 1))
+		told(fact(membership.Live, 2))
+		Expect(stateOf(m, "m07")()).To(Equal(membership.Live))
+	})
 })
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -16,6 +16,10 @@
 // RoleEntry is the role of daemons' VMs in the platform's list.
 const RoleEntry = "entry"
 
+// firstSync is the time to the first full exchange of a new member; each later one
+// takes twice as long, up to SyncInterval.
+const firstSync = time.Second
+
 // target is one call of a round. The member is empty for a seed.
 type target struct {
 	member    Member
@@ -58,7 +62,7 @@
 	ids = append(ids, m.attached.Load().Contacts()...)
 	failing := lo.PickBy(m.table.peers, func(_ string, p *peer) bool { return !p.failingSince.IsZero() })
 	ids = append(ids, lo.Slice(lo.Keys(failing), 0, m.opts.Fanout)...)
-	sync := now.Sub(m.lastSync) >= m.opts.SyncInterval
+	sync := now.Sub(m.lastSync) >= m.syncDelay
 	var out []target
 	for _, id := range lo.Uniq(ids) {
 		p, ok := m.table.peers[id]
@@ -68,6 +72,7 @@
 		out = append(out, target{member: p.fact.Member, address: p.fact.Member.PeerAddress, introduce: sync})
 		if sync {
 			sync, m.lastSync = false, now
+			m.syncDelay = min(2*m.syncDelay, m.opts.SyncInterval)
 		}
 	}
 	return out
