--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -87,3 +88,40 @@
 	}
 	return out
 }
+
+// BenchmarkFleetMemory reports what a fleet holds: 1,400 endpoints, 10,000 running
+// requests and a full table of prompt blocks, or a pool of 10 endpoints with 100
+// running requests and as full a table.
+func BenchmarkFleetMemory(b *testing.B) {
+	for _, size := range []struct{ endpoints, running int }{{benchEndpoints, benchRunning}, {10, 100}} {
+		b.Run(fmt.Sprint(size.endpoints), func(b *testing.B) {
+			for range b.N {
+				b.ReportMetric(float64(fleetBytes(size.endpoints, size.running)), "heap-bytes")
+			}
+		})
+	}
+}
+
+func fleetBytes(endpoints, running int) uint64 {
+	rng := rand.New(rand.NewPCG(1, 2))
+	before := heapBytes()
+	fleet := placement.NewFleet(placement.Config{}, rand.New(rand.NewPCG(3, 4)))
+	fleet.Update(start, makeEndpoints(endpoints, 16), nil)
+	for i := range running + placement.DefaultMaxBlocks/16 {
+		id := fmt.Sprint(i)
+		fleet.Place(start, routing.Ask{ID: id, Digest: fmt.Sprintf("%064d", i), Prefix: benchPrefix(rng, i), Repeatable: true})
+		if i >= running {
+			fleet.Done(start, routing.Report{AskID: fmt.Sprint(i - running), Result: routing.ResultCompleted})
+		}
+	}
+	after := heapBytes()
+	runtime.KeepAlive(fleet)
+	return after - before
+}
+
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
