dispatch: a not_run answer says when to come back

Cause: a refused connection gave no time, and callers would resend at once; a path that can not be sent was answered as a fault of the endpoint. Change: not_run after failed attempts carries the endpoint's own time, at least 1 s; such a path is an invalid request.

--- a/internal/dispatch/keyed_test.go
+++ b/internal/dispatch/keyed_test.go
@@ -101,6 +101,27 @@
 		Expect(sink.String()).To(ContainSubstring(service.Digest([]byte("joint 7"))))
 	})
 
+	It("refuses a path that can not be sent", func(ctx SpecContext) {
+		b, s := newServiceBed(service.Options{})
+		r := b.request("", plain(http.MethodGet, ""))
+		r.Path = "/%zz"
+		result, _ := b.run(ctx, r)
+		Expect(result.Failure.Code).To(Equal(failure.InvalidRequest))
+		Expect(result.Outcome).To(Equal(failure.NotRun))
+		Expect(s.Runs()).To(BeEmpty())
+	})
+
+	It("says not_run and when to come back while no endpoint can be reached", func(ctx SpecContext) {
+		b, s := newServiceBed(service.Options{})
+		s.Crash(limit)
+		Eventually(b.down).WithTimeout(limit).ShouldNot(BeEmpty())
+		result, _ := b.run(ctx, b.request("", plain(http.MethodPost, "k1")))
+		Expect(result.Failure.Code).To(Equal(failure.NoEndpoint))
+		Expect(result.Outcome).To(Equal(failure.NotRun))
+		Expect(result.Failure.RetryAfter).To(Equal(time.Second))
+		Expect(b.claims.held).To(BeEmpty(), "the claim is given back")
+	})
+
 	DescribeTable("repeats only what may be repeated",
 		func(ctx SpecContext, method, key string, faults service.Faults, want failure.Outcome, runs int) {
 			b, s := newServiceBed(service.Options{})
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -2,12 +2,17 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/primrosewell/primrosewell/internal/endpoint"
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/retry"
 )
 
+// minRetryAfter is when to come back after no endpoint took the request; an endpoint
+// that was ejected is tried again after about that time.
+const minRetryAfter = time.Second
+
 // outcome gives f the outcome that the attempts so far allow: not_run only while no
 // attempt may have started.
 func (r *run) outcome(f *failure.Failure) *failure.Failure {
@@ -45,11 +50,11 @@
 	case end.err != nil && end.err.Cause == endpoint.Rejected:
 		return r.outcome(failure.Wrap(end.err, rejectionCode(end.err.Status), "the endpoint rejected the request: "+end.err.Message))
 	}
-	f := failure.Wrap(end.err, verdict.Code, endMessage(verdict.Code))
-	if end.err != nil && end.err.RetryAfter > 0 {
-		f = f.WithRetryAfter(end.err.RetryAfter)
+	f := r.outcome(failure.Wrap(end.err, verdict.Code, endMessage(verdict.Code)))
+	if f.Outcome == failure.NotRun {
+		return f.WithRetryAfter(max(end.err.RetryAfter, minRetryAfter))
 	}
-	return r.outcome(f)
+	return f
 }
 
 // rejectionCode tells a fault of the request from a fault of the configuration.
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -53,7 +53,10 @@
 	}
 	request, err := newRequest(call.Method, target, call.Body)
 	if err != nil {
-		return nil, &Error{Cause: Rejected, Endpoint: call.Endpoint.Name, Message: "the path or method can not be sent", wrapped: err}
+		return nil, &Error{
+			Cause: Rejected, Endpoint: call.Endpoint.Name, Status: http.StatusBadRequest,
+			Message: "the path or method can not be sent", wrapped: err,
+		}
 	}
 	for name, value := range call.Header {
 		request.Header.Set(name, value)
