membership: a rumour needs two failures and may be contradicted for longer in larger memberships

Cause: with 200 members in one process on a loaded machine, members falsely suspected about a third of the others: one slow call started a rumour, and one second was too short for the contradiction to come back. Change: two failed calls in a row start a rumour; the time to contradict grows with the logarithm of the membership (4 s at 200).

--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -16,6 +16,8 @@
 	// refusalsMean is the number of refused connections in a row that mean that no
 	// process listens at the address any more.
 	refusalsMean = 2
+	// failuresMean is the number of failed calls in a row that start a rumour.
+	failuresMean = 2
 )
 
 // peer is what this daemon knows of another one.
@@ -28,6 +30,8 @@
 	lastSeen time.Time
 	// failingSince is the first failed call since the last answered one.
 	failingSince time.Time
+	// failures counts the failed calls since the last answered one.
+	failures int
 	// refusals counts the refused connections since the last answered call.
 	refusals int
 	// cutSince is when the member said that its calls do not reach this daemon.
@@ -83,13 +87,20 @@
 		return Leaving
 	case !t.reachable(now, p), !p.cutSince.IsZero():
 		return Suspected
-	case !p.suspectedSince.IsZero() && now.Sub(p.suspectedSince) > t.suspectAfter:
+	case !p.suspectedSince.IsZero() && now.Sub(p.suspectedSince) > t.contradictWithin():
 		return Suspected
 	default:
 		return Live
 	}
 }
 
+// contradictWithin is the time that a member has to contradict a rumour. The rumour
+// has to reach it, and its word to come back, in a number of rounds that grows with
+// the logarithm of the membership.
+func (t *table) contradictWithin() time.Duration {
+	return t.suspectAfter * time.Duration(max(2, bits.Len(uint(len(t.peers))))) / 2
+}
+
 // members returns the whole membership, sorted by ID.
 func (t *table) members(now time.Time) []Member {
 	out := make([]Member, 0, len(t.peers)+1)
@@ -223,25 +234,26 @@
 	if p, ok := t.peers[id]; ok {
 		p.lastReply, p.lastSeen = now, now
 		p.failingSince = time.Time{}
-		p.refusals = 0
+		p.failures, p.refusals = 0, 0
 		p.introduced = true
 	}
 }
 
-// failed notes a failed call. Above the full mesh a second of failures starts a
-// rumour of suspicion, which the member can contradict.
+// failed notes a failed call. Above the full mesh, failures in a row start a rumour
+// of suspicion, which the member can contradict.
 func (t *table) failed(now time.Time, id string, refused bool) {
 	p, ok := t.peers[id]
 	if !ok {
 		return
 	}
+	p.failures++
 	if refused {
 		p.refusals++
 	}
 	if p.failingSince.IsZero() {
 		p.failingSince = now
 	}
-	if !t.fullMesh() && p.fact.Member.State == Live {
+	if !t.fullMesh() && p.failures >= failuresMean && p.fact.Member.State == Live {
 		p.fact.Member.State = Suspected
 		p.suspectedSince = now
 		p.sendsLeft = t.sends()
@@ -270,7 +282,7 @@
 		p.lastReply, p.lastSeen = now, now
 		p.failingSince = time.Time{}
 		p.suspectedSince = time.Time{}
-		p.refusals = 0
+		p.failures, p.refusals = 0, 0
 	}
 }
 
