claim: refuse at once those that wait when the platform keeps failing

The benchmark of an outage showed that claims in flight waited out their whole time, 2 s at the 99th percentile, though new ones were refused at once. What may already be in the log is released later, as for a caller that left.

Seen failing without the change: the spec with a claim that may wait for an hour. Also a spec for claims under the platform's rate limit, and benchmark cases for one object for each claim.

--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/primrosewell/primrosewell/internal/platform"
 	platformstandin "github.com/primrosewell/primrosewell/internal/standin/platform"
 )
 
@@ -32,6 +33,15 @@
 // BenchmarkClaims measures claims against calls on a platform that answers in 3 ms.
 // Clients claim at a fixed rate in all; each case prints one line of figures.
 func BenchmarkClaims(b *testing.B) {
+	for _, limit := range []float64{0, 300} {
+		for _, rate := range []int{50, 500, 4000} {
+			b.Run(fmt.Sprintf("object-each/limit=%v/rate=%d", limit, rate), func(b *testing.B) {
+				for range b.N {
+					benchObjects(b, limit, rate)
+				}
+			})
+		}
+	}
 	for _, daemons := range []int{1, 8} {
 		for _, forwarding := range []bool{false, true} {
 			for _, rate := range []int{50, 500, 4000} {
@@ -48,6 +58,18 @@
 	}
 }
 
+// benchObjects measures the way that was not taken: one object for each claim, with
+// the platform's limit on writes/s if it is not zero.
+func benchObjects(b *testing.B, limit float64, rate int) {
+	server := platformstandin.New(platformstandin.Options{History: 100})
+	server.SetFaults(platformstandin.Faults{DelayMS: 3, WritesPerSecond: limit})
+	store := server.Store()
+	measure(b, server, rate, func(i int) error {
+		_, err := store.Create(context.Background(), platform.Object{Collection: platform.ClaimCollection, Name: fmt.Sprint("k", i)})
+		return err
+	})
+}
+
 func benchClaims(b *testing.B, daemons int, forwarding bool, rate int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -66,6 +88,14 @@
 		}
 		logs = append(logs, l)
 	}
+	measure(b, server, rate, func(i int) error {
+		_, _, err := logs[i%daemons].Claim(ctx, aClaim(fmt.Sprint("request-", i), fmt.Sprint("idempotency-key-", i), "sha256-digest-of-the-body"))
+		return err
+	})
+}
+
+// measure makes claims at a rate and reports what came of them.
+func measure(b *testing.B, server *platformstandin.Server, rate int, claimOne func(i int) error) {
 	var done, failed atomic.Int64
 	var mu sync.Mutex
 	latency := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
@@ -76,8 +106,7 @@
 		time.Sleep(time.Until(started.Add(time.Duration(i) * time.Second / time.Duration(rate))))
 		clients.Go(func() {
 			begin := time.Now()
-			_, _, err := logs[i%daemons].Claim(ctx, aClaim(fmt.Sprint("request-", i), fmt.Sprint("idempotency-key-", i), "sha256-digest-of-the-body"))
-			if err != nil {
+			if claimOne(i) != nil {
 				failed.Add(1)
 				return
 			}
--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -72,21 +72,22 @@
 			return nil, failure.New(failure.Overloaded, "too many claims wait").WithRetryAfter(l.options.MaxRetryInterval)
 		}
 	}
-	answers, err := collectAnswers(ctx, waiting)
-	if err != nil {
-		return nil, unavailable(err, l.options.MaxRetryInterval)
-	}
-	return answers, nil
+	return l.collectAnswers(ctx, waiting)
 }
 
-func collectAnswers(ctx context.Context, waiting []*pending) ([]Answer, error) {
+func (l *Log) collectAnswers(ctx context.Context, waiting []*pending) ([]Answer, error) {
 	answers := make([]Answer, len(waiting))
 	for i, p := range waiting {
+		var err error
 		select {
-		case answers[i] = <-p.done:
+		case r := <-p.done:
+			answers[i], err = l.resolve(r)
 		case <-ctx.Done():
+			err = unavailable(ctx.Err(), l.options.MaxRetryInterval)
+		}
+		if err != nil {
 			lo.ForEach(waiting[i:], func(p *pending, _ int) { p.abandon() })
-			return nil, ctx.Err()
+			return nil, err
 		}
 	}
 	return answers, nil
--- a/internal/claim/log.go
+++ b/internal/claim/log.go
@@ -216,12 +216,12 @@
 		return Answer{}, failure.New(failure.Overloaded, "too many claims wait").WithRetryAfter(l.options.MaxRetryInterval)
 	}
 	select {
-	case answer := <-p.done:
-		return answer, nil
+	case r := <-p.done:
+		return l.resolve(r)
 	case <-ctx.Done():
 	}
 	if !p.abandon() {
-		return <-p.done, nil
+		return l.resolve(<-p.done)
 	}
 	l.metrics.abandoned.Inc(1)
 	if errors.Is(ctx.Err(), context.Canceled) {
@@ -230,6 +230,16 @@
 	return Answer{}, unavailable(ctx.Err(), l.options.MaxRetryInterval)
 }
 
+// resolve turns the end of a wait into an answer or a failure.
+func (l *Log) resolve(r result) (Answer, error) {
+	if !r.refused {
+		return r.answer, nil
+	}
+	l.metrics.refused.Inc(1)
+	wait, _ := l.breaker.refuse(l.now())
+	return Answer{}, unavailable(nil, wait)
+}
+
 // unavailable is the failure of a claim that could not be decided and will not be dispatched.
 func unavailable(cause error, wait time.Duration) *failure.Failure {
 	const message = "the platform can not record the request, so it was not run"
--- a/internal/claim/log_test.go
+++ b/internal/claim/log_test.go
@@ -122,6 +122,21 @@
 		}).WithTimeout(patience).Should(Equal(Granted))
 	}, Entry("that refuses", platformstandin.OutageRefuse), Entry("that hangs", platformstandin.OutageHang))
 
+	It("refuses those that wait already once the platform keeps failing", func() {
+		patient := newLog(Options{Store: server.Store(), Daemon: "c", Timeout: time.Hour, MaxRetryInterval: time.Second})
+		mustClaim(patient, aClaim("warm", "warm", "d"))
+		server.SetFaults(platformstandin.Faults{Outage: platformstandin.OutageRefuse})
+		refused := make(chan error, 1)
+		go func() {
+			_, _, err := patient.Claim(ctx, aClaim("r1", "k", "d"))
+			refused <- err
+		}()
+		var err error
+		Eventually(refused).WithTimeout(patience).Should(Receive(&err))
+		Expect(failure.CodeOf(err)).To(Equal(failure.PlatformUnavailable))
+		Expect(failure.From(err).Outcome).To(Equal(failure.NotRun))
+	})
+
 	It("frees a key whose claim landed after its caller had left", func() {
 		mustClaim(a, aClaim("warm", "warm", "d"))
 		server.SetFaults(platformstandin.Faults{DelayMS: 200})
@@ -163,6 +178,21 @@
 		}
 	})
 
+	It("claims within the platform's rate of writes", func() {
+		mustClaim(a, aClaim("warm", "warm", "d"))
+		server.SetFaults(platformstandin.Faults{WritesPerSecond: 10})
+		results := make(chan Verdict, 100)
+		for i := range 100 {
+			go func() {
+				verdict, _, _ := a.Claim(ctx, aClaim(fmt.Sprint("r", i), fmt.Sprint("k", i), "d"))
+				results <- verdict
+			}()
+		}
+		for range 100 {
+			Expect(<-results).To(Equal(Granted))
+		}
+	})
+
 	It("batches claims that come together", func() {
 		slow := newLog(Options{Store: server.Store(), Daemon: "c", AppendInterval: 50 * time.Millisecond})
 		mustClaim(slow, aClaim("warm", "warm", "d"))
--- a/internal/claim/pending.go
+++ b/internal/claim/pending.go
@@ -21,11 +21,17 @@
 	// sent is true once the request may be in the log. Only the shard's loop uses it.
 	sent  bool
 	state atomic.Int32
-	done  chan Answer
+	done  chan result
+}
+
+// result ends the wait for a request: with its answer, or refused.
+type result struct {
+	answer  Answer
+	refused bool
 }
 
 func newPending(r request) *pending {
-	return &pending{request: r, done: make(chan Answer, 1)}
+	return &pending{request: r, done: make(chan result, 1)}
 }
 
 // answer hands over the answer; it returns false if nobody waits any more.
@@ -33,13 +39,20 @@
 	if !p.state.CompareAndSwap(waiting, answered) {
 		return false
 	}
-	p.done <- a
+	p.done <- result{answer: a}
 	return true
 }
 
 // abandon gives up waiting; it returns false if the answer has come already.
 func (p *pending) abandon() bool { return p.state.CompareAndSwap(waiting, abandoned) }
 
+// refuse tells the one who waits that the request will not be decided.
+func (p *pending) refuse() {
+	if p.abandon() {
+		p.done <- result{refused: true}
+	}
+}
+
 // live returns what is left to do of a batch. An abandoned claim that may be in the
 // log becomes its own release, since nobody will dispatch it.
 func live(batch []*pending) []*pending {
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -139,6 +139,7 @@
 			wait = max(min(wait, rateLimitWait), retryAfter(err))
 		} else {
 			s.log.breaker.failed(s.log.now(), wait)
+			s.refuse(batch)
 		}
 		s.log.sleep(ctx, wait)
 	}
@@ -182,6 +183,17 @@
 	return nil, nil
 }
 
+// refuse ends the wait of a batch if new claims are refused too. What may be in the
+// log stays in the batch, to be released.
+func (s *shard) refuse(batch []*pending) {
+	if _, refused := s.log.breaker.refuse(s.log.now()); !refused {
+		return
+	}
+	for _, p := range batch {
+		p.refuse()
+	}
+}
+
 // settle answers the claims that an uncertain append of before has made. Their
 // presence in the log is the proof, so no further append is needed.
 func (s *shard) settle(batch []*pending) []*pending {
