dispatch: hold the history check with hedges too

Cause: races between a hedge and a failing first lane were covered by one spec only. Change: the random faults run a second time with hedges after 3 ms; keyed work is checked to stay without.

--- a/internal/dispatch/keyed_test.go
+++ b/internal/dispatch/keyed_test.go
@@ -83,6 +83,15 @@
 		Expect(b.runsByKey()["k1"]).To(Equal(1))
 	})
 
+	It("is never hedged", func(ctx SpecContext) {
+		b := newBed(2, engine.Options{MinTokens: 30, MaxTokens: 30})
+		b.setAll(engine.Faults{Slowdown: 30})
+		b.broker.hedgeAfter = time.Millisecond
+		result, _ := b.run(ctx, b.request("push", keyed("k1")))
+		Expect(result.Outcome).To(Equal(failure.Completed))
+		Expect(b.runsByKey()["k1"]).To(Equal(1))
+	})
+
 	It("is not dispatched while no claim can be had", func(ctx SpecContext) {
 		b := newBed(1, engine.Options{})
 		b.claims.down = failure.New(failure.PlatformUnavailable, "the platform is away")
@@ -155,8 +164,9 @@
 		callers  = 16
 	)
 
-	It("says not_run only of what no engine ran, and completed only of whole answers", func(ctx SpecContext) {
+	DescribeTable("say not_run only of what no engine ran, and completed only of whole answers", func(ctx SpecContext, hedgeAfter time.Duration) {
 		b := newBed(4, engine.Options{})
+		b.broker.hedgeAfter = hedgeAfter
 		b.options.Silence = 150 * time.Millisecond
 		h := &history{bed: b, dispatcher: dispatch.New(b.options), outcomes: map[failure.Outcome]int{}}
 		b.setAll(engine.Faults{Refuse: true})
@@ -199,7 +209,10 @@
 		Expect(outcomes[failure.Completed]).To(BeNumerically(">", 0))
 		Expect(outcomes[failure.NotRun]).To(BeNumerically(">", 0))
 		Expect(outcomes[failure.Unknown]).To(BeNumerically(">", 0))
-	})
+	},
+		Entry("without hedges", time.Duration(0)),
+		Entry("with hedges", 3*time.Millisecond),
+	)
 })
 
 // history makes calls and keeps what callers were told.
