Scheduling: record submissions under the lock; a history of concurrent use

Change: a recorder may also take submissions, in order with the decisions. The checker is as strict as before.

--- a/internal/bench/policy.go
+++ b/internal/bench/policy.go
@@ -98,9 +98,7 @@
 }
 
 func (q *queue) submit(a *attempt, delay time.Duration) {
-	now, ask := q.sim.clock.now(), q.sim.ask(a)
-	q.history.Submitted(now, ask)
-	q.deliver(q.pool.Submit(now, ask), delay)
+	q.deliver(q.pool.Submit(q.sim.clock.now(), q.sim.ask(a)), delay)
 }
 
 func (q *queue) violations() int { return len(q.history.Verify(false)) }
--- a/internal/scheduling/check/check.go
+++ b/internal/scheduling/check/check.go
@@ -21,6 +21,11 @@
 	ReservedPlaces = 4
 )
 
+var (
+	_ scheduling.Recorder           = (*History)(nil)
+	_ scheduling.SubmissionRecorder = (*History)(nil)
+)
+
 // Rule names a part of the rule.
 type Rule string
 
@@ -52,13 +57,13 @@
 }
 
 // History records what happened to one pool, in order. It implements
-// scheduling.Recorder. All methods may be called concurrently.
+// scheduling.Recorder and scheduling.SubmissionRecorder. All methods may be called concurrently.
 type History struct {
 	mu     sync.Mutex
 	events []event
 }
 
-// Submitted records that ask is about to be submitted.
+// Submitted implements scheduling.SubmissionRecorder.
 func (h *History) Submitted(at time.Time, ask routing.Ask) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/scheduling/decision.go
+++ b/internal/scheduling/decision.go
@@ -92,6 +92,12 @@
 	Record(decision Decision)
 }
 
+// SubmissionRecorder is implemented by recorders that also want each ask as it
+// enters the pool, under the pool's lock, in order with the decisions.
+type SubmissionRecorder interface {
+	Submitted(at time.Time, ask routing.Ask)
+}
+
 // ClassStats describes one class of a pool.
 type ClassStats struct {
 	Class   string
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -29,6 +29,8 @@
 	placer Placer
 	// constrainer and quarantine are the placer, or nil if it does not implement them.
 	constrainer Constrainer
+	// submissions is the recorder, or nil if it does not want submissions.
+	submissions SubmissionRecorder
 	quarantine  Quarantine
 	estimates   *estimate.Estimator
 
@@ -99,6 +101,7 @@
 	}
 	p.constrainer, _ = placer.(Constrainer)
 	p.quarantine, _ = placer.(Quarantine)
+	p.submissions, _ = cfg.Recorder.(SubmissionRecorder)
 	return p
 }
 
@@ -112,6 +115,9 @@
 	if p.resubmitted(now, ask) {
 		return p.take()
 	}
+	if p.submissions != nil {
+		p.submissions.Submitted(now, ask)
+	}
 	c := p.classOf(ask)
 	it := p.newItem(now, ask, c)
 	if refusal := p.admit(now, it); refusal != nil {
--- a/internal/scheduling/scheduling_suite_test.go
+++ b/internal/scheduling/scheduling_suite_test.go
@@ -85,7 +85,6 @@
 
 func (b *bed) submit(asks ...routing.Ask) {
 	for _, ask := range asks {
-		b.history.Submitted(b.now, ask)
 		b.take(b.pool.Submit(b.now, ask))
 	}
 }
