--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/gofiber/fiber/v3/middleware/adaptor"
+	"github.com/gofiber/fiber/v3/middleware/pprof"
 	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
@@ -64,6 +65,7 @@
 	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	s.app.Get("/readyz", s.handleReady)
 	s.app.Use(s.authenticate)
+	s.app.Use(pprof.New())
 	s.app.Get("/metrics", adaptor.HTTPHandler(options.Metrics))
 	s.app.Get(statusPath, func(c fiber.Ctx) error { return c.JSON(options.Status(c.Context())) })
 	s.app.Post(drainPath, s.handleDrain)
--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -53,7 +53,7 @@
 Policies: %s
 
 Example:
-  primrosewell bench decisions -scenarios burst -policies broker,round-robin -seed 1 -plot burst.png
+  primrosewell bench decisions -scenarios burst-low -policies broker,round-robin -seed 1 -plot burst.png
 `, strings.Join(scenarios, ", "), strings.Join(policies, ", "))
 }
 
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -244,7 +244,12 @@
 func read(address, path string, into any) {
 	GinkgoHelper()
 	Eventually(func() error {
-		response, err := http.Get("http://" + address + path)
+		request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+		if err != nil {
+			return err
+		}
+		request.Header.Set("Authorization", "Bearer "+platformToken)
+		response, err := http.DefaultClient.Do(request)
 		if err != nil {
 			return err
 		}
