Scheduling: every set-aside ask gets its turn

Cause: only the first eight set-aside asks were tried; behind eight suspects that can not run yet, one with nothing but an endpoint to avoid waited until it expired. Change: the first four in order are tried, and four of the others in turn. Its spec failed without the turns.

--- a/internal/scheduling/dispatch.go
+++ b/internal/scheduling/dispatch.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// parkedTries bounds the parked items that are tried in one call.
-	parkedTries = 8
+	// parkedFirst and parkedTurns bound the parked items that are tried in one call:
+	// the first in order, and some of the others in turn.
+	parkedFirst = 4
+	parkedTurns = 4
 	// parksPerCall bounds the items that are parked in one call.
 	parksPerCall = 8
 )
@@ -223,8 +225,7 @@
 	if len(p.parked) == 0 {
 		return
 	}
-	tries := slices.Clone(p.parked[:min(parkedTries, len(p.parked))])
-	for _, it := range tries {
+	for _, it := range p.parkedCandidates() {
 		if head := p.next(); !full && head != nil && head.ask.Tier < it.ask.Tier {
 			return
 		}
@@ -241,6 +242,19 @@
 	}
 }
 
+// parkedCandidates returns the parked items to try now, in order.
+func (p *Pool) parkedCandidates() []*item {
+	first := min(parkedFirst, len(p.parked))
+	tries := slices.Clone(p.parked[:first])
+	others := p.parked[first:]
+	for range min(parkedTurns, len(others)) {
+		p.parkedTurn = (p.parkedTurn + 1) % len(others)
+		tries = append(tries, others[p.parkedTurn])
+	}
+	slices.SortFunc(tries, compareParked)
+	return tries
+}
+
 // expireWaiting refuses the items whose time is over.
 func (p *Pool) expireWaiting(now time.Time) {
 	for len(p.expiry) > 0 && now.After(p.expiry[0].latest) {
--- a/internal/scheduling/order_test.go
+++ b/internal/scheduling/order_test.go
@@ -113,6 +113,22 @@
 		Expect(b.grants).To(Equal([]string{"running", "suspect"}))
 	})
 
+	It("tries every set-aside ask in turn", func() {
+		b := newBed(1, nil)
+		b.submit(ask("running", 1))
+		for i := range 30 {
+			suspect := ask(fmt.Sprint("suspect", i), 1)
+			suspect.Suspect = true
+			b.slots.refuses[suspect.ID] = i < 29
+			b.submit(suspect)
+		}
+		b.release("running", time.Second)
+		for range 12 {
+			b.tick()
+		}
+		Expect(b.grants).To(ContainElement("suspect29"))
+	})
+
 	It("keeps a few slots free for a higher tier that comes steadily", func() {
 		b := newBed(50, nil)
 		steady := func(n int) {
--- a/internal/scheduling/pool.go
+++ b/internal/scheduling/pool.go
@@ -40,8 +40,10 @@
 	waiting map[string]*item
 	expiry  expiryHeap
 	// parked holds items that can not run on the endpoints that are free now.
-	parked  []*item
-	running map[string]*run
+	parked []*item
+	// parkedTurn is the parked item beyond the first few that was tried last.
+	parkedTurn int
+	running    map[string]*run
 	// ended remembers how asks ended, so that late messages are idempotent.
 	ended *simplelru.LRU[string, ending]
 	seq   uint64
