--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -140,6 +140,7 @@
 	group.Go(func() error { return s.callers.Serve(running, d.sockets.callers) })
 	group.Go(func() error { return s.admin.Serve(d.sockets.admin) })
 	group.Go(func() error { return s.peers.Serve(d.sockets.peers) })
+	go d.reportQueues(running)
 	group.Go(func() error { return d.shutDownWhenDrained(running) })
 	err := group.Wait()
 	d.event("stop").Info("daemon stopped")
--- a/internal/failure/codes.go
+++ b/internal/failure/codes.go
@@ -49,8 +49,6 @@
 	EndpointRefused Code = "endpoint_refused"
 	// TimedOut means that the endpoint fell silent for longer than allowed.
 	TimedOut Code = "timed_out"
-	// Preempted means that the running request gave way to a higher tier.
-	Preempted Code = "preempted"
 	// Internal means a defect in the daemon.
 	Internal Code = "internal"
 )
@@ -99,7 +97,6 @@
 	EndpointFailed:      http.StatusBadGateway,
 	EndpointRefused:     http.StatusBadGateway,
 	TimedOut:            http.StatusGatewayTimeout,
-	Preempted:           http.StatusServiceUnavailable,
 	Internal:            http.StatusInternalServerError,
 	NotFound:            http.StatusNotFound,
 	Conflict:            http.StatusConflict,
@@ -124,7 +121,7 @@
 // defaultOutcome is Unknown for codes that arise after a request reached an endpoint.
 func (c Code) defaultOutcome() Outcome {
 	switch c {
-	case EndpointFailed, EndpointRefused, TimedOut, Preempted, Internal, ClientGone, InProgress, ResultUnknown:
+	case EndpointFailed, EndpointRefused, TimedOut, Internal, ClientGone, InProgress, ResultUnknown:
 		return Unknown
 	case AlreadyRun:
 		return Completed
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -18,6 +18,14 @@
 	reportInterval = time.Second
 )
 
+// sanitizer keeps the names that profiles, services and codes may have as tag values.
+var sanitizer = tally.SanitizeOptions{
+	NameCharacters:       tallyprom.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:        tallyprom.DefaultSanitizerOpts.KeyCharacters,
+	ValueCharacters:      tally.ValidCharacters{Ranges: tally.AlphanumericRange, Characters: []rune{'_', '-', '.'}},
+	ReplacementCharacter: tallyprom.DefaultSanitizerOpts.ReplacementCharacter,
+}
+
 // Metrics is the root scope and the page that shows it.
 type Metrics struct {
 	Scope tally.Scope
@@ -34,7 +42,7 @@
 		Prefix:          metricPrefix,
 		CachedReporter:  reporter,
 		Separator:       tallyprom.DefaultSeparator,
-		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+		SanitizeOptions: &sanitizer,
 	}, reportInterval)
 	return &Metrics{
 		Scope:  scope,
