--- a/internal/daemon/provide.go
+++ b/internal/daemon/provide.go
@@ -36,7 +36,7 @@
 	i := d.injector
 	do.ProvideValue(i, telemetry.NewMetrics())
 	do.ProvideValue(i, quarantine.New(quarantine.Config{}))
-	do.ProvideValue(i, retry.NewBudget(retry.Config{}))
+	do.ProvideValue(i, retry.NewBudget(retry.Config{MaxAttempts: d.settings.Limits.Attempts}))
 	do.ProvideValue(i, estimate.New(estimate.Config{}))
 	do.ProvideValue(i, endpoint.NewClient(endpoint.Options{}))
 	do.Provide(i, d.provideStore)
