--- a/internal/scheduling/decision_bench_test.go
+++ b/internal/scheduling/decision_bench_test.go
@@ -37,7 +37,7 @@
 	releases *hdrhistogram.Histogram
 }
 
-func newDecisionBed() *decisionBed {
+func newDecisionBed(asks int) *decisionBed {
 	b := &decisionBed{
 		random:   rand.New(rand.NewPCG(1, 2)),
 		now:      time.Unix(1000, 0),
@@ -53,7 +53,7 @@
 	}
 	fleet.Update(b.now, endpoints, nil)
 	b.pool = scheduling.NewPool("p", scheduling.DefaultConfig(), fleet, estimate.New(estimate.Config{}))
-	for range benchEndpoints*benchSlots + benchWaiting {
+	for range asks {
 		b.submit()
 	}
 	return b
@@ -104,7 +104,7 @@
 // BenchmarkDecision measures a submission and a release on a pool of 1,400 full
 // endpoints with 10,000 waiting asks.
 func BenchmarkDecision(b *testing.B) {
-	bed := newDecisionBed()
+	bed := newDecisionBed(benchEndpoints*benchSlots + benchWaiting)
 	bed.submits.Reset()
 	bed.releases.Reset()
 	b.ReportAllocs()
@@ -117,6 +117,26 @@
 	if waiting := bed.pool.Stats(bed.now).Waiting; waiting < benchWaiting/2 {
 		b.Fatalf("only %d asks wait", waiting)
 	}
+	bed.report(b)
+}
+
+// BenchmarkGrant measures a submission that is granted at once, on a pool of 1,400
+// endpoints that is half full, and the release that makes room for it.
+func BenchmarkGrant(b *testing.B) {
+	bed := newDecisionBed(benchEndpoints * benchSlots / 2)
+	bed.submits.Reset()
+	bed.releases.Reset()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		bed.release()
+		bed.submit()
+	}
+	b.StopTimer()
+	bed.report(b)
+}
+
+func (bed *decisionBed) report(b *testing.B) {
 	for name, times := range map[string]*hdrhistogram.Histogram{"submit": bed.submits, "release": bed.releases} {
 		b.ReportMetric(float64(times.ValueAtQuantile(50)), name+"-p50-ns")
 		b.ReportMetric(float64(times.ValueAtQuantile(99)), name+"-p99-ns")
