dispatch: dispatch and release by the granted claim, and only while it is fresh

Cause: the dispatcher went on with the claim that it had asked for, not with the one that was granted, which carries the nonce and the deadline. A release was ignored by the log, so a request that certainly had not run kept its key for the retention, and a daemon that woke from a freeze could have dispatched late. Ruled out: the log itself (its specs release by the granted claim). Change: keep the granted claim, ask Fresh before each attempt. The specs' fake log now has nonces and deadlines as the real one does; with the change switched off, the specs of a stale claim, of a refusal by all engines and of an endpoint that can't be reached fail.

--- a/internal/dispatch/dispatch_suite_test.go
+++ b/internal/dispatch/dispatch_suite_test.go
@@ -119,6 +119,9 @@
 	ended   map[string]dispatch.HeldState
 	answers map[string]*dispatch.KeptAnswer
 	down    error
+	nonce   uint64
+	// expired makes every granted claim too old to be dispatched.
+	expired bool
 }
 
 func keyOf(c claim.Claim) string { return c.Workspace + "/" + c.Key }
@@ -132,8 +135,11 @@
 	holder, ok := f.held[keyOf(c)]
 	switch {
 	case !ok:
+		f.nonce++
+		c.Nonce = f.nonce
 		f.held[keyOf(c)] = c
 		f.ended[keyOf(c)] = dispatch.HeldRunning
+		c.Deadline = time.Now().Add(lo.Ternary(f.expired, -time.Second, time.Minute))
 		return claim.Granted, c, nil
 	case holder.Digest != c.Digest:
 		return claim.Mismatched, holder, nil
@@ -145,7 +151,9 @@
 func (f *fakeClaims) Release(c claim.Claim) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.held, keyOf(c))
+	if f.held[keyOf(c)].Nonce == c.Nonce {
+		delete(f.held, keyOf(c))
+	}
 }
 
 func (f *fakeClaims) Begin(claim.Claim) {}
--- a/internal/dispatch/keyed.go
+++ b/internal/dispatch/keyed.go
@@ -21,11 +21,11 @@
 	}
 	verdict, holder, err := o.Claims.Claim(r.ctx, wanted)
 	if err == nil && verdict == claim.Granted {
-		r.claim = &wanted
+		r.claim = &holder
 		if r.ctx.Err() == nil {
 			r.dispatched = true
 			r.sink.keep = true
-			o.Answers.Begin(wanted)
+			o.Answers.Begin(holder)
 			r.work = context.WithoutCancel(r.ctx)
 			return false, nil
 		}
@@ -43,6 +43,16 @@
 	}
 }
 
+// staleClaim gives the grant back if the claim is too old to be dispatched: a process
+// that was frozen may wake to find its key given to another.
+func (r *run) staleClaim(ask routing.Ask, grant routing.Grant) *failure.Failure {
+	if r.claim == nil || r.claim.Fresh(r.now()) {
+		return nil
+	}
+	r.dispatcher.giveBack(ask, grant)
+	return r.outcome(failure.New(failure.PlatformUnavailable, "the claim became too old before the request could be dispatched"))
+}
+
 // answerHeld answers a resend by what became of the request that holds the key.
 func (r *run) answerHeld(holder claim.Claim) *failure.Failure {
 	kept, state := r.dispatcher.options.Answers.Find(r.ctx, holder)
--- a/internal/dispatch/keyed_test.go
+++ b/internal/dispatch/keyed_test.go
@@ -92,6 +92,18 @@
 		Expect(b.runsByKey()["k1"]).To(Equal(1))
 	})
 
+	It("is not dispatched when the claim is too old, as after a freeze, and may be sent again", func(ctx SpecContext) {
+		b := newBed(1, engine.Options{})
+		b.claims.expired = true
+		result, _ := b.run(ctx, b.request("push", keyed("k1")))
+		Expect(result.Outcome).To(Equal(failure.NotRun))
+		Expect(b.runs()).To(BeEmpty())
+		b.claims.expired = false
+		result, _ = b.run(ctx, b.request("push", keyed("k1")))
+		Expect(result.Outcome).To(Equal(failure.Completed))
+		Expect(b.broker.unbalanced()).To(BeEmpty())
+	})
+
 	It("is not dispatched while no claim can be had", func(ctx SpecContext) {
 		b := newBed(1, engine.Options{})
 		b.claims.down = failure.New(failure.PlatformUnavailable, "the platform is away")
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -82,6 +82,9 @@
 		if done, f := r.ensureClaim(ask, grant); done {
 			return f
 		}
+		if f := r.staleClaim(ask, grant); f != nil {
+			return f
+		}
 		end := r.exchange.attempt(ask, grant)
 		if end.err != nil && end.err.MayHaveStarted() {
 			r.started = true
