endpoint: read chunks without pointers to optional fields

Cause: the reader told absent fields from empty ones, and nothing needs the difference. Change: plain fields; a chunk counts as more than text only if a refusal or reasoning text is there and not empty. Conclusion: kept for its simplicity.

--- a/internal/endpoint/chunk.go
+++ b/internal/endpoint/chunk.go
@@ -46,18 +46,18 @@
 
 type wireDelta struct {
 	Role             string          `json:"role"`
-	Content          *string         `json:"content"`
+	Content          string          `json:"content"`
 	ToolCalls        json.RawMessage `json:"tool_calls"`
 	FunctionCall     json.RawMessage `json:"function_call"`
-	Refusal          *string         `json:"refusal"`
-	ReasoningContent *string         `json:"reasoning_content"`
+	Refusal          string          `json:"refusal"`
+	ReasoningContent string          `json:"reasoning_content"`
 }
 
 type wireChoice struct {
 	Index        int             `json:"index"`
-	Delta        *wireDelta      `json:"delta"`
-	Text         *string         `json:"text"`
-	FinishReason *string         `json:"finish_reason"`
+	Delta        wireDelta       `json:"delta"`
+	Text         string          `json:"text"`
+	FinishReason string          `json:"finish_reason"`
 	Logprobs     json.RawMessage `json:"logprobs"`
 }
 
@@ -103,27 +103,13 @@
 	if choice.Index != 0 {
 		return "a chunk has a choice that was not asked for"
 	}
-	if choice.FinishReason != nil {
-		c.FinishReason = *choice.FinishReason
-	}
-	c.TextOnly = !isSet(choice.Logprobs)
-	switch {
-	case choice.Delta != nil:
-		c.addDelta(*choice.Delta)
-	case choice.Text != nil:
-		c.Text = *choice.Text
-	}
-	return ""
-}
-
-func (c *Chunk) addDelta(delta wireDelta) {
+	delta := choice.Delta
+	c.FinishReason = choice.FinishReason
 	c.Role = delta.Role
-	if delta.Content != nil {
-		c.Text = *delta.Content
-	}
-	if isSet(delta.ToolCalls) || isSet(delta.FunctionCall) || delta.Refusal != nil || delta.ReasoningContent != nil {
-		c.TextOnly = false
-	}
+	c.Text = delta.Content + choice.Text // a chat has the one, a completion the other.
+	c.TextOnly = !isSet(choice.Logprobs) && !isSet(delta.ToolCalls) && !isSet(delta.FunctionCall) &&
+		delta.Refusal == "" && delta.ReasoningContent == ""
+	return ""
 }
 
 func isSet(raw json.RawMessage) bool {
