--- a/internal/broker/cluster_test.go
+++ b/internal/broker/cluster_test.go
@@ -143,6 +143,10 @@
 	slots string
 	store platform.Store
 	loads routing.LoadReader
+	// defaults leaves the timings as they are shipped.
+	defaults bool
+	// direct makes calls without relays, so that those to a killed node are refused.
+	direct bool
 }
 
 func newCluster(ids []string, opts clusterOptions) *cluster {
@@ -166,15 +170,28 @@
 func (c *cluster) start(id string, l net.Listener, seeds []string, opts clusterOptions) *node {
 	ctx, stop := context.WithCancel(context.Background())
 	n := &node{id: id, address: l.Addr().String(), stop: stop}
-	client := peer.NewClient(peer.ClientOptions{Key: "k", Dial: c.mesh.Dialer(id), SilenceTimeout: 100 * time.Millisecond})
-	n.members = membership.New(ctx, membership.Options{
+	clientOptions := peer.ClientOptions{Key: "k", SilenceTimeout: 100 * time.Millisecond}
+	memberOptions := membership.Options{
 		Self:  membership.Member{ID: id, PeerAddress: n.address, DataCentre: "d"},
-		Seeds: seeds, Transport: client, Interval: interval, SuspectAfter: suspectAfter,
-	})
-	n.broker = broker.New(ctx, broker.Options{
-		View: n.members, Factory: n.factory, Peers: client, Config: configOf(opts.slots), Store: opts.store, LoadReader: opts.loads,
+		Seeds: seeds, Interval: interval, SuspectAfter: suspectAfter,
+	}
+	brokerOptions := broker.Options{
+		Factory: n.factory, Config: configOf(opts.slots), Store: opts.store, LoadReader: opts.loads,
 		CautiousFor: 500 * time.Millisecond, ExpireAfter: 500 * time.Millisecond, VMInterval: 50 * time.Millisecond, LoadInterval: 50 * time.Millisecond,
-	})
+	}
+	if opts.defaults {
+		clientOptions.SilenceTimeout = 0
+		memberOptions.Interval, memberOptions.SuspectAfter = 0, 0
+		brokerOptions.CautiousFor, brokerOptions.ExpireAfter = 0, 0
+	}
+	if !opts.direct {
+		clientOptions.Dial = c.mesh.Dialer(id)
+	}
+	client := peer.NewClient(clientOptions)
+	memberOptions.Transport = client
+	n.members = membership.New(ctx, memberOptions)
+	brokerOptions.View, brokerOptions.Peers = n.members, client
+	n.broker = broker.New(ctx, brokerOptions)
 	n.members.Attach(membership.Attachments{Exchange: n.broker, Contacts: n.broker.Brokers})
 	n.server = peer.NewServer(peer.ServerOptions{Key: "k", Handlers: peer.Handlers{Members: n.members, Pools: n.broker}})
 	go func() { _ = n.server.Serve(l) }()
