--- /dev/null
+++ b/internal/command/command_test.go
@@ -0,0 +1,211 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
+
+	"github.com/primrosewell/primrosewell/internal/admin"
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/distribution"
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/settings"
+)
+
+func TestCommand(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "command line")
+}
+
+// fakeObjects answers every change with what a test sets.
+type fakeObjects struct {
+	result distribution.ApplyResult
+	err    error
+	wrote  distribution.WriteOptions
+}
+
+func (f *fakeObjects) Apply(_ context.Context, _ catalog.Kind, _ []byte, w distribution.WriteOptions) (distribution.ApplyResult, error) {
+	f.wrote = w
+	return f.result, f.err
+}
+
+func (f *fakeObjects) Delete(_ context.Context, _ catalog.Kind, _ string, w distribution.WriteOptions) (distribution.ApplyResult, error) {
+	f.wrote = w
+	return f.result, f.err
+}
+
+func (f *fakeObjects) Get(kind catalog.Kind, name string) (catalog.Record, error) {
+	return catalog.Record{Kind: kind, Name: name, Version: 7, ChangedBy: "dba", Spec: []byte(pilot)}, f.err
+}
+
+func (f *fakeObjects) List(kind catalog.Kind) []catalog.Record {
+	record, _ := f.Get(kind, "pilot")
+	return []catalog.Record{record}
+}
+
+func (f *fakeObjects) Revision() int64 { return 9 }
+
+const (
+	operatorToken = "operator-token"
+	pilot         = `{"name":"pilot","tier":1,"target":{"first_token_ms":380}}`
+)
+
+// startAdmin serves the admin API on loopback and returns its URL.
+func startAdmin(objects *fakeObjects, drain func()) string {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := admin.New(admin.Options{
+		Settings: settings.Admin{Operators: []settings.Operator{{Name: "dba", TokenHash: hashOf(operatorToken)}}},
+		Objects:  objects,
+		Status: func(context.Context) admin.Status {
+			return admin.Status{
+				VM: "entry-1", Revision: 9, InFlight: 2,
+				Members: []admin.MemberStatus{{ID: "entry-1", State: "live", Revision: 9, InForce: true}},
+				Pools:   []admin.PoolStatus{{Pool: "bulletin-llm", Broker: "entry-1", Classes: []admin.ClassStatus{{Class: "pilot", Tier: 1, Waiting: 3}}}},
+			}
+		},
+		Drain:   drain,
+		Ready:   func() error { return nil },
+		Metrics: http.NotFoundHandler(),
+		Log:     log,
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	go func() { _ = server.Serve(listener) }()
+	DeferCleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = server.Shutdown(ctx)
+	})
+	return "http://" + listener.Addr().String()
+}
+
+// invoke runs a command line and returns its exit code and output.
+func invoke(input string, args ...string) (code int, out, errOut string) {
+	var stdout, stderr bytes.Buffer
+	std := streams{in: strings.NewReader(input), out: &stdout, err: &stderr}
+	code = run(context.Background(), append([]string{"primrosewell"}, args...), std)
+	return code, stdout.String(), stderr.String()
+}
+
+var _ = Describe("Objects", func() {
+	var objects *fakeObjects
+	var url string
+
+	BeforeEach(func() {
+		objects = &fakeObjects{result: distribution.ApplyResult{Name: "pilot", Revision: 9, Version: 9, InForce: 3, Members: 3}}
+		url = startAdmin(objects, func() {})
+		GinkgoT().Setenv(adminVariable, url)
+		GinkgoT().Setenv(tokenVariable, operatorToken)
+	})
+
+	It("says accepted, at which revision and where it is in force", func() {
+		code, out, _ := invoke(pilot, "profile", "apply", "-f", "-")
+		Expect(code).To(Equal(exitOK))
+		Expect(out).To(Equal("profile pilot: accepted at revision 9, in force on 3 of 3\n"))
+		Expect(objects.wrote.ChangedBy).To(Equal("dba"))
+	})
+
+	It("names the members that do not have it yet", func() {
+		objects.result.InForce, objects.result.Missing = 2, []string{"entry-3"}
+		code, out, _ := invoke(pilot, "profile", "apply", "-f", "-")
+		Expect(code).To(Equal(exitNotInForce))
+		Expect(out).To(ContainSubstring("missing: entry-3"))
+	})
+
+	It("passes the version on", func() {
+		code, _, _ := invoke(pilot, "profile", "apply", "-f", "-", "-if-version", "0")
+		Expect(code).To(Equal(exitOK))
+		Expect(objects.wrote.ExpectedVersion).To(HaveValue(BeZero()))
+	})
+
+	DescribeTable("has an exit code for each kind of failure",
+		func(err error, want int) {
+			objects.err = err
+			code, _, errOut := invoke(pilot, "profile", "apply", "-f", "-")
+			Expect(code).To(Equal(want))
+			Expect(errOut).To(ContainSubstring("error: "))
+		},
+		Entry("refused", failure.New(failure.InvalidObject, "x"), exitRefused),
+		Entry("conflict", failure.New(failure.Conflict, "x"), exitConflict),
+		Entry("unknown", failure.New(failure.ResultUnknown, "x"), exitUnknown),
+		Entry("platform away", failure.New(failure.PlatformUnavailable, "x"), exitUnreachable),
+		Entry("other", failure.New(failure.Internal, "x"), exitOther),
+	)
+
+	DescribeTable("refuses before any call, with the reason",
+		func(input string, want int, mention string, args ...string) {
+			code, _, errOut := invoke(input, args...)
+			Expect(code).To(Equal(want))
+			Expect(errOut).To(ContainSubstring(mention))
+			Expect(objects.wrote.ChangedBy).To(BeEmpty())
+		},
+		Entry("a wrong field", `{"name":"pilot","teir":1}`, exitRefused, "teir", "profile", "apply", "-f", "-"),
+		Entry("no file", "", exitUsage, "-f FILE", "profile", "apply"),
+		Entry("an unknown format", pilot, exitUsage, "table or json", "profile", "apply", "-f", "-", "-o", "xml"),
+		Entry("a missing file", "", exitRefused, "no such file", "profile", "apply", "-f", filepath.Join("testdata", "none.json")),
+	)
+
+	It("tells an unreachable daemon from a change that may have been taken", func() {
+		GinkgoT().Setenv(adminVariable, "http://127.0.0.1:1")
+		code, _, _ := invoke("", "profile", "list")
+		Expect(code).To(Equal(exitUnreachable))
+		code, _, errOut := invoke(pilot, "profile", "apply", "-f", "-")
+		Expect(code).To(Equal(exitUnknown))
+		Expect(errOut).To(ContainSubstring("may have been accepted"))
+	})
+
+	It("is refused without the operator's token", func() {
+		GinkgoT().Setenv(tokenVariable, "wrong")
+		code, _, errOut := invoke("", "profile", "list")
+		Expect(code).To(Equal(exitRefused))
+		Expect(errOut).To(ContainSubstring("unauthenticated"))
+	})
+
+	It("prints tables and JSON", func() {
+		_, table, _ := invoke("", "profile", "list")
+		Expect(table).To(ContainSubstring("CHANGED BY"))
+		_, asJSON, _ := invoke("", "profile", "list", "-o", "json")
+		Expect(asJSON).To(ContainSubstring(`"revision": 9`))
+		_, status, _ := invoke("", "status")
+		Expect(status).To(ContainSubstring("bulletin-llm"))
+	})
+})
+
+var _ = Describe("Other commands", func() {
+	It("drains", func() {
+		drained := make(chan struct{})
+		GinkgoT().Setenv(adminVariable, startAdmin(&fakeObjects{}, func() { close(drained) }))
+		GinkgoT().Setenv(tokenVariable, operatorToken)
+		code, out, _ := invoke("", "drain")
+		Expect(code).To(Equal(exitOK))
+		Expect(out).To(ContainSubstring("2 requests in progress"))
+		Expect(drained).To(BeClosed())
+	})
+
+	It("prints an example that passes its own check", func() {
+		_, example, _ := invoke("", "settings", "example")
+		Expect(example).To(Equal(string(settings.Example())))
+	})
+
+	It("keeps dev on loopback", func() {
+		code, _, errOut := invoke("", "dev", "-listen", "0.0.0.0:0")
+		Expect(code).To(Equal(exitUsage))
+		Expect(errOut).To(ContainSubstring("loopback"))
+	})
+
+	It("knows no unknown command", func() {
+		code, _, _ := invoke("", "nonsense")
+		Expect(code).To(Equal(exitUsage))
+	})
+})
