--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// maxFacts bounds the facts of one message, introductions apart.
-	maxFacts = 16
-	// spreadFactor times the logarithm of the membership is how often a new fact is sent.
-	spreadFactor = 3
 	// refusalsMean is the number of refused connections in a row that mean that no
 	// process listens at the address any more.
 	refusalsMean = 2
@@ -138,18 +134,6 @@
 	}
 }
 
-// introduce takes in everything that a member knows. It is news to this daemon
-// alone, and is not passed on.
-func (t *table) introduce(now time.Time, facts []Fact) {
-	for _, f := range facts {
-		before := t.peers[f.Member.ID]
-		t.merge(now, f, false)
-		if p := t.peers[f.Member.ID]; p != nil && p != before {
-			p.sendsLeft = 0
-		}
-	}
-}
-
 // merge takes in a fact. Direct facts come from the member itself.
 func (t *table) merge(now time.Time, f Fact, direct bool) {
 	id := f.Member.ID
@@ -299,34 +283,3 @@
 	}
 	return gone
 }
-
-// news returns the facts that have been passed on least, and counts them as sent.
-func (t *table) news() []Fact {
-	var fresh []*peer
-	for _, p := range t.peers {
-		if p.sendsLeft > 0 {
-			fresh = append(fresh, p)
-		}
-	}
-	slices.SortFunc(fresh, func(a, b *peer) int {
-		return cmp.Or(cmp.Compare(b.sendsLeft, a.sendsLeft), cmp.Compare(a.fact.Member.ID, b.fact.Member.ID))
-	})
-	fresh = fresh[:min(len(fresh), maxFacts)]
-	out := make([]Fact, len(fresh))
-	for i, p := range fresh {
-		p.sendsLeft--
-		out[i] = p.fact
-	}
-	return out
-}
-
-// all returns every fact.
-func (t *table) all() []Fact {
-	out := make([]Fact, 0, len(t.peers))
-	for _, p := range t.peers {
-		out = append(out, p.fact)
-	}
-	return out
-}
-
-func (t *table) sends() int { return spreadFactor * bits.Len(uint(len(t.peers)+1)) }
