--- a/internal/claim/fakes_test.go
+++ b/internal/claim/fakes_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
+	"github.com/samber/lo"
 
 	"github.com/primrosewell/primrosewell/internal/platform"
+	platformstandin "github.com/primrosewell/primrosewell/internal/standin/platform"
 )
 
 // runningClock is a fake clock that also runs by itself, so that the short waits
@@ -105,3 +107,11 @@
 	}
 	return h.Store.Get(ctx, collection, name)
 }
+
+// landed returns every request whose claim or release was ever in the log.
+func landed(server *platformstandin.Server) map[string]bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	seen := (&recorder{}).observe(ctx, server)
+	return lo.MapValues(lo.Assign(seen.claimed, seen.released), func(int64, string) bool { return true })
+}
--- a/internal/claim/head.go
+++ b/internal/claim/head.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"github.com/samber/lo"
+	"github.com/samber/oops"
 )
 
 // sealRef names a seal: an immutable object that holds older entries.
@@ -26,13 +27,15 @@
 	Epoch int64 `json:"epoch"`
 	// Seals hold the entries before the tail, oldest first.
 	Seals []sealRef `json:"seals,omitempty"`
+	// Count is the number of entries in the tail as encoded.
+	Count int `json:"n"`
 	// tail holds the newest entries, oldest first.
 	tail []line
 }
 
 // encode returns a line with the epoch and the seals, and a line for each entry of the tail.
 func (h *head) encode() ([]byte, error) {
-	first, err := json.Marshal(h)
+	first, err := json.Marshal(head{Epoch: h.Epoch, Seals: h.Seals, Count: len(h.tail)})
 	if err != nil {
 		return nil, err
 	}
@@ -54,7 +57,7 @@
 	if err := json.Unmarshal(first, h); err != nil {
 		return nil, err
 	}
-	tail, err := decodeLines(rest)
+	tail, err := decodeLines(rest, h.Count)
 	h.tail = tail
 	return h, err
 }
@@ -65,7 +68,8 @@
 	}
 }
 
-func decodeLines(data []byte) ([]line, error) {
+// decodeLines reads exactly count entries; fewer would let a key be claimed again.
+func decodeLines(data []byte, count int) ([]line, error) {
 	var lines []line
 	for text := range bytes.Lines(data) {
 		l := line{text: text}
@@ -74,6 +78,9 @@
 		}
 		lines = append(lines, l)
 	}
+	if len(lines) != count {
+		return nil, oops.Errorf("%d entries in place of %d", len(lines), count)
+	}
 	return lines, nil
 }
 
--- a/internal/claim/history_test.go
+++ b/internal/claim/history_test.go
@@ -1,13 +1,11 @@
 package claim
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"time"
 
@@ -25,7 +23,7 @@
 const (
 	opClaim opKind = iota
 	opRelease
-	// opLostClaim failed: it may have been made, and may then be released.
+	// opLostClaim failed for its caller, but was made.
 	opLostClaim
 )
 
@@ -42,9 +40,8 @@
 // holding is the state of one key: the request that holds it, or none.
 type holding struct{ id, digest string }
 
-// model is what the log promises for one key. Releases take effect at any time after
-// their call, or never.
-var model = (&porcupine.NondeterministicModel{
+// model is what the log promises for one key.
+var model = porcupine.Model{
 	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
 		keys := map[string][]porcupine.Operation{}
 		for _, o := range history {
@@ -57,37 +54,22 @@
 		}
 		return out
 	},
-	Init: func() []any { return []any{holding{}} },
-	Step: func(state, in, out any) []any { return stepModel(state.(holding), in.(input), out) },
-}).ToModel()
-
-func stepModel(h holding, in input, out any) []any {
-	switch in.kind {
-	case opRelease:
-		if h.id == in.id {
-			return []any{holding{}, h}
-		}
-		return []any{h}
-	case opLostClaim:
-		if h.id == "" {
-			return []any{h, holding{id: in.id, digest: in.digest}}
-		}
-		return []any{h}
-	default:
-		return stepClaim(h, in, out.(output))
-	}
+	Init: func() any { return holding{} },
+	Step: func(state, in, out any) (bool, any) { return stepModel(state.(holding), in.(input), out.(output)) },
 }
 
-func stepClaim(h holding, in input, out output) []any {
+func stepModel(h holding, in input, out output) (bool, any) {
 	switch {
-	case out.verdict == Granted && h.id == "":
-		return []any{holding{id: in.id, digest: in.digest}}
-	case out.verdict == Held && h.id == out.holder && h.digest == in.digest:
-		return []any{h}
-	case out.verdict == Mismatched && h.id == out.holder && h.digest != in.digest:
-		return []any{h}
+	case in.kind == opRelease:
+		return h.id == in.id, holding{}
+	case in.kind == opLostClaim || out.verdict == Granted:
+		return h.id == "", holding{id: in.id, digest: in.digest}
+	case out.verdict == Held:
+		return h.id == out.holder && h.digest == in.digest, h
+	case out.verdict == Mismatched:
+		return h.id == out.holder && h.digest != in.digest, h
 	default:
-		return nil
+		return false, h
 	}
 }
 
@@ -197,6 +179,12 @@
 	var stores []*pausable
 	var clients, driver sync.WaitGroup
 	logs := make([]*Log, historyDaemons)
+	observing, end := context.WithCancel(ctx)
+	seen := make(chan *effects, 1)
+	go func() {
+		defer GinkgoRecover()
+		seen <- record.observe(observing, server)
+	}()
 	for d := range historyDaemons {
 		store := &pausable{Store: wrap(server.Store())}
 		stores = append(stores, store)
@@ -231,39 +219,95 @@
 	clients.Wait()
 	stop()
 	driver.Wait()
-	return withoutUnmade(record.history, landed(server))
+	end()
+	got := <-seen
+	Expect(got.unasked(record.history)).To(BeEmpty(), "released by another than the holder")
+	return got.bounded(record.history)
 }
 
-// landed returns every request whose claim was ever in the log.
-func landed(server *platformstandin.Server) map[string]bool {
-	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-	defer cancel()
-	w, err := server.Store().Watch(ctx, platform.ClaimCollection, 0)
-	Expect(err).NotTo(HaveOccurred())
-	ids := map[string]bool{}
+// effects are the times by which claims and releases were seen in the log.
+type effects struct {
+	mu                sync.Mutex
+	claimed, released map[string]int64
+}
+
+// observe follows the log until it has been quiet for a while after ctx has ended.
+func (r *recorder) observe(ctx context.Context, server *platformstandin.Server) *effects {
+	seen := &effects{claimed: map[string]int64{}, released: map[string]int64{}}
+	var reached int64
+	var w platform.Watch
 	for {
-		e, err := w.Next(ctx)
-		if err != nil {
-			Expect(err).To(MatchError(context.DeadlineExceeded))
-			return ids
+		waiting, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		var err error
+		if w == nil {
+			w, err = server.Store().Watch(waiting, platform.ClaimCollection, reached)
 		}
-		if strings.HasPrefix(e.Object.Name, headPrefix) {
-			lines := bytes.Split(e.Object.Data, []byte{'\n'})
-			for _, text := range lines[min(1, len(lines)):] {
-				var made entry
-				if json.Unmarshal(text, &made) == nil {
-					ids[made.RequestID] = true
-				}
-			}
+		var e platform.Event
+		if err == nil {
+			e, err = w.Next(waiting)
+		}
+		cancel()
+		switch {
+		case err == nil:
+			reached = e.Object.Version
+			seen.add(e.Object.Data, r.now())
+		case ctx.Err() != nil:
+			return seen
+		case !errors.Is(err, context.DeadlineExceeded):
+			w = nil // An outage cut the watch.
+			time.Sleep(time.Millisecond)
 		}
 	}
 }
 
-// withoutUnmade leaves out the failed claims that never were in the log, which keeps
-// the check short.
-func withoutUnmade(history []porcupine.Operation, landed map[string]bool) []porcupine.Operation {
-	return lo.Filter(history, func(o porcupine.Operation, _ int) bool {
-		return o.Input.(input).kind == opClaim || landed[o.Input.(input).id]
+// add notes the entries of a head's tail. Other objects of the log have none of their own.
+func (s *effects) add(data []byte, now int64) {
+	h, err := decodeHead(data)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range h.tail {
+		times := s.claimed
+		if l.Released {
+			times = s.released
+		}
+		if _, ok := times[l.RequestID]; !ok {
+			times[l.RequestID] = now
+		}
+	}
+}
+
+// unasked returns the requests whose release is in the log though they were granted
+// and their client did not ask for it.
+func (s *effects) unasked(history []porcupine.Operation) []string {
+	asked := map[string]bool{}
+	for _, o := range history {
+		if o.Input.(input).kind == opRelease {
+			asked[o.Input.(input).id] = true
+		}
+	}
+	return lo.Reject(lo.Keys(s.released), func(id string, _ int) bool { return asked[id] })
+}
+
+// bounded leaves out the failed claims and the releases that never were in the log, and
+// ends the others by the time at which they were seen there.
+func (s *effects) bounded(history []porcupine.Operation) []porcupine.Operation {
+	return lo.FilterMap(history, func(o porcupine.Operation, _ int) (porcupine.Operation, bool) {
+		in := o.Input.(input)
+		claimed, made := s.claimed[in.id]
+		released, ended := s.released[in.id]
+		switch in.kind {
+		case opLostClaim:
+			o.Return = claimed
+			return o, made
+		case opRelease:
+			o.Return = released
+			return o, made && ended
+		default:
+			return o, true
+		}
 	})
 }
 
--- a/internal/claim/plan.go
+++ b/internal/claim/plan.go
@@ -102,7 +102,7 @@
 	run := slices.Clone(p.next.Seals[from:to])
 	var lines []line
 	for _, ref := range run {
-		content, err := s.loadSeal(ctx, ref.Name)
+		content, err := s.loadSeal(ctx, ref)
 		if err != nil {
 			return err
 		}
--- a/internal/claim/seal.go
+++ b/internal/claim/seal.go
@@ -73,7 +73,8 @@
 
 // loadSeal reads a seal through the cache. A seal that is not found was replaced, or
 // the read was stale: either way the head is read again.
-func (s *shard) loadSeal(ctx context.Context, name string) (*seal, error) {
+func (s *shard) loadSeal(ctx context.Context, ref sealRef) (*seal, error) {
+	name := ref.Name
 	if content, ok := s.log.seals.Get(name); ok {
 		return content, nil
 	}
@@ -81,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	lines, err := decodeLines(o.Data)
+	lines, err := decodeLines(o.Data, ref.Count)
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +99,7 @@
 		if filter, ok := s.filters[name]; ok && !filter.TestString(id) {
 			continue
 		}
-		content, err := s.loadSeal(ctx, name)
+		content, err := s.loadSeal(ctx, h.Seals[i])
 		if err != nil {
 			return entry{}, false, err
 		}
