peer: forwarded claims carry their nonce

Cause: the claim log came to know a claim by its nonce after the message was made, and the message left it out. Change: the field; the peer spec that carries claims whole failed before it.

--- a/internal/peer/convert_membership.go
+++ b/internal/peer/convert_membership.go
@@ -155,14 +155,14 @@
 func claimToProto(c claim.Claim) *pb.Claim {
 	return &pb.Claim{
 		Workspace: c.Workspace, Key: c.Key, Digest: c.Digest,
-		RequestId: c.RequestID, Daemon: c.Daemon, Incarnation: c.Incarnation,
+		RequestId: c.RequestID, Daemon: c.Daemon, Incarnation: c.Incarnation, Nonce: c.Nonce,
 	}
 }
 
 func claimFromProto(c *pb.Claim) claim.Claim {
 	return claim.Claim{
 		Workspace: c.GetWorkspace(), Key: c.GetKey(), Digest: c.GetDigest(),
-		RequestID: c.GetRequestId(), Daemon: c.GetDaemon(), Incarnation: c.GetIncarnation(),
+		RequestID: c.GetRequestId(), Daemon: c.GetDaemon(), Incarnation: c.GetIncarnation(), Nonce: c.GetNonce(),
 	}
 }
 
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -148,7 +148,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(found).To(BeTrue())
 		Expect(answer).To(Equal([]byte("wk")))
-		c := claim.Claim{Workspace: "w", Key: "k", Digest: "d", RequestID: "r", Daemon: "m", Incarnation: "i"}
+		c := claim.Claim{Workspace: "w", Key: "k", Digest: "d", RequestID: "r", Daemon: "m", Incarnation: "i", Nonce: 7}
 		results, err := client.ForwardClaims(ctx, address, []claim.Claim{c, c})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(results[0]).To(Equal(peer.ClaimResult{Verdict: claim.Held, Holder: c}))
--- a/test/e2e/bench_test.go
+++ b/test/e2e/bench_test.go
@@ -75,6 +75,7 @@
 func streams(n int, d time.Duration, addresses []string) (h *hdrhistogram.Histogram, failed int64) {
 	h = hdrhistogram.New(1, benchMaxMicros, 3)
 	client := benchClient()
+	defer client.CloseIdleConnections()
 	end := time.Now().Add(d)
 	var mu sync.Mutex
 	var failures atomic.Int64
@@ -100,6 +101,7 @@
 // shortCalls counts whole calls a second.
 func shortCalls(d time.Duration, send func(client *http.Client, n int) error) (perSecond float64, failed int64) {
 	client := benchClient()
+	defer client.CloseIdleConnections()
 	end := time.Now().Add(d)
 	var done, failures atomic.Int64
 	var wg sync.WaitGroup
@@ -185,6 +187,7 @@
 	})
 
 	It("adds little to the time to the first token", func() {
+		go d.profileLater("streams")
 		for round := range 3 {
 			direct, directFailed := streams(benchStreams, benchStreamSeconds*time.Second, c.engineAddresses)
 			routed, routedFailed := streams(benchStreams, benchStreamSeconds*time.Second, []string{d.callers})
@@ -194,6 +197,7 @@
 				millis(routed.ValueAtQuantile(50)), millis(routed.ValueAtQuantile(99)), routedFailed,
 				millis(routed.ValueAtQuantile(50)-direct.ValueAtQuantile(50)), millis(routed.ValueAtQuantile(99)-direct.ValueAtQuantile(99)))
 		}
+		d.writeProfile("heap")
 		fmt.Printf("memory of the daemon after %d streams: %.1f MB\n", benchStreams, residentMB(d.process))
 	})
 
@@ -201,6 +205,7 @@
 		direct, directFailed := shortCalls(benchShortSeconds*time.Second, func(client *http.Client, _ int) error {
 			return get(client, "http://"+c.serviceAddress+"/ping")
 		})
+		go d.profileLater("short")
 		before := cpuSeconds(d.process)
 		routed, routedFailed := shortCalls(benchShortSeconds*time.Second, func(client *http.Client, _ int) error {
 			return get(client, "http://"+d.callers+"/services/receiver-api/ping")
--- a/test/e2e/control_bench_test.go
+++ b/test/e2e/control_bench_test.go
@@ -4,13 +4,9 @@
 
 import (
 	"fmt"
-	"io"
-	"net/http"
-	"os"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
 	"github.com/samber/lo"
 
 	"github.com/primrosewell/primrosewell/internal/platform"
@@ -39,11 +35,8 @@
 			processes := lo.Map(c.daemons, func(d *daemonProcess, _ int) *process { return d.process })
 			before := lo.Map(processes, func(p *process, _ int) float64 { return cpuSeconds(p) })
 			calls := c.platformCalls()
-			if path := os.Getenv("BENCH_PROFILE"); path != "" {
-				c.daemons[0].profile(path, controlWindow)
-			} else {
-				time.Sleep(controlWindow)
-			}
+			go c.daemons[0].profileLater("idle")
+			time.Sleep(controlWindow)
 			var cpu, memory float64
 			for i, p := range processes {
 				cpu += (cpuSeconds(p) - before[i]) / controlWindow.Seconds() * 100
@@ -55,20 +48,6 @@
 	}
 })
 
-// profile writes a processor profile of the daemon to a file.
-func (d *daemonProcess) profile(path string, window time.Duration) {
-	url := fmt.Sprintf("http://%s/debug/pprof/profile?seconds=%.0f", d.admin, window.Seconds())
-	request, err := http.NewRequest(http.MethodGet, url, nil)
-	Expect(err).NotTo(HaveOccurred())
-	request.Header.Set("Authorization", "Bearer "+operatorToken)
-	response, err := http.DefaultClient.Do(request)
-	Expect(err).NotTo(HaveOccurred())
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(os.WriteFile(path, data, 0o600)).To(Succeed())
-}
-
 func (c *cluster) platformCalls() int64 {
 	var stats map[string]int64
 	read(c.platformAddress, "/control/stats", &stats)
