daemon: cache events reach the fleet along with load reports

Cause: the endpoint client read cache events and the fleet took them in, but nothing passed them on, so affinity rested on the router's own memory. The spec fails with the passing on switched off.

--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -41,10 +41,15 @@
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func (f *poolFactory) endpoints(pool string) []admin.EndpointStatus {
+// fleet returns the fleet of a pool that is or was brokered here, or nil.
+func (f *poolFactory) fleet(pool string) *placement.Fleet {
 	f.mu.Lock()
-	fleet := f.fleets[pool]
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	return f.fleets[pool]
+}
+
+func (f *poolFactory) endpoints(pool string) []admin.EndpointStatus {
+	fleet := f.fleet(pool)
 	if fleet == nil {
 		return nil
 	}
--- a/internal/daemon/provide.go
+++ b/internal/daemon/provide.go
@@ -128,12 +128,14 @@
 	if err != nil {
 		return nil, err
 	}
+	distributor := do.MustInvoke[*distribution.Distributor](i)
+	pools := do.MustInvoke[*poolFactory](i)
 	b := broker.New(ctx, broker.Options{
 		View:         do.MustInvoke[*membership.Membership](i),
-		Factory:      do.MustInvoke[*poolFactory](i).make,
+		Factory:      pools.make,
 		Peers:        do.MustInvoke[*peer.Client](i),
-		Config:       do.MustInvoke[*distribution.Distributor](i),
-		LoadReader:   do.MustInvoke[*endpoint.Client](i),
+		Config:       distributor,
+		LoadReader:   newReportReader(do.MustInvoke[*endpoint.Client](i), distributor.Current, pools),
 		Store:        store,
 		Recorder:     decisionlog.New(d.options.Log, d.scope(i), d.settings.Log.Decisions),
 		LoadInterval: d.settings.Limits.LoadInterval,
--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -71,10 +71,18 @@
 	return 0
 }
 
+// Types of cache events.
+const (
+	// CacheStored means that blocks entered the cache.
+	CacheStored = "stored"
+	// CacheRemoved means that blocks left it.
+	CacheRemoved = "removed"
+)
+
 // CacheEvent says that prefix blocks entered or left an engine's cache.
 type CacheEvent struct {
 	Seq    int64    `json:"seq"`
-	Type   string   `json:"type"` // "stored" or "removed".
+	Type   string   `json:"type"` // CacheStored or CacheRemoved.
 	Blocks []uint64 `json:"blocks"`
 }
 
