membership: a suspect that calls is told of the suspicion too

Cause: a call from a suspect cleared the suspicion before the reply was made, so that it was told only when it was called.

--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -46,14 +46,13 @@
 	return out
 }
 
-// newsFor returns the news, with the suspicion of the receiver itself, if there is
-// one, so that it can contradict.
-func (t *table) newsFor(id string) []Fact {
-	out := t.news()
+// suspicion returns the suspicion of a member, if there is one. The member is told,
+// so that it can contradict.
+func (t *table) suspicion(id string) []Fact {
 	if p, ok := t.peers[id]; ok && p.fact.Member.State == Suspected {
-		out = append(out, p.fact)
+		return []Fact{p.fact}
 	}
-	return out
+	return nil
 }
 
 // all returns every fact.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -125,7 +125,7 @@
 	m.refreshSelf()
 	return Heartbeat{
 		Sender:       m.table.self,
-		Facts:        m.table.newsFor(to),
+		Facts:        append(m.table.news(), m.table.suspicion(to)...),
 		Unreachable:  m.table.unreachable(now),
 		Introduction: introduction,
 	}
@@ -193,6 +193,7 @@
 	m.mu.Lock()
 	now := m.opts.Clock.Now()
 	_, known := m.table.peers[from.ID]
+	suspicion := m.table.suspicion(from.ID)
 	m.take(now, message, false)
 	superseded := m.table.supersedes(message.Sender)
 	reply := m.outgoing(now, from.ID, false)
@@ -200,6 +201,7 @@
 		reply.Introduction = true
 		reply.Facts = m.table.all()
 	}
+	reply.Facts = append(reply.Facts, suspicion...)
 	reply.Superseded = superseded
 	m.publish(now)
 	m.mu.Unlock()
