--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -20,6 +21,14 @@
 	RunSpecs(t, "daemon")
 }
 
+// prompts is the number of prompts whose blocks the endpoint "b" has cached.
+const prompts = 32
+
+func blocks(n int) []uint64 {
+	first := uint64(10 * (n + 1))
+	return []uint64{first, first + 1, first + 2}
+}
+
 // fakeReports has cache events for the endpoint "b".
 type fakeReports struct{ since []int64 }
 
@@ -32,7 +41,11 @@
 	if e.Name != "b" || since > 0 {
 		return nil, false, nil
 	}
-	return []endpoint.CacheEvent{{Seq: 1, Type: endpoint.CacheStored, Blocks: []uint64{1, 2, 3}}}, false, nil
+	var events []endpoint.CacheEvent
+	for n := range prompts {
+		events = append(events, endpoint.CacheEvent{Seq: int64(n + 1), Type: endpoint.CacheStored, Blocks: blocks(n)})
+	}
+	return events, false, nil
 }
 
 var _ = Describe("Cache events", func() {
@@ -52,11 +65,13 @@
 			_, err := reader.Load(context.Background(), endpoints[1])
 			Expect(err).NotTo(HaveOccurred())
 		}
-		Expect(reports.since).To(Equal([]int64{0, 1}))
-		for n := range 4 {
-			placed, ok := fleet.Place(time.Now(), routing.Ask{ID: string(rune('a' + n)), Pool: "s", Weight: 1, Prefix: []uint64{1, 2, 3}, PromptTokens: 192})
+		Expect(reports.since).To(Equal([]int64{0, prompts}))
+		for n := range prompts {
+			ask := routing.Ask{ID: fmt.Sprint(n), Pool: "s", Weight: 1, Prefix: blocks(n), PromptTokens: 192}
+			placed, ok := fleet.Place(time.Now(), ask)
 			Expect(ok).To(BeTrue())
 			Expect(placed.Endpoint.Name).To(Equal("b"))
+			fleet.Done(time.Now(), routing.Report{AskID: ask.ID, Pool: "s", Endpoint: "b", Result: routing.ResultCancelled})
 		}
 	})
 })
