daemon: members report the digest of their configuration

A member was counted as in force by its revision alone, so a change missed at a lower revision was not found. The distributor's own specs cover both; this wires them. Above the full mesh a waiting change refreshes the members.

--- a/internal/daemon/provide.go
+++ b/internal/daemon/provide.go
@@ -113,14 +113,15 @@
 	if err != nil {
 		return nil, err
 	}
-	distributor := distribution.New(ctx, distribution.Options{
-		Store:  store,
-		Peers:  do.MustInvoke[*peer.Client](i),
-		View:   do.MustInvoke[*membership.Membership](i),
-		Logger: d.options.Log,
-		Scope:  d.scope(i),
-	})
-	return distributor, nil
+	members := do.MustInvoke[*membership.Membership](i)
+	return distribution.New(ctx, distribution.Options{
+		Store:   store,
+		Peers:   do.MustInvoke[*peer.Client](i),
+		View:    members,
+		Refresh: members.Refresh,
+		Logger:  d.options.Log,
+		Scope:   d.scope(i),
+	}), nil
 }
 
 func (d *Daemon) provideBroker(ctx context.Context, i do.Injector) (*broker.Broker, error) {
@@ -206,8 +207,9 @@
 			pools,
 			membership.NewQuarantineExchange(do.MustInvoke[*quarantine.Register](i), clockwork.NewRealClock()),
 		},
-		Revision: distributor.Revision,
-		Contacts: pools.Brokers,
+		Revision:     distributor.Revision,
+		ConfigDigest: distributor.ConfigDigest,
+		Contacts:     pools.Brokers,
 	})
 	metrics := do.MustInvoke[*telemetry.Metrics](i)
 	peers, err := d.peerServer(i)
