make test: never from the cache

The end-to-end specs build the program themselves, which the test cache does not see: a change of the daemon alone left their verdict '(cached)'.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	./bin/primrosewell dev
 
 test: ## Run every test that CI runs.
-	CGO_ENABLED=1 go test ./...
+	CGO_ENABLED=1 go test -count=1 ./...
 
 lint: ## Formatter and linter; both must be clean.
 	go tool gofumpt -l $$(git ls-files '*.go' | grep -v -E '\.(pb|connect)\.go$$') | (! grep .)
