--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 
 lint: ## Formatter and linter; both must be clean.
 	go tool gofumpt -l $$(git ls-files '*.go' | grep -v -E '\.(pb|connect)\.go$$') | (! grep .)
-	golangci-lint run ./...
+	golangci-lint run --build-tags bench ./...
 
 fmt: ## Format the source.
 	go tool gofumpt -w $$(git ls-files '*.go' | grep -v -E '\.(pb|connect)\.go$$')
--- a/internal/broker/options.go
+++ b/internal/broker/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -15,6 +14,7 @@
 	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/routing"
 	"github.com/primrosewell/primrosewell/internal/scheduling"
+	"github.com/primrosewell/primrosewell/internal/telemetry"
 )
 
 // Defaults of Options.
@@ -121,9 +121,7 @@
 		o.Clock = clockwork.NewRealClock()
 	}
 	if o.Logger == nil {
-		silent := logrus.New()
-		silent.SetOutput(io.Discard)
-		o.Logger = silent
+		o.Logger = telemetry.SilentLogger()
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
--- a/internal/distribution/options.go
+++ b/internal/distribution/options.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"time"
 
@@ -13,6 +12,7 @@
 
 	"github.com/primrosewell/primrosewell/internal/membership"
 	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/telemetry"
 )
 
 // Defaults of Options.
@@ -81,9 +81,7 @@
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	if o.Logger == nil {
-		silent := logrus.New()
-		silent.SetOutput(io.Discard)
-		o.Logger = silent
+		o.Logger = telemetry.SilentLogger()
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"io"
 	"math/rand/v2"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/telemetry"
 )
 
 // Defaults of Options.
@@ -80,9 +80,7 @@
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	if o.Logger == nil {
-		silent := logrus.New()
-		silent.SetOutput(io.Discard)
-		o.Logger = silent
+		o.Logger = telemetry.SilentLogger()
 	}
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -69,3 +69,10 @@
 	}
 	return log
 }
+
+// SilentLogger returns a logger that writes nothing, the default of parts that are given none.
+func SilentLogger() *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
--- a/test/e2e/bench_test.go
+++ b/test/e2e/bench_test.go
@@ -26,12 +26,12 @@
 	benchStreamSeconds = 6
 	// benchThink is the longest pause of a caller between two requests. It spreads the
 	// arrivals over the engines' steps: without it the callers fall into step with them.
-	benchThink = 40 * time.Millisecond
-	benchShortSeconds  = 5
-	benchShortCallers  = 256
-	benchEngines       = 4
-	benchBatch         = 512
-	benchMaxMicros     = 60_000_000
+	benchThink        = 40 * time.Millisecond
+	benchShortSeconds = 5
+	benchShortCallers = 256
+	benchEngines      = 4
+	benchBatch        = 512
+	benchMaxMicros    = 60_000_000
 )
 
 // benchStreams is how many streams run at once; BENCH_STREAMS sets it.
