daemon: pools brokered here use the daemon's quarantine register

Cause: the fleet fell back to a register of its own, so what other daemons had gossiped did not reach the broker's decisions; only the entry daemon's check did. The spec failed before the change.

--- a/internal/daemon/pools.go
+++ b/internal/daemon/pools.go
@@ -11,24 +11,26 @@
 	"github.com/primrosewell/primrosewell/internal/broker"
 	"github.com/primrosewell/primrosewell/internal/estimate"
 	"github.com/primrosewell/primrosewell/internal/placement"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/scheduling"
 )
 
 // poolFactory makes the queue and the fleet of each pool brokered here.
 type poolFactory struct {
 	estimates *estimate.Estimator
+	register  *quarantine.Register
 
 	mu     sync.Mutex
 	fleets map[string]*placement.Fleet
 }
 
-func newPoolFactory(estimates *estimate.Estimator) *poolFactory {
-	return &poolFactory{estimates: estimates, fleets: map[string]*placement.Fleet{}}
+func newPoolFactory(estimates *estimate.Estimator, register *quarantine.Register) *poolFactory {
+	return &poolFactory{estimates: estimates, register: register, fleets: map[string]*placement.Fleet{}}
 }
 
 // make implements broker.Factory.
 func (f *poolFactory) make(pool string, local bool) broker.PoolParts {
-	fleet := placement.NewFleet(placement.Config{}, newRand())
+	fleet := placement.NewFleet(placement.Config{Quarantine: f.register}, newRand())
 	config := scheduling.DefaultConfig()
 	config.Rand = newRand()
 	if !local {
--- /dev/null
+++ b/internal/daemon/pools_test.go
@@ -0,0 +1,30 @@
+package daemon
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/estimate"
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
+	"github.com/primrosewell/primrosewell/internal/routing"
+)
+
+var _ = Describe("A pool brokered here", func() {
+	It("refuses what the daemon's register holds blocked, whoever asks", func() {
+		register := quarantine.New(quarantine.Config{})
+		parts := newPoolFactory(estimate.New(estimate.Config{}), register).make("s", false)
+		now := time.Now()
+		worker := catalog.Endpoint{Name: "a", Service: "s", Address: "192.0.2.1:1"}
+		parts.Fleet.Update(now, []catalog.Endpoint{worker.WithDefaults()}, nil)
+		register.Crashed(now, "x", []string{"poison"})
+		register.Crashed(now, "y", []string{"poison"})
+		decisions := parts.Pool.Submit(now, routing.Ask{ID: "1", Pool: "s", Class: "c", Tier: 1, Weight: 1, Digest: "poison"})
+		Expect(decisions).To(HaveLen(1))
+		Expect(decisions[0].Failure).NotTo(BeNil())
+		Expect(decisions[0].Failure.Code).To(Equal(failure.Quarantined))
+	})
+})
--- a/internal/daemon/provide.go
+++ b/internal/daemon/provide.go
@@ -48,7 +48,7 @@
 	do.Provide(i, func(i do.Injector) (*membership.Membership, error) { return d.provideMembership(ctx, i) })
 	do.Provide(i, func(i do.Injector) (*distribution.Distributor, error) { return d.provideDistributor(ctx, i) })
 	do.Provide(i, func(i do.Injector) (*poolFactory, error) {
-		return newPoolFactory(do.MustInvoke[*estimate.Estimator](i)), nil
+		return newPoolFactory(do.MustInvoke[*estimate.Estimator](i), do.MustInvoke[*quarantine.Register](i)), nil
 	})
 	do.Provide(i, func(i do.Injector) (*broker.Broker, error) { return d.provideBroker(ctx, i) })
 	do.Provide(i, func(i do.Injector) (*claim.Log, error) { return d.provideClaims(ctx, i) })
--- a/internal/daemon/reports_test.go
+++ b/internal/daemon/reports_test.go
@@ -13,6 +13,7 @@
 	"github.com/primrosewell/primrosewell/internal/endpoint"
 	"github.com/primrosewell/primrosewell/internal/estimate"
 	"github.com/primrosewell/primrosewell/internal/placement"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/routing"
 )
 
@@ -52,7 +53,7 @@
 	It("reach the fleet along with load reports, each once, so that a cached prefix draws its request", func() {
 		endpoints := []catalog.Endpoint{{Name: "a", Service: "s", Address: "192.0.2.1:1"}, {Name: "b", Service: "s", Address: "192.0.2.2:1"}}
 		snapshot, _ := catalog.NewSnapshot(1, []catalog.Record{{Kind: catalog.KindService, Name: "s", Spec: []byte(`{"name":"s","kind":"engine","models":["m"]}`)}})
-		pools := newPoolFactory(estimate.New(estimate.Config{}))
+		pools := newPoolFactory(estimate.New(estimate.Config{}), quarantine.New(quarantine.Config{}))
 		fleet, ok := pools.make("s", false).Fleet.(*placement.Fleet)
 		Expect(ok).To(BeTrue())
 		for i := range endpoints {
