--- a/internal/ingress/authenticate.go
+++ b/internal/ingress/authenticate.go
@@ -75,11 +75,18 @@
 	}
 	profile, ok := snapshot.Profile(name)
 	if !ok {
-		return catalog.Profile{}, failure.New(failure.UnknownProfile, "no profile "+name+" is in force")
+		return catalog.Profile{}, failure.New(failure.UnknownProfile, "no profile "+name+" is in force; allowed: "+strings.Join(usableProfiles(snapshot, workspace), ", "))
 	}
 	return profile, nil
 }
 
+// usableProfiles names the profiles in force that the workspace may use.
+func usableProfiles(snapshot *catalog.Snapshot, workspace catalog.Workspace) []string {
+	return lo.FilterMap(snapshot.Profiles(), func(p catalog.Profile, _ int) (string, bool) {
+		return p.Name, len(workspace.Profiles) == 0 || lo.Contains(workspace.Profiles, p.Name)
+	})
+}
+
 // idempotencyKey reads the marks of work that must not be repeated.
 func idempotencyKey(c fiber.Ctx) (string, error) {
 	key, err := single(c, IdempotencyKeyHeader)
