ingress: a shutdown waits for work whose caller has left, and notices callers that leave

Cause: Shutdown waited for connections, and keyed work goes on after its caller has left; the process could have ended under it. That did not show, since the look-out for callers ended with the listener: during a drain nobody was seen to leave, and unkeyed work for callers that had gone ran to its end. Change: callers are watched until the daemon stops, and Shutdown waits for the requests in progress. With the wait switched off the mid-answer spec fails.

--- a/internal/ingress/inflight.go
+++ b/internal/ingress/inflight.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"context"
 	"sync"
+	"time"
 
 	"github.com/samber/lo"
 )
@@ -33,6 +35,23 @@
 	return len(f.ids)
 }
 
+// waitInterval is the time between looks at the count by Wait.
+const waitInterval = 20 * time.Millisecond
+
+// Wait returns when no request is left, or with the error of ctx.
+func (f *inFlight) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for f.Count() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
 // IDs returns the requests, in no order.
 func (f *inFlight) IDs() []string {
 	f.mu.Lock()
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -277,4 +277,33 @@
 		Expect(string(whole)).To(HaveSuffix("[DONE]\n\n"))
 		Eventually(done, 5*time.Second).Should(Receive(BeNil()))
 	})
+
+	DescribeTable("waits for work that goes on though its caller has left, as keyed work does",
+		func(begin bool) {
+			release, started := make(chan struct{}), make(chan struct{})
+			base, server := start(func(_ context.Context, _ dispatch.Request, sink dispatch.Sink) dispatch.Result {
+				if begin {
+					sink.Begin(http.StatusOK, "text/plain")
+					_ = sink.Write([]byte("half"))
+				}
+				close(started)
+				<-release
+				return dispatch.Result{Outcome: failure.Completed, Begun: begin}
+			})
+			conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+			Expect(err).NotTo(HaveOccurred())
+			request, _ := http.NewRequest(http.MethodPost, base+"/services/receiver-api/push", strings.NewReader("x"))
+			request.Header.Set("Authorization", "Bearer "+apiKey)
+			Expect(request.Write(conn)).To(Succeed())
+			Eventually(started, 5*time.Second).Should(BeClosed())
+			Expect(conn.Close()).To(Succeed())
+			done := make(chan error, 1)
+			go func() { done <- server.Shutdown(context.Background()) }()
+			Consistently(done, "600ms").ShouldNot(Receive())
+			close(release)
+			Eventually(done, 5*time.Second).Should(Receive(BeNil()))
+		},
+		Entry("before the answer began", false),
+		Entry("mid-answer", true),
+	)
 })
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -67,10 +67,9 @@
 }
 
 // Serve answers callers on listener until Shutdown, or until the listener fails.
+// Callers that leave are noticed until ctx ends.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	watch, stop := context.WithCancel(ctx)
-	defer stop()
-	go s.presence.Run(watch)
+	go s.presence.Run(ctx) // Beyond the listener: callers may leave during a drain.
 	err := s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "callers' listener")
@@ -94,6 +93,10 @@
 	if err := s.app.ShutdownWithContext(ctx); err != nil {
 		return failure.Wrap(err, failure.Draining, "callers' listener did not close in time")
 	}
+	// Keyed work goes on after its caller has left, so no open connection stands for it.
+	if err := s.inFlight.Wait(ctx); err != nil {
+		return failure.Wrap(err, failure.Draining, "requests in progress did not end in time")
+	}
 	return nil
 }
 
