--- /dev/null
+++ b/internal/balance/pool.go
@@ -0,0 +1,185 @@
+// Package balance chooses an endpoint for each request of opaque traffic. A choice
+// weighs the work already at each endpoint, what the endpoint must still read of the
+// prompt, and this daemon's own evidence of slowness and failure. It is pure: the
+// time and the random source are passed in, and no call waits.
+package balance
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/primrosewell/primrosewell/internal/directory"
+)
+
+// Part is one declared part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Ask describes a request that needs an endpoint.
+type Ask struct {
+	// PromptTokens is the declared size of the prompt; zero for plain services.
+	PromptTokens int
+	// Parts are the declared parts of the prompt in order; the last one is the request's own.
+	Parts []Part
+	// Exclude names endpoints that this request has tried.
+	Exclude map[string]bool
+}
+
+// Pool is the endpoints of one service as this daemon sees them. It is safe for
+// concurrent use.
+type Pool struct {
+	mu         sync.Mutex
+	dataCentre string
+	random     *rand.Rand
+	endpoints  map[string]*endpoint
+	order      []*endpoint
+}
+
+// endpoint is what is known of one endpoint.
+type endpoint struct {
+	directory.Endpoint
+	// coldUntil is when the endpoint reaches its full speed.
+	coldUntil time.Time
+	// running counts this daemon's requests there; reading is what they have yet to read, in tokens.
+	running int
+	reading int
+	// elsewhere is the work of other daemons there.
+	elsewhere Load
+	cache     partCache
+	evidence  evidence
+}
+
+// Load is the work at one endpoint.
+type Load struct {
+	Running int
+	Reading int
+}
+
+// NewPool returns a pool without endpoints. dataCentre is the daemon's own.
+func NewPool(dataCentre string, random *rand.Rand) *Pool {
+	return &Pool{dataCentre: dataCentre, random: random, endpoints: make(map[string]*endpoint)}
+}
+
+// Update sets the endpoints that may get work. Those that stay keep their state
+// unless they were born again.
+func (p *Pool) Update(now time.Time, listed []directory.Endpoint) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := make(map[string]*endpoint, len(listed))
+	p.order = p.order[:0]
+	for _, l := range listed {
+		e := p.endpoints[l.ID]
+		if e == nil || e.Born != l.Born || e.Address != l.Address {
+			e = &endpoint{cache: newPartCache()}
+		}
+		if e.ColdFor != l.ColdFor {
+			e.coldUntil = now.Add(l.ColdFor)
+		}
+		e.Endpoint = l
+		next[l.ID] = e
+		p.order = append(p.order, e)
+	}
+	p.endpoints = next
+}
+
+// Size returns the number of endpoints that may get work.
+func (p *Pool) Size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.order)
+}
+
+// SetElsewhere sets the work of other daemons at the endpoints; those not named have none.
+func (p *Pool) SetElsewhere(loads map[string]Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.order {
+		e.elsewhere = loads[e.ID]
+	}
+}
+
+// Own returns this daemon's work at each endpoint that has any.
+func (p *Pool) Own() map[string]Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	loads := make(map[string]Load)
+	for _, e := range p.order {
+		if e.running > 0 {
+			loads[e.ID] = Load{Running: e.running, Reading: e.reading}
+		}
+	}
+	return loads
+}
+
+// Choice is an endpoint that was chosen for a request. Its methods may be called from
+// any goroutine; Done must be called once.
+type Choice struct {
+	directory.Endpoint
+	// Reason says in one word what decided.
+	Reason string
+	// Score is the cost of the endpoint and Alternatives the number of endpoints weighed.
+	Score        float64
+	Alternatives int
+
+	pool    *Pool
+	e       *endpoint
+	reading int
+	parts   []Part
+	started time.Time
+	begun   bool
+}
+
+// Pick chooses an endpoint and counts the request there, or returns nil if none is left.
+func (p *Pool) Pick(now time.Time, ask Ask) *Choice {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	candidates := p.filter(now, ask)
+	if len(candidates) == 0 {
+		return nil
+	}
+	best := p.score(now, ask, candidates)
+	e := best.e
+	c := &Choice{
+		Endpoint: e.Endpoint, Reason: best.reason, Score: best.cost, Alternatives: len(candidates),
+		pool: p, e: e, reading: best.reading, parts: ask.Parts, started: now,
+	}
+	e.running++
+	e.reading += c.reading
+	e.evidence.sent(now)
+	e.cache.note(now, ask.Parts)
+	return c
+}
+
+// Begun notes the first event of the answer: the prompt has been read.
+func (c *Choice) Begun(now time.Time) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.begin(now)
+}
+
+func (c *Choice) begin(now time.Time) {
+	if c.begun {
+		return
+	}
+	c.begun = true
+	c.e.reading -= c.reading
+	c.e.evidence.answered(now, now.Sub(c.started), c.reading)
+}
+
+// Done notes how the attempt ended and takes its work off the endpoint.
+func (c *Choice) Done(now time.Time, result Result) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if !c.begun {
+		c.begun = true
+		c.e.reading -= c.reading
+	}
+	c.e.running--
+	c.e.evidence.ended(now, result)
+	if result != Good {
+		c.e.cache.forget(c.parts)
+	}
+}
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -37,6 +37,7 @@
 	flags.SetOutput(std.err)
 	commander := newCommander(flags, flags.Name(), std)
 	commander.Register(&serveCommand{std: std}, groupRun)
+	commander.Register(&gatewayCommand{std: std}, groupRun)
 	commander.Register(&devCommand{std: std}, groupRun)
 	commander.Register(standinGroup(std), groupRun)
 	for _, group := range objectGroups(std) {
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,167 @@
+// Package directory keeps the endpoints that the platform lists. It decides which
+// of them may get new work while the list is fresh, away, or just back. It is pure:
+// events and the time go in, the usable endpoints come out.
+package directory
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// ReturnGrace is how long after the store's return an entry that lapsed while it was
+// away is still used; live endpoints have registered again by then.
+const ReturnGrace = 2300 * time.Millisecond
+
+// Endpoint is one endpoint as it registered itself.
+type Endpoint struct {
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	// Draining endpoints finish what they have and get nothing new.
+	Draining bool
+	// ColdFor is how much longer the endpoint is slow after its start.
+	ColdFor time.Duration
+	// Born is the start of this life in Unix milliseconds; the ID may outlive it.
+	Born int64
+}
+
+// entry is an endpoint and what is known of its row.
+type entry struct {
+	endpoint Endpoint
+	// missingSince is set while the row is absent because of an outage.
+	missingSince time.Time
+}
+
+// Directory holds the rows. It is safe for concurrent use.
+type Directory struct {
+	mu      sync.Mutex
+	entries map[string]*entry
+	// away is set while the store can't be read.
+	away bool
+	// returned is when the store last came back after an outage.
+	returned time.Time
+	version  uint64
+}
+
+// New returns an empty directory.
+func New() *Directory { return &Directory{entries: make(map[string]*entry)} }
+
+// StoreAway notes that the store can't be read.
+func (d *Directory) StoreAway() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away = true
+}
+
+// StoreBack notes that the store answers again.
+func (d *Directory) StoreBack(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.away {
+		d.away, d.returned = false, now
+	}
+}
+
+// Put notes a row.
+func (d *Directory) Put(e Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.put(e)
+}
+
+func (d *Directory) put(e Endpoint) {
+	old := d.entries[e.ID]
+	if old != nil && old.missingSince.IsZero() && old.endpoint == e {
+		return
+	}
+	d.entries[e.ID] = &entry{endpoint: e}
+	d.version++
+}
+
+// Remove notes that a row is gone. Within the grace after an outage the endpoint may
+// only have failed to renew it, so it stays in use until the grace ends.
+func (d *Directory) Remove(now time.Time, id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.remove(now, id)
+}
+
+func (d *Directory) remove(now time.Time, id string) {
+	old := d.entries[id]
+	if old == nil || !old.missingSince.IsZero() {
+		return
+	}
+	d.version++
+	if !old.endpoint.Draining && (d.away || d.inGrace(now)) {
+		old.missingSince = now
+		return
+	}
+	delete(d.entries, id)
+}
+
+func (d *Directory) inGrace(now time.Time) bool {
+	return !d.returned.IsZero() && now.Sub(d.returned) < ReturnGrace
+}
+
+// Replace notes a whole list.
+func (d *Directory) Replace(now time.Time, rows []Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		listed[row.ID] = true
+		d.put(row)
+	}
+	for id := range maps.Clone(d.entries) {
+		if !listed[id] {
+			d.remove(now, id)
+		}
+	}
+}
+
+// Expire drops entries still missing when the grace after an outage has ended.
+func (d *Directory) Expire(now time.Time) (dropped []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.away || d.inGrace(now) {
+		return nil
+	}
+	for id, e := range d.entries {
+		if !e.missingSince.IsZero() {
+			delete(d.entries, id)
+			d.version++
+			dropped = append(dropped, id)
+		}
+	}
+	return dropped
+}
+
+// Version changes with every change of the endpoints in use.
+func (d *Directory) Version() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.version
+}
+
+// Usable returns the endpoints that may get new work, by service. Of several rows
+// with one address the latest born is used: addresses are reused.
+func (d *Directory) Usable() map[string][]Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	holder := make(map[string]Endpoint, len(d.entries))
+	for _, e := range d.entries {
+		if other, taken := holder[e.endpoint.Address]; !taken || other.Born < e.endpoint.Born {
+			holder[e.endpoint.Address] = e.endpoint
+		}
+	}
+	services := make(map[string][]Endpoint)
+	for _, endpoint := range holder {
+		if !endpoint.Draining {
+			services[endpoint.Service] = append(services[endpoint.Service], endpoint)
+		}
+	}
+	return services
+}
--- /dev/null
+++ b/internal/forward/forward.go
@@ -0,0 +1,236 @@
+// Package forward carries opaque requests from callers to endpoints: it finds the
+// route, checks the key, tries endpoints within the budgets, and passes answers and
+// streams on. Where a request may have run it says so; a refusal is always true.
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/retry"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+)
+
+const (
+	// retryWhenUnready is when to come back to a daemon that has no configuration yet;
+	// the first list from the platform takes some hundred milliseconds.
+	retryWhenUnready = 500 * time.Millisecond
+	// retryWhenFull and its spread are when to come back after every endpoint refused:
+	// a batch of an engine turns over in about that time.
+	retryWhenFull       = 150 * time.Millisecond
+	retryWhenFullSpread = 250 * time.Millisecond
+	// maxSends bounds the endpoints that one request is offered to, refusals and
+	// connections that did not open included.
+	maxSends = 4
+	// highestPriority is the least urgent value that an engine knows.
+	highestPriority = 9
+	// minLeft is the time below which an attempt is not worth starting.
+	minLeft = 5 * time.Millisecond
+)
+
+// Pools returns the pool of a service, or nil.
+type Pools func(service string) *balance.Pool
+
+// Options configure a Forwarder; all fields are required.
+type Options struct {
+	Headers Headers
+	// Table returns the route table in force, or nil before the first.
+	Table  func() *routetable.Table
+	Pools  Pools
+	Dialer *httpio.Dialer
+	Budget *retry.Shared
+	Log    *logrus.Logger
+	Scope  tally.Scope
+}
+
+// Forwarder answers callers. It is safe for concurrent use.
+type Forwarder struct {
+	Options
+	filters filters
+	metrics metrics
+}
+
+// New returns a forwarder.
+func New(options Options) *Forwarder {
+	return &Forwarder{Options: options, filters: newFilters(options.Headers), metrics: newMetrics(options.Scope)}
+}
+
+// job is one request of a caller on its way.
+type job struct {
+	f         *Forwarder
+	ctx       context.Context
+	request   *httpio.Request
+	writer    *httpio.Writer
+	id        string
+	table     *routetable.Table
+	route     *routetable.Route
+	workspace *routetable.Workspace
+	service   string
+	// limit is when the caller or the route stops waiting.
+	limit  time.Time
+	tokens int
+	parts  []balance.Part
+
+	tried map[string]bool
+	sends int
+	// arrivals counts the endpoints that bytes of the request were sent to, and runs
+	// those that may have begun to work on it.
+	arrivals int
+	runs     int
+	// answer is a failure of an endpoint, kept while another attempt is made.
+	answer *heldAnswer
+	events eventSplitter
+	first  time.Time
+	status int
+}
+
+// Handle answers one request; it is an httpio.Handler.
+func (f *Forwarder) Handle(ctx context.Context, r *httpio.Request, w *httpio.Writer) {
+	j := &job{f: f, ctx: ctx, request: r, writer: w, id: string(r.Header.Peek(f.Headers.RequestID)), tried: make(map[string]bool)}
+	err := j.admit()
+	if err == nil {
+		err = j.run()
+	}
+	j.finish(err)
+}
+
+// admit finds the route and the workspace.
+func (j *job) admit() *failure.Failure {
+	j.table = j.f.Table()
+	if j.table == nil {
+		return failure.New(failure.PlatformUnavailable, "no configuration yet").WithRetryAfter(retryWhenUnready)
+	}
+	if j.id == "" {
+		return failure.New(failure.InvalidRequest, "the request has no "+j.f.Headers.RequestID)
+	}
+	path, _, _ := strings.Cut(j.request.Target, "?")
+	j.route = j.table.Match(string(j.request.Header.Host()), path)
+	if j.route == nil {
+		return failure.New(failure.NotFound, "no route for this host and path")
+	}
+	if err := j.authenticate(); err != nil {
+		return err
+	}
+	j.limit = j.request.Arrived.Add(j.timeAllowed())
+	j.tokens, j.parts = parsePrompt(string(j.request.Header.Peek(j.f.Headers.PromptSize)), string(j.request.Header.Peek(j.f.Headers.PromptParts)))
+	j.service = j.route.PickBackend(rand.Float64())
+	return nil
+}
+
+func (j *job) authenticate() *failure.Failure {
+	if !j.table.KeysRequired() || j.route.Anonymous {
+		return nil
+	}
+	keys := j.request.Header.PeekAll(j.f.Headers.Key)
+	if len(keys) == 1 {
+		j.workspace = j.table.Workspace(string(keys[0]))
+	}
+	if j.workspace == nil {
+		return failure.New(failure.Unauthenticated, "unknown API key")
+	}
+	return nil
+}
+
+// timeAllowed is the shorter of the caller's deadline and the route's timeout.
+func (j *job) timeAllowed() time.Duration {
+	allowed := j.route.Timeout
+	ms, err := strconv.ParseInt(string(j.request.Header.Peek(j.f.Headers.Deadline)), 10, 64)
+	if deadline := time.Duration(ms) * time.Millisecond; err == nil && ms > 0 && (allowed <= 0 || deadline < allowed) {
+		allowed = deadline
+	}
+	return allowed
+}
+
+// run tries endpoints until one answers or nothing more may be tried.
+func (j *job) run() *failure.Failure {
+	pool := j.f.Pools(j.service)
+	if pool == nil || pool.Size() == 0 {
+		return failure.New(failure.NoEndpoint, "the service has no endpoint").WithRetryAfter(retryWhenUnready)
+	}
+	j.f.Budget.Started(time.Now(), j.service)
+	for {
+		choice := j.place(pool)
+		if choice == nil {
+			return j.exhausted("no further endpoint")
+		}
+		v := j.attempt(choice)
+		choice.Done(time.Now(), v.result)
+		j.logAttempt(choice, v)
+		if v.done {
+			return v.failure
+		}
+		if reason := j.mayTryAgain(v); reason != "" {
+			return j.exhausted(reason)
+		}
+	}
+}
+
+// place chooses the next endpoint.
+func (j *job) place(pool *balance.Pool) *balance.Choice {
+	now := time.Now()
+	choice := pool.Pick(now, balance.Ask{PromptTokens: j.tokens, Parts: j.parts, Exclude: j.tried})
+	if choice == nil {
+		return nil
+	}
+	j.tried[choice.ID] = true
+	j.sends++
+	j.f.Log.WithFields(logrus.Fields{
+		"event": "placement", "request_id": j.id, "route": j.route.Name, "service": j.service, "endpoint": choice.ID,
+		"reason": choice.Reason, "score": int(choice.Score), "alternatives": choice.Alternatives, "send": j.sends,
+		"table_version": j.table.Version(), "left": j.limit.Sub(now),
+	}).Info("endpoint chosen")
+	return choice
+}
+
+// mayTryAgain returns why no further attempt is made, or "".
+func (j *job) mayTryAgain(v verdict) string {
+	switch {
+	case j.ctx.Err() != nil:
+		return "the caller left"
+	case v.ran && !j.route.Repeatable():
+		return "the request may have run"
+	case j.runs >= max(1, j.route.MaxAttempts):
+		return "the route's attempts are used up"
+	case j.sends >= maxSends:
+		return "too many endpoints were tried"
+	case time.Until(j.limit) < minLeft:
+		return "no time is left"
+	case j.arrivals > 0 && !j.f.Budget.Allow(time.Now(), j.service):
+		return "the retry budget is used up"
+	}
+	return ""
+}
+
+// exhausted is the failure of a request that no endpoint answered well.
+func (j *job) exhausted(reason string) *failure.Failure {
+	switch {
+	case j.ctx.Err() != nil:
+		return failure.New(failure.ClientGone, reason)
+	case j.answer != nil && !j.writer.Started():
+		return j.deliverHeld()
+	case j.runs > 0 && time.Until(j.limit) <= minLeft:
+		return failure.New(failure.TimedOut, reason)
+	case j.runs > 0:
+		return failure.New(failure.EndpointFailed, reason)
+	}
+	wait := retryWhenFull + time.Duration(rand.Int64N(int64(retryWhenFullSpread)))
+	return failure.New(failure.NoEndpoint, "no endpoint took the request: "+reason).WithRetryAfter(wait)
+}
+
+// priority is the urgency at an engine; a workspace's own goes before the route's.
+func (j *job) priority() int {
+	p := j.route.Priority
+	if j.workspace != nil && j.workspace.Priority != nil {
+		p = *j.workspace.Priority
+	}
+	return min(max(p, 0), highestPriority)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,251 @@
+// Package gateway is the daemon that serves opaque routes: it follows the platform,
+// exchanges news with its peers, and forwards requests. It keeps nothing that must last.
+package gateway
+
+import (
+	"context"
+	"math"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/primrosewell/primrosewell/internal/directory"
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/forward"
+	"github.com/primrosewell/primrosewell/internal/gossip"
+	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+	"github.com/primrosewell/primrosewell/internal/telemetry"
+)
+
+const (
+	// sweepInterval is the time between two looks at idle connections and lapsed entries.
+	sweepInterval = 500 * time.Millisecond
+	// memoryShare is the part of the VM's memory at which the collector works harder.
+	memoryShare = 0.6
+	// budgetMargin is the part of the retry budget that is used.
+	budgetMargin = 0.8
+)
+
+// Source decodes the platform's objects.
+type Source interface {
+	// TableObject names the object that holds the route table.
+	TableObject() (collection, name string)
+	// EndpointCollection names the collection in which endpoints register themselves.
+	EndpointCollection() string
+	DecodeTable(data []byte) (routetable.Spec, error)
+	DecodeEndpoint(id string, data []byte) (directory.Endpoint, error)
+}
+
+// Adapter is what differs between platforms; it only translates.
+type Adapter struct {
+	// SettingsVariable is the environment variable that holds the path of the settings file.
+	SettingsVariable string
+	// ReadinessPath is where the balancer asks.
+	ReadinessPath string
+	Headers       forward.Headers
+	Dialect       platform.Dialect
+	Source        Source
+}
+
+// Options are what a gateway is made of besides its settings.
+type Options struct {
+	Version string
+	Adapter Adapter
+	Log     *logrus.Logger
+}
+
+// Gateway is one daemon.
+type Gateway struct {
+	settings Settings
+	options  Options
+	log      *logrus.Logger
+	parts    *do.RootScope
+
+	holder    *tableHolder
+	directory *directory.Directory
+	pools     *pools
+	members   *gossip.Members
+	server    *httpio.Server
+	draining  atomic.Bool
+	drain     chan struct{}
+}
+
+// New wires a gateway; it listens to nothing yet.
+func New(settings Settings, options Options) (*Gateway, error) {
+	g := &Gateway{
+		settings: settings, options: options, log: options.Log, drain: make(chan struct{}),
+		holder:    &tableHolder{source: options.Adapter.Source, log: options.Log},
+		directory: directory.New(),
+		members:   gossip.NewMembers(time.Now(), settings.Peers.Address, settings.Peers.seedAddresses()),
+	}
+	g.pools = newPools(settings.VM.DataCentre, g.directory)
+	g.parts = do.New()
+	provide(g)
+	server, err := do.Invoke[*httpio.Server](g.parts)
+	if err != nil {
+		return nil, failure.Wrap(err, failure.Internal, "wiring")
+	}
+	g.server = server
+	return g, nil
+}
+
+// Run serves until the gateway has drained or ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if mb := g.settings.VM.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(float64(mb) * memoryShare * math.Pow(2, 20)))
+	}
+	g.log.WithFields(logrus.Fields{
+		"event": "start", "version": g.options.Version, "vm": g.settings.VM.ID, "data_centre": g.settings.VM.DataCentre, "callers": g.settings.Callers.Listen,
+	}).Info("gateway starts")
+	if err := g.startPeers(ctx); err != nil {
+		return err
+	}
+	g.startWatches(ctx)
+	if err := g.startPages(); err != nil {
+		return err
+	}
+	listener, err := listen(ctx, g.settings.Callers.Listen)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "callers' listener")
+	}
+	served := make(chan error, 1)
+	go func() { served <- g.server.Serve(listener) }()
+	go g.sweep(ctx)
+	select {
+	case <-g.drain:
+		g.finish(ctx, listener)
+	case <-ctx.Done():
+	case err := <-served:
+		return failure.Wrap(err, failure.Internal, "callers' listener")
+	}
+	g.log.WithFields(logrus.Fields{"event": "stop", "in_flight": g.server.Active()}).Info("gateway stops")
+	return nil
+}
+
+func (g *Gateway) startWatches(ctx context.Context) {
+	w := do.MustInvoke[*watcher](g.parts)
+	go w.followTable(ctx, g.holder)
+	go w.followEndpoints(ctx, g.directory, g.pools.Refresh)
+}
+
+func (g *Gateway) startPeers(ctx context.Context) error {
+	address, err := netip.ParseAddr(g.settings.Peers.Address)
+	if err != nil {
+		return failure.Wrap(err, failure.InvalidObject, "peers.address")
+	}
+	tables := do.MustInvoke[*peerTables](g.parts)
+	budget := do.MustInvoke[budgetSharer](g.parts)
+	exchange, err := gossip.Listen(gossip.Options{
+		Node: g.settings.VM.ID, Address: address, Port: g.settings.Peers.GossipPort, Members: g.members,
+		Table: g.holder.Version, Loads: g.pools.Own, Log: g.log,
+		OnHeard: func(now time.Time) {
+			g.pools.SetElsewhere(g.members.Elsewhere(now))
+			budget.SetDaemons(g.members.Counted(now))
+			tables.Check(ctx)
+		},
+	})
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "peers' datagram socket")
+	}
+	go exchange.Run(ctx)
+	listener, err := listen(ctx, joinPort(g.settings.Peers.Address, g.settings.Peers.FetchPort))
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "peers' listener")
+	}
+	g.serveHTTP(gossip.NewFetchServer(g.holder.Data), listener, "peers")
+	return nil
+}
+
+// budgetSharer is told how many daemons share the retry budget.
+type budgetSharer interface{ SetDaemons(n int) }
+
+// startPages serves readiness, and metrics where they are asked for.
+func (g *Gateway) startPages() error {
+	listener, err := listen(context.Background(), g.settings.Readiness.Listen)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "readiness listener")
+	}
+	readiness := &fasthttp.Server{Handler: g.handleReadiness, NoDefaultServerHeader: true, ReadBufferSize: 4096, Concurrency: 64}
+	go func() {
+		if err := readiness.Serve(listener); err != nil {
+			g.log.WithFields(logrus.Fields{"event": "listener_failed", "listener": "readiness", "error": err}).Error("readiness is no longer served")
+		}
+	}()
+	if g.settings.Metrics.Listen == "" {
+		return nil
+	}
+	listener, err = listen(context.Background(), g.settings.Metrics.Listen)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "metrics listener")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", do.MustInvoke[*telemetry.Metrics](g.parts).Page)
+	g.serveHTTP(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, listener, "metrics")
+	return nil
+}
+
+func (g *Gateway) serveHTTP(server *http.Server, listener net.Listener, name string) {
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			g.log.WithFields(logrus.Fields{"event": "listener_failed", "listener": name, "error": err}).Error("a listener failed")
+		}
+	}()
+}
+
+// headerTimeout bounds the time in which a reader of metrics sends its request.
+const headerTimeout = 2 * time.Second
+
+func (g *Gateway) handleReadiness(c *fasthttp.RequestCtx) {
+	if string(c.Path()) != g.options.Adapter.ReadinessPath {
+		c.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if g.draining.Load() || g.holder.Table() == nil {
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// sweep drops what has lapsed.
+func (g *Gateway) sweep(ctx context.Context) {
+	dialer := do.MustInvoke[*httpio.Dialer](g.parts)
+	for ctx.Err() == nil {
+		sleep(ctx, sweepInterval)
+		dialer.Sweep()
+		if gone := g.directory.Expire(time.Now()); len(gone) > 0 {
+			g.log.WithFields(logrus.Fields{"event": "endpoints_gone", "endpoints": gone}).Info("entries did not return after the outage")
+			g.pools.Refresh()
+		}
+	}
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: callerProbe, Interval: callerProbe, Count: callerProbes,
+	}}
+	config.SetMultipathTCP(false)
+	return config.Listen(ctx, "tcp4", address)
+}
+
+// callerProbe and callerProbes find callers that are gone without a word.
+const (
+	callerProbe  = 2 * time.Second
+	callerProbes = 3
+)
+
+func joinPort(address string, port int) string {
+	return net.JoinHostPort(address, strconv.Itoa(port))
+}
+
+var _ forward.Pools = (&pools{}).Pool
--- /dev/null
+++ b/internal/gateway/native.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/primrosewell/primrosewell/internal/directory"
+	"github.com/primrosewell/primrosewell/internal/forward"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+)
+
+// NativeAdapter runs a gateway on primrosewell's own object API: the route table is
+// the object "table" of the collection "routes", and endpoints register in "endpoints".
+func NativeAdapter() Adapter {
+	return Adapter{
+		SettingsVariable: "PRIMROSEWELL_SETTINGS",
+		ReadinessPath:    "/readyz",
+		Headers:          forward.DefaultHeaders(),
+		Source:           nativeSource{},
+	}
+}
+
+type nativeSource struct{}
+
+// TableObject implements Source.
+func (nativeSource) TableObject() (collection, name string) { return "routes", "table" }
+
+// EndpointCollection implements Source.
+func (nativeSource) EndpointCollection() string { return "endpoints" }
+
+// DecodeTable implements Source. Times are in ns, as Go encodes them.
+func (nativeSource) DecodeTable(data []byte) (routetable.Spec, error) {
+	var spec routetable.Spec
+	if err := json.Unmarshal(data, &spec); err != nil {
+		return spec, oops.Wrapf(err, "route table")
+	}
+	if spec.Version <= 0 {
+		return spec, oops.Errorf("route table has no version")
+	}
+	return spec, nil
+}
+
+// nativeEndpoint is an endpoint as it registers itself.
+type nativeEndpoint struct {
+	Service    string        `json:"service"`
+	Address    string        `json:"address"`
+	DataCentre string        `json:"data_centre"`
+	Slots      int           `json:"slots"`
+	Draining   bool          `json:"draining"`
+	ColdFor    time.Duration `json:"cold_for"`
+	Born       int64         `json:"born"`
+}
+
+// DecodeEndpoint implements Source.
+func (nativeSource) DecodeEndpoint(id string, data []byte) (directory.Endpoint, error) {
+	var e nativeEndpoint
+	if err := json.Unmarshal(data, &e); err != nil {
+		return directory.Endpoint{}, oops.Wrapf(err, "endpoint")
+	}
+	if e.Service == "" || e.Address == "" {
+		return directory.Endpoint{}, oops.Errorf("endpoint lacks its service or address")
+	}
+	return directory.Endpoint{
+		ID: id, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: e.Slots,
+		Draining: e.Draining, ColdFor: e.ColdFor, Born: e.Born,
+	}, nil
+}
--- /dev/null
+++ b/internal/gateway/pools.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/directory"
+)
+
+// pools holds the pool of each service that has endpoints. It is safe for concurrent use.
+type pools struct {
+	dataCentre string
+	directory  *directory.Directory
+
+	mu        sync.Mutex
+	byService map[string]*balance.Pool
+}
+
+func newPools(dataCentre string, d *directory.Directory) *pools {
+	return &pools{dataCentre: dataCentre, directory: d, byService: make(map[string]*balance.Pool)}
+}
+
+// Pool returns the pool of a service, or nil.
+func (p *pools) Pool(service string) *balance.Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byService[service]
+}
+
+// Refresh sets the endpoints of each pool to those in use.
+func (p *pools) Refresh() {
+	usable := p.directory.Usable()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for service := range usable {
+		if p.byService[service] == nil {
+			p.byService[service] = balance.NewPool(p.dataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+		}
+	}
+	for service, pool := range p.byService {
+		pool.Update(now, usable[service])
+	}
+}
+
+// SetElsewhere passes on the work of other daemons.
+func (p *pools) SetElsewhere(loads map[string]balance.Load) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.byService {
+		pool.SetElsewhere(loads)
+	}
+}
+
+// Own returns this daemon's work at all endpoints.
+func (p *pools) Own() map[string]balance.Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	loads := make(map[string]balance.Load)
+	for _, pool := range p.byService {
+		for id, load := range pool.Own() {
+			loads[id] = load
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/internal/gateway/table.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/primrosewell/primrosewell/internal/gossip"
+	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+)
+
+// tableHolder holds the route table in force. A lower version never replaces a higher
+// one, wherever it comes from. It is safe for concurrent use.
+type tableHolder struct {
+	source Source
+	log    *logrus.Logger
+
+	mu      sync.Mutex
+	table   *routetable.Table
+	data    []byte
+	changed time.Time
+}
+
+// Table returns the table in force, or nil.
+func (h *tableHolder) Table() *routetable.Table {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table
+}
+
+// Version returns the version in force, or 0.
+func (h *tableHolder) Version() int64 {
+	if t := h.Table(); t != nil {
+		return t.Version()
+	}
+	return 0
+}
+
+// Data returns the object that the table in force was made of, or nil.
+func (h *tableHolder) Data() []byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.data
+}
+
+// Install puts a table in force unless one at least as new is.
+func (h *tableHolder) Install(data []byte, from string) {
+	spec, err := h.source.DecodeTable(data)
+	if err != nil {
+		h.log.WithFields(logrus.Fields{"event": "table_refused", "from": from, "error": err}).Error("a configuration could not be read; the one in force stays")
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	old := int64(0)
+	if h.table != nil {
+		old = h.table.Version()
+	}
+	if spec.Version <= old {
+		return
+	}
+	h.table, h.data, h.changed = routetable.New(spec), json.RawMessage(append([]byte(nil), data...)), time.Now()
+	routes, workspaces := h.table.Counts()
+	h.log.WithFields(logrus.Fields{
+		"event": "table", "version": spec.Version, "previous": old, "from": from, "routes": routes, "workspaces": workspaces,
+	}).Info("configuration in force")
+}
+
+// follow keeps the table as new as the platform tells.
+func (w *watcher) followTable(ctx context.Context, h *tableHolder) {
+	collection, name := w.source.TableObject()
+	w.follow(ctx, collection, collectionHandler{
+		listed: func(items []platform.Object) {
+			for _, item := range items {
+				if item.Name == name {
+					h.Install(item.Data, "platform")
+				}
+			}
+		},
+		changed: func(event platform.Event) {
+			if event.Object.Name == name && event.Type == platform.Put {
+				h.Install(event.Object.Data, "platform")
+			}
+		},
+	})
+}
+
+// peerTables fetches the table from a peer that has a newer one: this daemon may be
+// cut off from the platform, or its watch may have missed the change.
+type peerTables struct {
+	holder  *tableHolder
+	members *gossip.Members
+	fetcher *gossip.Fetcher
+	port    int
+	log     *logrus.Logger
+	busy    sync.Mutex
+}
+
+// Check starts a fetch if a peer has a newer table and none is running.
+func (p *peerTables) Check(ctx context.Context) {
+	version, address := p.members.Newest()
+	if version <= p.holder.Version() || !p.busy.TryLock() {
+		return
+	}
+	go func() {
+		defer p.busy.Unlock()
+		data, err := p.fetcher.Fetch(ctx, joinPort(address, p.port))
+		if err != nil {
+			p.log.WithFields(logrus.Fields{"event": "fetch_failed", "peer": address, "version": version, "error": err}).Warn("a peer's newer configuration could not be read")
+			return
+		}
+		p.holder.Install(data, "peer "+address)
+	}()
+}
--- /dev/null
+++ b/internal/gateway/watcher.go
@@ -0,0 +1,144 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/sirupsen/logrus"
+
+	"github.com/primrosewell/primrosewell/internal/directory"
+	"github.com/primrosewell/primrosewell/internal/platform"
+)
+
+const (
+	// firstPause and longestPause bound the pause between two tries to reach the
+	// platform. The longest is short beside the time in which a change must be in force.
+	firstPause   = 100 * time.Millisecond
+	longestPause = 600 * time.Millisecond
+)
+
+// watcher follows collections of the platform.
+type watcher struct {
+	store  platform.Store
+	source Source
+	log    *logrus.Logger
+}
+
+// collectionHandler takes the content of a collection and its changes.
+type collectionHandler struct {
+	listed  func(items []platform.Object)
+	changed func(event platform.Event)
+	// away and back tell of a platform that can't be read, and of its return.
+	away func()
+	back func()
+}
+
+// follow lists a collection and then watches it, again and again until ctx ends.
+func (w *watcher) follow(ctx context.Context, collection string, h collectionHandler) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
+	lost := time.Time{}
+	for ctx.Err() == nil {
+		err := w.followOnce(ctx, collection, h, func() {
+			pause.Reset()
+			if !lost.IsZero() {
+				w.log.WithFields(logrus.Fields{"event": "platform_back", "collection": collection, "away": time.Since(lost)}).Info("the platform answers again")
+				lost = time.Time{}
+			}
+			if h.back != nil {
+				h.back()
+			}
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		if platform.ReasonOf(err) == platform.TooOld || platform.ReasonOf(err) == platform.WatchEnded {
+			w.log.WithFields(logrus.Fields{"event": "watch_ended", "collection": collection, "error": err}).Info("the watch ended; the collection is listed again")
+			continue
+		}
+		if lost.IsZero() {
+			lost = time.Now()
+			w.log.WithFields(logrus.Fields{"event": "platform_lost", "collection": collection, "error": err}).Warn("the platform can't be read; what is known stays in use")
+		}
+		if h.away != nil {
+			h.away()
+		}
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+// followOnce lists and watches until a call fails. answered is called after each answer.
+func (w *watcher) followOnce(ctx context.Context, collection string, h collectionHandler, answered func()) error {
+	list, err := w.store.List(ctx, collection, "")
+	if err != nil {
+		return err
+	}
+	answered()
+	h.listed(list.Items)
+	watch, err := w.store.Watch(ctx, collection, list.Version)
+	if err != nil {
+		return err
+	}
+	defer watch.Close()
+	for {
+		event, err := watch.Next(ctx)
+		if err != nil {
+			return err
+		}
+		if event.Type != platform.Bookmark {
+			h.changed(event)
+		}
+	}
+}
+
+// followEndpoints keeps the directory as the platform lists it.
+func (w *watcher) followEndpoints(ctx context.Context, d *directory.Directory, changed func()) {
+	w.follow(ctx, w.source.EndpointCollection(), collectionHandler{
+		away: d.StoreAway,
+		back: func() { d.StoreBack(time.Now()) },
+		listed: func(items []platform.Object) {
+			rows := make([]directory.Endpoint, 0, len(items))
+			for _, item := range items {
+				if row, ok := w.decodeEndpoint(item); ok {
+					rows = append(rows, row)
+				}
+			}
+			d.Replace(time.Now(), rows)
+			changed()
+		},
+		changed: func(event platform.Event) {
+			row, ok := directory.Endpoint{}, false
+			if event.Type == platform.Put {
+				row, ok = w.decodeEndpoint(event.Object)
+			}
+			if ok {
+				d.Put(row)
+			} else {
+				d.Remove(time.Now(), event.Object.Name)
+			}
+			w.log.WithFields(logrus.Fields{
+				"event": "endpoint", "endpoint": event.Object.Name, "change": event.Type, "draining": row.Draining, "service": row.Service, "version": event.Object.Version,
+			}).Info("the list of endpoints changed")
+			changed()
+		},
+	})
+}
+
+func (w *watcher) decodeEndpoint(o platform.Object) (directory.Endpoint, bool) {
+	row, err := w.source.DecodeEndpoint(o.Name, o.Data)
+	if err != nil {
+		w.log.WithFields(logrus.Fields{"event": "endpoint_refused", "endpoint": o.Name, "error": err}).Warn("an entry could not be read; it gets no work")
+		return directory.Endpoint{}, false
+	}
+	return row, true
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/gossip/fetch.go
@@ -0,0 +1,65 @@
+package gossip
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/emptypb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+
+	"github.com/primrosewell/primrosewell/internal/failure"
+)
+
+const (
+	// fetchProcedure answers with the configuration object in force. Its messages are
+	// well-known types, so no code is generated for it.
+	fetchProcedure = "/primrosewell.gossip.v1.Table/Fetch"
+	// fetchTimeout bounds a fetch; a peer in the same region answers in milliseconds.
+	fetchTimeout = time.Second
+	// maxFetched bounds a fetched object: the platform's largest value and some framing.
+	maxFetched = 2 << 20
+	// headerTimeout bounds the time in which a peer sends its request.
+	headerTimeout = 2 * time.Second
+)
+
+// NewFetchServer returns a server of the configuration object that content returns; nil
+// means that there is none yet.
+func NewFetchServer(content func() []byte) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(fetchProcedure, connect.NewUnaryHandler(fetchProcedure,
+		func(context.Context, *connect.Request[emptypb.Empty]) (*connect.Response[wrapperspb.BytesValue], error) {
+			data := content()
+			if data == nil {
+				return nil, connect.NewError(connect.CodeUnavailable, failure.New(failure.PlatformUnavailable, "no configuration yet"))
+			}
+			return connect.NewResponse(wrapperspb.Bytes(data)), nil
+		}))
+	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+}
+
+// Fetcher reads the configuration object of a peer.
+type Fetcher struct {
+	client *http.Client
+}
+
+// NewFetcher returns a fetcher that makes a connection for each fetch: fetches are rare.
+func NewFetcher() *Fetcher {
+	dialer := &net.Dialer{Timeout: fetchTimeout}
+	return &Fetcher{client: &http.Client{
+		Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+		Timeout:   fetchTimeout,
+	}}
+}
+
+// Fetch reads the object from the peer at address, an IP number and port.
+func (f *Fetcher) Fetch(ctx context.Context, address string) ([]byte, error) {
+	client := connect.NewClient[emptypb.Empty, wrapperspb.BytesValue](f.client, "http://"+address+fetchProcedure, connect.WithReadMaxBytes(maxFetched))
+	reply, err := client.CallUnary(ctx, connect.NewRequest(&emptypb.Empty{}))
+	if err != nil {
+		return nil, failure.Wrap(err, failure.PeerUnreachable, "fetching the configuration from "+address)
+	}
+	return reply.Msg.GetValue(), nil
+}
--- /dev/null
+++ b/internal/gossip/members.go
@@ -0,0 +1,176 @@
+package gossip
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/primrosewell/primrosewell/internal/balance"
+)
+
+const (
+	// lostAfter is the silence after which a peer counts as lost: a few messages in a row.
+	lostAfter = 1500 * time.Millisecond
+	// forgetAfter is the silence after which a peer's address is tried no more.
+	forgetAfter = 60 * time.Second
+	// loadsFresh is how long a peer's loads are used.
+	loadsFresh = time.Second
+	// countedFor is how long a lost peer still counts as a holder of its part of shared
+	// budgets; it may only be cut off from here.
+	countedFor = 15 * time.Second
+)
+
+// peer is what is known of another daemon.
+type peer struct {
+	address     string
+	node        string
+	incarnation int64
+	table       int64
+	leaving     bool
+	heard       time.Time
+	since       time.Time
+	lost        bool
+	loads       map[string]balance.Load
+}
+
+// Change is a peer that was found, lost or replaced.
+type Change struct {
+	Node, Address, What string
+	// Silent is the time since the last message.
+	Silent time.Duration
+}
+
+// Members holds the daemons that this one has heard of, by address. It is pure and
+// safe for concurrent use.
+type Members struct {
+	mu    sync.Mutex
+	self  string
+	peers map[string]*peer
+}
+
+// NewMembers returns the members known from settings; self is the own address.
+func NewMembers(now time.Time, self string, seeds []string) *Members {
+	m := &Members{self: self, peers: make(map[string]*peer)}
+	for _, seed := range seeds {
+		m.add(now, seed)
+	}
+	return m
+}
+
+// AddSeeds notes further addresses to try.
+func (m *Members) AddSeeds(now time.Time, seeds []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, seed := range seeds {
+		m.add(now, seed)
+	}
+}
+
+func (m *Members) add(now time.Time, address string) *peer {
+	if address == m.self || address == "" {
+		return nil
+	}
+	p := m.peers[address]
+	if p == nil {
+		p = &peer{address: address, since: now, lost: true}
+		m.peers[address] = p
+	}
+	return p
+}
+
+// Heard takes a message and returns what it changed, if anything.
+func (m *Members) Heard(now time.Time, message Message) (Change, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, address := range message.Known {
+		m.add(now, address)
+	}
+	p := m.add(now, message.Address)
+	if p == nil || message.Incarnation < p.incarnation {
+		return Change{}, false // An own message, or one of an earlier process.
+	}
+	change := Change{Node: message.Node, Address: message.Address}
+	switch {
+	case p.incarnation != 0 && message.Incarnation > p.incarnation:
+		change.What = "restarted"
+	case p.lost:
+		change.What = "found"
+	}
+	p.node, p.incarnation, p.table, p.leaving = message.Node, message.Incarnation, message.Table, message.Leaving
+	p.heard, p.lost, p.loads = now, false, message.Loads
+	return change, change.What != ""
+}
+
+// Expire marks silent peers as lost and returns them.
+func (m *Members) Expire(now time.Time) []Change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var lost []Change
+	for address, p := range m.peers {
+		silent := now.Sub(p.heard)
+		if !p.lost && silent > lostAfter {
+			p.lost = true
+			lost = append(lost, Change{Node: p.node, Address: address, What: "lost", Silent: silent})
+		}
+		if p.lost && !p.heard.IsZero() && silent > forgetAfter {
+			delete(m.peers, address)
+		}
+	}
+	return lost
+}
+
+// Addresses returns the addresses to send to.
+func (m *Members) Addresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addresses := make([]string, 0, len(m.peers))
+	for address := range m.peers {
+		addresses = append(addresses, address)
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// Counted is the number of daemons, this one included, that may use shared budgets.
+func (m *Members) Counted(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := 1
+	for _, p := range m.peers {
+		if !p.heard.IsZero() && now.Sub(p.heard) < countedFor || p.heard.IsZero() && now.Sub(p.since) < countedFor {
+			n++
+		}
+	}
+	return n
+}
+
+// Newest returns the highest table version that a live peer has, and its address.
+func (m *Members) Newest() (version int64, address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if !p.lost && p.table > version {
+			version, address = p.table, p.address
+		}
+	}
+	return version, address
+}
+
+// Elsewhere sums the work of the other daemons at each endpoint.
+func (m *Members) Elsewhere(now time.Time) map[string]balance.Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	total := make(map[string]balance.Load)
+	for _, p := range m.peers {
+		if now.Sub(p.heard) > loadsFresh {
+			continue
+		}
+		for id, load := range p.loads {
+			sum := total[id]
+			sum.Running += load.Running
+			sum.Reading += load.Reading
+			total[id] = sum
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/gossip/message.go
@@ -0,0 +1,59 @@
+// Package gossip is the inner protocol between gateways: small datagrams that tell
+// each daemon which others live, which configuration they have, and how much work they
+// have at each endpoint. It holds no state that must last.
+package gossip
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/samber/oops"
+
+	"github.com/primrosewell/primrosewell/internal/balance"
+)
+
+// maxDatagram bounds a message; larger ones would be cut into fragments.
+const maxDatagram = 1400
+
+// protocolVersion changes when older daemons can't read a message.
+const protocolVersion = 1
+
+// Message is what one daemon tells another.
+type Message struct {
+	Protocol int `cbor:"1,keyasint"`
+	// Node is the sender's name and Incarnation the start of its process, in Unix ns.
+	Node        string `cbor:"2,keyasint"`
+	Incarnation int64  `cbor:"3,keyasint"`
+	// Address is the sender's IP number.
+	Address string `cbor:"4,keyasint"`
+	// Table is the version of the sender's route table.
+	Table int64 `cbor:"5,keyasint"`
+	// Leaving is set while the sender shuts down.
+	Leaving bool `cbor:"6,keyasint,omitempty"`
+	// Loads is the sender's own work at each endpoint.
+	Loads map[string]balance.Load `cbor:"7,keyasint,omitempty"`
+	// Known are the IP numbers of some daemons that the sender heard of lately.
+	Known []string `cbor:"8,keyasint,omitempty"`
+}
+
+func encode(m Message) ([]byte, error) {
+	m.Protocol = protocolVersion
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return nil, oops.Wrapf(err, "gossip message")
+	}
+	if len(data) > maxDatagram {
+		m.Loads = nil // Loads are the only part that grows; a peer does without for once.
+		return cbor.Marshal(m)
+	}
+	return data, nil
+}
+
+func decode(data []byte) (Message, error) {
+	var m Message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return Message{}, oops.Wrapf(err, "gossip message")
+	}
+	if m.Protocol != protocolVersion || m.Node == "" || m.Address == "" {
+		return Message{}, oops.Errorf("gossip message of protocol %d from %q", m.Protocol, m.Node)
+	}
+	return m, nil
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/url"
-	"strconv"
 	"strings"
 	"time"
 
@@ -44,6 +42,10 @@
 	// A call that can't be sent before its timeout fails at once with RateLimited.
 	WritesPerSecond float64
 	ReadsPerSecond  float64
+	// Dialect is the shape of the API. Default: primrosewell's own.
+	Dialect Dialect
+	// PollWait is how long a polling watch waits for changes. Default: DefaultPollWait.
+	PollWait time.Duration
 	// Transport sends the requests. It must not repeat a request that it may have sent.
 	// Default: a transport of the client's own without a proxy.
 	Transport http.RoundTripper
@@ -67,12 +69,12 @@
 	options.BaseURL = strings.TrimSuffix(options.BaseURL, "/")
 	options.Timeout = lo.CoalesceOrEmpty(options.Timeout, DefaultTimeout)
 	options.WatchIdle = lo.CoalesceOrEmpty(options.WatchIdle, DefaultWatchIdle)
+	options.PollWait = lo.CoalesceOrEmpty(options.PollWait, DefaultPollWait)
 	if options.Transport == nil {
-		options.Transport = &http.Transport{
-			MaxIdleConns:        maxIdleConns,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     idleConnTimeout,
-		}
+		options.Transport = transport()
+	}
+	if options.Dialect == nil {
+		options.Dialect = nativeDialect{}
 	}
 	return &Client{
 		options: options,
@@ -94,38 +96,71 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, collection, name string) (Object, error) {
-	r := call{op: "get", key: collection + "/" + name, method: http.MethodGet, path: itemPath(collection, name)}
+	r := call{op: "get", key: collection + "/" + name, method: http.MethodGet, path: c.options.Dialect.ItemPath(collection, name)}
 	body, err := c.do(ctx, r)
 	if err != nil {
 		return Object{}, err
 	}
-	return decodeObject(r, collection, name, body)
+	return c.decodeObject(r, collection, name, body)
 }
 
-// List implements Store.
+func (c *Client) decodeObject(r call, collection, name string, body []byte) (Object, error) {
+	o, err := c.options.Dialect.DecodeObject(collection, name, body)
+	if err != nil {
+		return Object{}, r.fail(Uncertain, err)
+	}
+	return o, nil
+}
+
+// List implements Store. Pages are read one after the other; the list is as of the
+// first page's version, so that a watch from there misses nothing.
 func (c *Client) List(ctx context.Context, collection, prefix string) (List, error) {
-	query := url.Values{wire.PrefixParam: {prefix}}
-	r := call{op: "list", key: collection + "/" + prefix, method: http.MethodGet, path: collectionPath(collection, query)}
-	body, err := c.do(ctx, r)
+	var list List
+	after := ""
+	for {
+		r := call{op: "list", key: collection + "/" + prefix, method: http.MethodGet, path: c.options.Dialect.ListPath(collection, prefix, after)}
+		body, err := c.do(ctx, r)
+		if err != nil {
+			return List{}, err
+		}
+		page, err := c.decodePage(r, collection, prefix, body)
+		if err != nil {
+			return List{}, err
+		}
+		if after == "" {
+			list.Version = page.Version
+		}
+		list.Items = append(list.Items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return list, nil
+		}
+		after = page.Items[len(page.Items)-1].Name
+	}
+}
+
+func (c *Client) decodePage(r call, collection, prefix string, body []byte) (Page, error) {
+	page, err := c.options.Dialect.DecodePage(collection, prefix, body)
 	if err != nil {
-		return List{}, err
+		return Page{}, r.fail(Unavailable, err)
 	}
-	return decodeList(r, collection, prefix, body)
+	return page, nil
 }
 
 // Create implements Store.
 func (c *Client) Create(ctx context.Context, o Object) (Object, error) {
-	return c.put(ctx, call{op: "create", method: http.MethodPost, conflict: Exists}, o)
+	path := c.options.Dialect.CreatePath(o.Collection, o.Name)
+	return c.put(ctx, call{op: "create", method: http.MethodPost, path: path, conflict: Exists}, o)
 }
 
 // Update implements Store.
 func (c *Client) Update(ctx context.Context, o Object) (Object, error) {
-	return c.put(ctx, call{op: "update", method: http.MethodPut, conflict: Conflict}, o)
+	path := c.options.Dialect.ItemPath(o.Collection, o.Name)
+	return c.put(ctx, call{op: "update", method: http.MethodPut, path: path, conflict: Conflict}, o)
 }
 
 func (c *Client) put(ctx context.Context, r call, o Object) (Object, error) {
-	r.key, r.path, r.write = o.Collection+"/"+o.Name, itemPath(o.Collection, o.Name), true
-	body, err := json.Marshal(wire.Object(o))
+	r.key, r.write = o.Collection+"/"+o.Name, true
+	body, err := c.options.Dialect.EncodeObject(o)
 	if err != nil {
 		return Object{}, r.fail(Invalid, err)
 	}
@@ -134,7 +169,7 @@
 	if err != nil {
 		return Object{}, err
 	}
-	stored, err := decodeObject(r, o.Collection, o.Name, reply)
+	stored, err := c.decodeObject(r, o.Collection, o.Name, reply)
 	if err != nil {
 		return Object{}, err
 	}
@@ -144,10 +179,9 @@
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, collection, name string, version int64) error {
-	query := url.Values{wire.VersionParam: {strconv.FormatInt(version, 10)}}
 	_, err := c.do(ctx, call{
 		op: "delete", key: collection + "/" + name, method: http.MethodDelete,
-		path: itemPath(collection, name) + "?" + query.Encode(), write: true, conflict: Conflict,
+		path: c.options.Dialect.DeletePath(collection, name, version), write: true, conflict: Conflict,
 	})
 	return err
 }
@@ -165,11 +199,3 @@
 	}
 	return vms, nil
 }
-
-func itemPath(collection, name string) string {
-	return wire.BasePath + "/" + url.PathEscape(collection) + "/" + url.PathEscape(name)
-}
-
-func collectionPath(collection string, query url.Values) string {
-	return wire.BasePath + "/" + url.PathEscape(collection) + "?" + query.Encode()
-}
--- a/internal/platform/fuzz_test.go
+++ b/internal/platform/fuzz_test.go
@@ -11,7 +11,7 @@
 	f.Add([]byte(`{"resourceVersion":3,"items":[{"collection":"config","name":"p.a","resourceVersion":2,"data":"MQ=="}]}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		r := call{op: "list", key: "config/p."}
-		list, err := decodeList(r, "config", "p.", body)
+		list, err := NewClient(ClientOptions{}).decodePage(r, "config", "p.", body)
 		if err != nil {
 			expectReason(t, err, Unavailable)
 			return
@@ -50,7 +50,7 @@
 func FuzzDecodeObject(f *testing.F) {
 	f.Add([]byte(`{"collection":"config","name":"a","resourceVersion":2}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
-		o, err := decodeObject(call{op: "create", key: "config/a", write: true}, "config", "a", body)
+		o, err := NewClient(ClientOptions{}).decodeObject(call{op: "create", key: "config/a", write: true}, "config", "a", body)
 		if err != nil {
 			expectReason(t, err, Uncertain)
 			return
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -42,6 +42,9 @@
 	Put EventType = "put"
 	// Deleted means that the object was removed; Data is empty.
 	Deleted EventType = "deleted"
+	// Bookmark means that nothing changed up to the version of the nameless object.
+	// Only a polling watch delivers it, after each wait.
+	Bookmark EventType = "bookmark"
 )
 
 // Event is one change, in version order.
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -25,6 +25,9 @@
 // for longer than WatchIdle, and at the first line that does not decode. Changes at
 // or below a version that was delivered already are left out.
 func (c *Client) Watch(ctx context.Context, collection string, version int64) (Watch, error) {
+	if dialect, ok := c.options.Dialect.(PollingDialect); ok {
+		return c.openPoll(ctx, dialect, collection, version), nil
+	}
 	query := url.Values{wire.WatchParam: {"true"}, wire.VersionParam: {strconv.FormatInt(version, 10)}}
 	r := call{op: "watch", key: collection, method: http.MethodGet, path: collectionPath(collection, query)}
 	started := time.Now()
