--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -173,20 +173,13 @@
 
 // startPages serves readiness, and metrics where they are asked for.
 func (g *Gateway) startPages() error {
-	listener, err := listen(context.Background(), g.settings.Readiness.Listen)
-	if err != nil {
-		return failure.Wrap(err, failure.Internal, "readiness listener")
+	if err := g.startReadiness(); err != nil {
+		return err
 	}
-	readiness := &fasthttp.Server{Handler: g.handleReadiness, NoDefaultServerHeader: true, ReadBufferSize: 4096, Concurrency: 64}
-	go func() {
-		if err := readiness.Serve(listener); err != nil {
-			g.log.WithFields(logrus.Fields{"event": "listener_failed", "listener": "readiness", "error": err}).Error("readiness is no longer served")
-		}
-	}()
 	if g.settings.Metrics.Listen == "" {
 		return nil
 	}
-	listener, err = listen(context.Background(), g.settings.Metrics.Listen)
+	listener, err := listen(context.Background(), g.settings.Metrics.Listen)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "metrics listener")
 	}
@@ -196,6 +189,20 @@
 	return nil
 }
 
+func (g *Gateway) startReadiness() error {
+	listener, err := listen(context.Background(), g.settings.Readiness.Listen)
+	if err != nil {
+		return failure.Wrap(err, failure.Internal, "readiness listener")
+	}
+	server := &fasthttp.Server{Handler: g.handleReadiness, NoDefaultServerHeader: true, ReadBufferSize: readinessBuffer}
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			g.log.WithFields(logrus.Fields{"event": "listener_failed", "listener": "readiness", "error": err}).Error("readiness is no longer served")
+		}
+	}()
+	return nil
+}
+
 func (g *Gateway) serveHTTP(server *http.Server, listener net.Listener, name string) {
 	go func() {
 		if err := server.Serve(listener); err != nil {
@@ -204,8 +211,12 @@
 	}()
 }
 
-// headerTimeout bounds the time in which a reader of metrics sends its request.
-const headerTimeout = 2 * time.Second
+const (
+	// headerTimeout bounds the time in which a reader of metrics sends its request.
+	headerTimeout = 2 * time.Second
+	// readinessBuffer holds the header of a readiness check.
+	readinessBuffer = 4 << 10
+)
 
 func (g *Gateway) handleReadiness(c *fasthttp.RequestCtx) {
 	if string(c.Path()) != g.options.Adapter.ReadinessPath {
