--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -18,6 +18,9 @@
 	tieWork = 60
 	// plainWork is the work of a request without a declared prompt.
 	plainWork = 1500
+	// rereadWeight is what a token read again costs, in tokens already waiting at an
+	// endpoint: under load each one delays every request of the pool, not only its own.
+	rereadWeight = 4.0
 )
 
 // scored is an endpoint with its cost.
@@ -55,7 +58,7 @@
 	if reading == 0 {
 		unit = plainWork
 	}
-	work := float64(reading+e.reading+e.elsewhere.Reading) + unit*float64(e.running+e.elsewhere.Running+1)
+	work := rereadWeight*float64(reading) + float64(e.reading+e.elsewhere.Reading) + unit*float64(e.running+e.elsewhere.Running+1)
 	work *= e.evidence.slowness(now, typical)
 	if now.Before(e.coldUntil) {
 		work *= coldFactor
