--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -20,7 +20,7 @@
 	plainWork = 1500
 	// rereadWeight is what a token read again costs, in tokens already waiting at an
 	// endpoint: under load each one delays every request of the pool, not only its own.
-	rereadWeight = 4.0
+	rereadWeight = 12.0
 )
 
 // scored is an endpoint with its cost.
