--- /dev/null
+++ b/internal/balance/lane.go
@@ -0,0 +1,41 @@
+package balance
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Load pattern: bursts of long prompts. An engine reads prompts in chunks between the
+// tokens of its running requests, so each chunk of a long prompt delays every stream
+// beside it. Some endpoints are therefore kept for short prompts, whose streams have
+// the tightest targets; long prompts go there only when the others are far behind.
+
+const (
+	// shortPrompt is the most prompt tokens of a request for the express lane: one chunk
+	// of an engine.
+	shortPrompt = 4096
+	// expressShare is the part of a pool in the express lane.
+	expressShare = 0.22
+	// expressFrom is the smallest pool that has one.
+	expressFrom = 4
+	// expressPenalty is the cost at which a long prompt goes to the express lane, in
+	// prompt tokens.
+	expressPenalty = 60000
+	// expressRank orders the endpoints for the lane; all daemons choose the same ones.
+	expressRank = "express lane"
+)
+
+// assignExpress marks the endpoints of the express lane.
+func assignExpress(endpoints []*endpoint, engine bool) {
+	ranked := slices.Clone(endpoints)
+	slices.SortFunc(ranked, func(a, b *endpoint) int {
+		return cmp.Compare(rendezvous(expressRank, a.ID), rendezvous(expressRank, b.ID))
+	})
+	lane := 0
+	if engine && len(ranked) >= expressFrom {
+		lane = max(1, int(expressShare*float64(len(ranked))+0.5))
+	}
+	for i, e := range ranked {
+		e.express = i < lane
+	}
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -36,6 +36,8 @@
 	random     *rand.Rand
 	endpoints  map[string]*endpoint
 	order      []*endpoint
+	// prompts is set once a request has declared a prompt: the pool is one of engines.
+	prompts bool
 }
 
 // endpoint is what is known of one endpoint.
@@ -48,8 +50,10 @@
 	reading int
 	// elsewhere is the work of other daemons there.
 	elsewhere Load
-	cache     partCache
-	evidence  evidence
+	// express endpoints are kept for short prompts.
+	express  bool
+	cache    partCache
+	evidence evidence
 }
 
 // Load is the work at one endpoint.
@@ -83,6 +87,7 @@
 		p.order = append(p.order, e)
 	}
 	p.endpoints = next
+	assignExpress(p.order, p.prompts)
 }
 
 // Size returns the number of endpoints that may get work.
@@ -136,6 +141,10 @@
 func (p *Pool) Pick(now time.Time, ask Ask) *Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if ask.PromptTokens > 0 && !p.prompts {
+		p.prompts = true
+		assignExpress(p.order, true)
+	}
 	candidates := p.filter(now, ask)
 	if len(candidates) == 0 {
 		return nil
--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -37,6 +37,7 @@
 	typical := typicalSpeed(candidates)
 	home, homeTokens := homePart(ask.Parts)
 	homeEndpoint := p.home(home)
+	long := ask.PromptTokens > shortPrompt
 	var best scored
 	for _, e := range candidates {
 		s := scored{e: e, reading: ask.PromptTokens, reason: "load"}
@@ -46,6 +47,9 @@
 			s.reading, s.reason = ask.PromptTokens-int(homeShare*float64(homeTokens)), "home"
 		}
 		s.cost = p.cost(now, e, s.reading, typical)
+		if long && e.express {
+			s.cost += expressPenalty
+		}
 		if best.e == nil || s.cost < best.cost {
 			best = s
 		}
@@ -70,7 +74,7 @@
 	return work + tieWork*p.random.Float64()
 }
 
-// home returns the endpoint that all daemons prefer for a part while the list agrees.
+// home returns the endpoint, outside the express lane, that all daemons prefer for a part while the list agrees.
 func (p *Pool) home(part string) *endpoint {
 	if part == "" {
 		return nil
@@ -78,6 +82,9 @@
 	var best *endpoint
 	var rank uint64
 	for _, e := range p.order {
+		if e.express {
+			continue
+		}
 		if r := rendezvous(part, e.ID); best == nil || r > rank {
 			best, rank = e, r
 		}
