--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -129,6 +129,9 @@
 	Score        float64
 	Alternatives int
 
+	// FetchFrom is the address of an endpoint that holds shared parts of the prompt, or "".
+	FetchFrom string
+
 	pool    *Pool
 	e       *endpoint
 	reading int
@@ -155,6 +158,9 @@
 		Endpoint: e.Endpoint, Reason: best.reason, Score: best.cost, Alternatives: len(candidates),
 		pool: p, e: e, reading: best.reading, parts: ask.Parts, started: now,
 	}
+	if best.holder != nil {
+		c.FetchFrom = best.holder.Address
+	}
 	e.running++
 	e.reading += c.reading
 	e.evidence.sent(now)
--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -21,6 +21,9 @@
 	// rereadWeight is what a token read again costs, in tokens already waiting at an
 	// endpoint: under load each one delays every request of the pool, not only its own.
 	rereadWeight = 12.0
+	// fetchWeight is what a token fetched from another endpoint costs, in tokens waiting:
+	// the copy takes a few milliseconds, and its bytes are priced.
+	fetchWeight = 9.0
 )
 
 // scored is an endpoint with its cost.
@@ -29,24 +32,35 @@
 	cost    float64
 	reading int
 	reason  string
+	// holder is another endpoint from which shared parts of the prompt can be fetched.
+	holder *endpoint
 }
 
 // score returns the cheapest candidate. The cost is the work that must be done before
 // the first event, in prompt tokens, slowed by the endpoint's own speed.
 func (p *Pool) score(now time.Time, ask Ask, candidates []*endpoint) scored {
 	typical := typicalSpeed(candidates)
-	home, homeTokens := homePart(ask.Parts)
-	homeEndpoint := p.home(home)
+	part, sharedTokens := homePart(ask.Parts)
+	home := p.home(part)
+	holder, holds := p.holder(now, ask.Parts, home, sharedTokens)
 	long := ask.PromptTokens > shortPrompt
 	var best scored
 	for _, e := range candidates {
 		s := scored{e: e, reading: ask.PromptTokens, reason: "load"}
 		if held := e.cache.held(now, ask.Parts); held > 0 {
 			s.reading, s.reason = max(0, ask.PromptTokens-held), "cached"
-		} else if e == homeEndpoint {
-			s.reading, s.reason = ask.PromptTokens-int(homeShare*float64(homeTokens)), "home"
+		} else if e == home {
+			s.reading, s.reason = ask.PromptTokens-int(homeShare*float64(sharedTokens)), "home"
 		}
-		s.cost = p.cost(now, e, s.reading, typical)
+		if fetched := s.reading - (ask.PromptTokens - holds); holder != nil && holder != e && fetched >= homeTokens {
+			s.holder = holder
+			s.reading -= fetched
+			s.cost = fetchWeight * float64(fetched)
+			if s.reason == "load" {
+				s.reason = "fetch"
+			}
+		}
+		s.cost += p.cost(now, e, s.reading, typical)
 		if long && e.express {
 			s.cost += expressPenalty
 		}
@@ -54,9 +68,34 @@
 			best = s
 		}
 	}
+	if best.holder == nil && holder != best.e && best.reason == "home" {
+		best.holder = holder // The home may have lost its memory; what it holds is not copied.
+	}
 	return best
 }
 
+// holder returns the endpoint that holds most of the shared parts of a prompt, by this
+// daemon's own requests or else by the rule of homes, and the tokens that it holds.
+func (p *Pool) holder(now time.Time, parts []Part, home *endpoint, sharedTokens int) (*endpoint, int) {
+	if sharedTokens < homeTokens {
+		return nil, 0
+	}
+	var best *endpoint
+	most := 0
+	for _, e := range p.order {
+		if held := min(sharedTokens, e.cache.held(now, parts)); held > most && e.evidence.open(now) {
+			best, most = e, held
+		}
+	}
+	if best != nil {
+		return best, most
+	}
+	if home != nil && home.evidence.open(now) {
+		return home, int(homeShare * float64(sharedTokens))
+	}
+	return nil, 0
+}
+
 func (p *Pool) cost(now time.Time, e *endpoint, reading int, typical float64) float64 {
 	unit := float64(runningWork)
 	if reading == 0 {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -104,6 +104,7 @@
 	fields := []httpio.Field{
 		{Name: h.Deadline, Value: strconv.FormatInt(left, 10)},
 		{Name: h.Endpoint, Value: choice.ID},
+		{Name: h.FetchFrom, Value: choice.FetchFrom},
 	}
 	if j.workspace != nil {
 		fields = append(fields, httpio.Field{Name: h.Workspace, Value: j.workspace.Name})
--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -55,7 +55,7 @@
 		fields["route"], fields["service"] = route, j.service
 	}
 	if !j.first.IsZero() {
-		fields["first_event"] = j.first.Sub(j.request.Arrived)
+		fields["first_event"], fields["longest_pause"] = j.first.Sub(j.request.Arrived), j.longestPause
 	}
 	if f != nil {
 		reason = string(f.Code)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -89,8 +89,11 @@
 	// answer is a failure of an endpoint, kept while another attempt is made.
 	answer *heldAnswer
 	events eventSplitter
-	first  time.Time
 	status int
+	// first and lastEvent are the times of events passed on.
+	first        time.Time
+	lastEvent    time.Time
+	longestPause time.Duration
 }
 
 // Handle answers one request; it is an httpio.Handler.
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -27,6 +27,9 @@
 	PromptSize string `json:"prompt_size"`
 	// PromptParts declares the parts of the prompt in order: "ID:TOKENS,ID:TOKENS".
 	PromptParts string `json:"prompt_parts"`
+	// FetchFrom is set to the address of an endpoint from which an engine may copy the
+	// shared parts of a prompt instead of reading them.
+	FetchFrom string `json:"fetch_from"`
 	// LastEventID is the last event that the caller has; the answer goes on after it.
 	LastEventID string `json:"last_event_id"`
 	// NotRun is set by an endpoint on an answer to a request that it did not run.
@@ -66,7 +69,7 @@
 	for _, name := range hopByHop {
 		f.request[name], f.response[name] = true, true
 	}
-	for _, name := range append([]string{h.Deadline, h.Key, h.Workspace, h.Endpoint, h.Priority, h.NotRun, h.Seal, h.Load}, h.Reserved...) {
+	for _, name := range append([]string{h.Deadline, h.Key, h.Workspace, h.Endpoint, h.Priority, h.FetchFrom, h.NotRun, h.Seal, h.Load}, h.Reserved...) {
 		f.request[strings.ToLower(name)] = true
 	}
 	f.response[strings.ToLower(h.Load)] = true
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -42,9 +42,7 @@
 	if len(data) == 0 {
 		return nil
 	}
-	if j.first.IsZero() {
-		j.first = time.Now()
-	}
+	j.noteEvent(time.Now())
 	if j.writer.Started() {
 		return j.writer.Event(data)
 	}
@@ -52,6 +50,16 @@
 	return j.writer.StartStream(status, fields, data)
 }
 
+// noteEvent notes the first event and the longest pause between events.
+func (j *job) noteEvent(now time.Time) {
+	if j.first.IsZero() {
+		j.first = now
+	} else {
+		j.longestPause = max(j.longestPause, now.Sub(j.lastEvent))
+	}
+	j.lastEvent = now
+}
+
 func (j *job) streamEnded(status int, fields []httpio.Field) verdict {
 	if !j.writer.Started() {
 		j.status = status
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -12,8 +12,9 @@
 	// rotationTime is how long the balancer may still send new connections after the
 	// readiness check began to fail: two missed checks, a second apart, and their way.
 	rotationTime = 2600 * time.Millisecond
-	// exitMargin is the part of the grace time that is left for ending the process.
-	exitMargin = 300 * time.Millisecond
+	// exitMargin is the part of the grace time that is left for ending the process; the
+	// platform kills what is still there at its end.
+	exitMargin = 900 * time.Millisecond
 	// drainPoll is the time between two looks at the requests in progress.
 	drainPoll = 50 * time.Millisecond
 )
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -40,7 +40,9 @@
 	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
 	lost := time.Time{}
 	for ctx.Err() == nil {
+		listed := time.Time{}
 		err := w.followOnce(ctx, collection, h, func() {
+			listed = time.Now()
 			pause.Reset()
 			if !lost.IsZero() {
 				w.log.WithFields(logrus.Fields{"event": "platform_back", "collection": collection, "away": time.Since(lost)}).Info("the platform answers again")
@@ -53,8 +55,11 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if platform.ReasonOf(err) == platform.TooOld || platform.ReasonOf(err) == platform.WatchEnded {
-			w.log.WithFields(logrus.Fields{"event": "watch_ended", "collection": collection, "error": err}).Info("the watch ended; the collection is listed again")
+		if !listed.IsZero() {
+			// Whether the platform is away shows when the collection is listed again. A
+			// watch may break by itself, and a silence as short as its wait lapses no entry.
+			w.log.WithFields(logrus.Fields{"event": "watch_ended", "collection": collection, "error": err, "lasted": time.Since(listed)}).Info("the watch ended; the collection is listed again")
+			sleep(ctx, time.Until(listed.Add(firstPause)))
 			continue
 		}
 		if lost.IsZero() {
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -88,6 +88,9 @@
 func (a *Answer) readOneHeader() error {
 	for {
 		a.Header.Reset()
+		if _, err := a.conn.reader.Peek(1); err != nil {
+			return err // The connection's own error: the parser's would hide it.
+		}
 		if err := a.Header.Read(a.conn.reader); err != nil {
 			if isTimeout(err) || isDisconnect(err) {
 				return err
