balance: short prompts leave the express lane only at a price

Load pattern: a stream beside long prompts pauses even where nothing waits at its start. Ruled out: late first events (p99 336 ms of 500).

--- a/internal/balance/lane.go
+++ b/internal/balance/lane.go
@@ -21,6 +21,9 @@
 	// expressPenalty is the cost at which a long prompt goes to the express lane, in
 	// prompt tokens.
 	expressPenalty = 60000
+	// shortPenalty is the cost at which a short prompt leaves the express lane: a stream
+	// beside long prompts pauses even where nothing waits at its start.
+	shortPenalty = 15000
 	// expressRank orders the endpoints for the lane; all daemons choose the same ones.
 	expressRank = "express lane"
 )
@@ -39,3 +42,16 @@
 		e.express = i < lane
 	}
 }
+
+// laneCost is the cost of an endpoint in the other lane.
+func (p *Pool) laneCost(e *endpoint, long bool) float64 {
+	switch {
+	case !p.prompts || len(p.order) < expressFrom:
+		return 0
+	case long && e.express:
+		return expressPenalty
+	case !long && !e.express:
+		return shortPenalty
+	}
+	return 0
+}
--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -61,9 +61,7 @@
 			}
 		}
 		s.cost += p.cost(now, e, s.reading, typical)
-		if long && e.express {
-			s.cost += expressPenalty
-		}
+		s.cost += p.laneCost(e, long)
 		if best.e == nil || s.cost < best.cost {
 			best = s
 		}
