--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -146,6 +146,19 @@
 	return d.version
 }
 
+// Rows returns every entry, draining ones included.
+func (d *Directory) Rows() []Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	rows := make([]Endpoint, 0, len(d.entries))
+	for _, e := range d.entries {
+		if e.missingSince.IsZero() {
+			rows = append(rows, e.endpoint)
+		}
+	}
+	return rows
+}
+
 // Usable returns the endpoints that may get new work, by service. Of several rows
 // with one address the latest born is used: addresses are reused.
 func (d *Directory) Usable() map[string][]Endpoint {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,7 @@
 
 	holder    *tableHolder
 	directory *directory.Directory
+	listing   *listing
 	pools     *pools
 	members   *gossip.Members
 	server    *httpio.Server
@@ -89,6 +90,7 @@
 		members:   gossip.NewMembers(time.Now(), settings.Peers.Address, settings.Peers.seedAddresses()),
 	}
 	g.pools = newPools(settings.VM.DataCentre, g.directory)
+	g.listing = &listing{directory: g.directory, changed: g.pools.Refresh, log: options.Log, away: true}
 	g.parts = do.New()
 	provide(g)
 	server, err := do.Invoke[*httpio.Server](g.parts)
@@ -137,7 +139,7 @@
 func (g *Gateway) startWatches(ctx context.Context) {
 	w := do.MustInvoke[*watcher](g.parts)
 	go w.followTable(ctx, g.holder)
-	go w.followEndpoints(ctx, g.directory, g.pools.Refresh)
+	go w.followEndpoints(ctx, g.listing)
 }
 
 func (g *Gateway) startPeers(ctx context.Context) error {
@@ -145,15 +147,15 @@
 	if err != nil {
 		return failure.Wrap(err, failure.InvalidObject, "peers.address")
 	}
-	tables := do.MustInvoke[*peerTables](g.parts)
+	news := do.MustInvoke[*peerNews](g.parts)
 	budget := do.MustInvoke[budgetSharer](g.parts)
 	exchange, err := gossip.Listen(gossip.Options{
 		Node: g.settings.VM.ID, Address: address, Port: g.settings.Peers.GossipPort, Members: g.members,
-		Table: g.holder.Version, Loads: g.pools.Own, Log: g.log,
+		Table: g.holder.Version, Listing: g.listing.Version, Loads: g.pools.Own, Log: g.log,
 		OnHeard: func(now time.Time) {
 			g.pools.SetElsewhere(g.members.Elsewhere(now))
 			budget.SetDaemons(g.members.Counted(now))
-			tables.Check(ctx)
+			news.Check(ctx)
 		},
 	})
 	if err != nil {
@@ -164,7 +166,7 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "peers' listener")
 	}
-	g.serveHTTP(gossip.NewFetchServer(g.holder.Data), listener, "peers")
+	g.serveHTTP(gossip.NewFetchServer(g.encodeSnapshot), listener, "peers")
 	return nil
 }
 
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -21,7 +21,7 @@
 	do.ProvideValue(g.parts, httpio.NewDialer())
 	do.Provide(g.parts, g.newBudget)
 	do.Provide(g.parts, g.newWatcher)
-	do.Provide(g.parts, g.newPeerTables)
+	do.Provide(g.parts, g.newPeerNews)
 	do.Provide(g.parts, g.newForwarder)
 	do.Provide(g.parts, g.newServer)
 	do.Provide(g.parts, func(i do.Injector) (budgetSharer, error) { return do.Invoke[*retry.Shared](i) })
@@ -45,8 +45,8 @@
 	return &watcher{store: client, source: g.options.Adapter.Source, log: g.log}, nil
 }
 
-func (g *Gateway) newPeerTables(do.Injector) (*peerTables, error) {
-	return &peerTables{holder: g.holder, members: g.members, fetcher: gossip.NewFetcher(), port: g.settings.Peers.FetchPort, log: g.log}, nil
+func (g *Gateway) newPeerNews(do.Injector) (*peerNews, error) {
+	return &peerNews{holder: g.holder, listing: g.listing, members: g.members, fetcher: gossip.NewFetcher(), port: g.settings.Peers.FetchPort, log: g.log}, nil
 }
 
 func (g *Gateway) newForwarder(i do.Injector) (*forward.Forwarder, error) {
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -8,7 +8,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/primrosewell/primrosewell/internal/gossip"
 	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
@@ -70,7 +69,7 @@
 	}).Info("configuration in force")
 }
 
-// follow keeps the table as new as the platform tells.
+// followTable keeps the table as new as the platform tells.
 func (w *watcher) followTable(ctx context.Context, h *tableHolder) {
 	collection, name := w.source.TableObject()
 	w.follow(ctx, collection, collectionHandler{
@@ -88,31 +87,3 @@
 		},
 	})
 }
-
-// peerTables fetches the table from a peer that has a newer one: this daemon may be
-// cut off from the platform, or its watch may have missed the change.
-type peerTables struct {
-	holder  *tableHolder
-	members *gossip.Members
-	fetcher *gossip.Fetcher
-	port    int
-	log     *logrus.Logger
-	busy    sync.Mutex
-}
-
-// Check starts a fetch if a peer has a newer table and none is running.
-func (p *peerTables) Check(ctx context.Context) {
-	version, address := p.members.Newest()
-	if version <= p.holder.Version() || !p.busy.TryLock() {
-		return
-	}
-	go func() {
-		defer p.busy.Unlock()
-		data, err := p.fetcher.Fetch(ctx, joinPort(address, p.port))
-		if err != nil {
-			p.log.WithFields(logrus.Fields{"event": "fetch_failed", "peer": address, "version": version, "error": err}).Warn("a peer's newer configuration could not be read")
-			return
-		}
-		p.holder.Install(data, "peer "+address)
-	}()
-}
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -29,6 +29,8 @@
 type collectionHandler struct {
 	listed  func(items []platform.Object)
 	changed func(event platform.Event)
+	// reached tells the version up to which changes were told.
+	reached func(version int64)
 	// away and back tell of a platform that can't be read, and of its return.
 	away func()
 	back func()
@@ -81,6 +83,7 @@
 	}
 	answered()
 	h.listed(list.Items)
+	h.noteReached(list.Version)
 	watch, err := w.store.Watch(ctx, collection, list.Version)
 	if err != nil {
 		return err
@@ -94,14 +97,23 @@
 		if event.Type != platform.Bookmark {
 			h.changed(event)
 		}
+		h.noteReached(event.Object.Version)
+	}
+}
+
+func (h collectionHandler) noteReached(version int64) {
+	if h.reached != nil {
+		h.reached(version)
 	}
 }
 
 // followEndpoints keeps the directory as the platform lists it.
-func (w *watcher) followEndpoints(ctx context.Context, d *directory.Directory, changed func()) {
+func (w *watcher) followEndpoints(ctx context.Context, l *listing) {
+	d, changed := l.directory, l.changed
 	w.follow(ctx, w.source.EndpointCollection(), collectionHandler{
-		away: d.StoreAway,
-		back: func() { d.StoreBack(time.Now()) },
+		away:    l.StoreAway,
+		back:    l.StoreBack,
+		reached: l.Reached,
 		listed: func(items []platform.Object) {
 			rows := make([]directory.Endpoint, 0, len(items))
 			for _, item := range items {
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -14,19 +14,19 @@
 )
 
 const (
-	// fetchProcedure answers with the configuration object in force. Its messages are
+	// fetchProcedure answers with the snapshot of a daemon's beliefs. Its messages are
 	// well-known types, so no code is generated for it.
-	fetchProcedure = "/primrosewell.gossip.v1.Table/Fetch"
+	fetchProcedure = "/primrosewell.gossip.v1.Snapshot/Fetch"
 	// fetchTimeout bounds a fetch; a peer in the same region answers in milliseconds.
 	fetchTimeout = time.Second
-	// maxFetched bounds a fetched object: the platform's largest value and some framing.
+	// maxFetched bounds a snapshot: the platform's largest value and some framing.
 	maxFetched = 2 << 20
 	// headerTimeout bounds the time in which a peer sends its request.
 	headerTimeout = 2 * time.Second
 )
 
-// NewFetchServer returns a server of the configuration object that content returns; nil
-// means that there is none yet.
+// NewFetchServer returns a server of the snapshot that content returns; nil means that
+// there is none yet.
 func NewFetchServer(content func() []byte) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(fetchProcedure, connect.NewUnaryHandler(fetchProcedure,
@@ -40,7 +40,7 @@
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
-// Fetcher reads the configuration object of a peer.
+// Fetcher reads the snapshot of a peer.
 type Fetcher struct {
 	client *http.Client
 }
@@ -54,12 +54,12 @@
 	}}
 }
 
-// Fetch reads the object from the peer at address, an IP number and port.
+// Fetch reads the snapshot of the peer at address, an IP number and port.
 func (f *Fetcher) Fetch(ctx context.Context, address string) ([]byte, error) {
 	client := connect.NewClient[emptypb.Empty, wrapperspb.BytesValue](f.client, "http://"+address+fetchProcedure, connect.WithReadMaxBytes(maxFetched))
 	reply, err := client.CallUnary(ctx, connect.NewRequest(&emptypb.Empty{}))
 	if err != nil {
-		return nil, failure.Wrap(err, failure.PeerUnreachable, "fetching the configuration from "+address)
+		return nil, failure.Wrap(err, failure.PeerUnreachable, "fetching the snapshot of "+address)
 	}
 	return reply.Msg.GetValue(), nil
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -32,6 +32,8 @@
 	Members *Members
 	// Table returns the version of the own route table.
 	Table func() int64
+	// Listing returns the platform's version of the own list of endpoints.
+	Listing func() int64
 	// Loads returns the own work at each endpoint.
 	Loads func() map[string]balance.Load
 	// OnHeard is called after each message and at each interval.
@@ -81,7 +83,7 @@
 	addresses := g.Members.Addresses()
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	data, err := encode(Message{
-		Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Table: g.Table(),
+		Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Table: g.Table(), Listing: g.Listing(),
 		Loads: g.Loads(), Known: addresses[:min(len(addresses), knownSent)],
 	})
 	if err != nil {
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -26,6 +26,7 @@
 	node        string
 	incarnation int64
 	table       int64
+	listing     int64
 	leaving     bool
 	heard       time.Time
 	since       time.Time
@@ -96,7 +97,8 @@
 	case p.lost:
 		change.What = "found"
 	}
-	p.node, p.incarnation, p.table, p.leaving = message.Node, message.Incarnation, message.Table, message.Leaving
+	p.node, p.incarnation, p.leaving = message.Node, message.Incarnation, message.Leaving
+	p.table, p.listing = message.Table, message.Listing
 	p.heard, p.lost, p.loads = now, false, message.Loads
 	return change, change.What != ""
 }
@@ -146,11 +148,20 @@
 
 // Newest returns the highest table version that a live peer has, and its address.
 func (m *Members) Newest() (version int64, address string) {
+	return m.highest(func(p *peer) int64 { return p.table })
+}
+
+// NewestListing returns the newest list of endpoints that a live peer has, and its address.
+func (m *Members) NewestListing() (version int64, address string) {
+	return m.highest(func(p *peer) int64 { return p.listing })
+}
+
+func (m *Members) highest(of func(*peer) int64) (version int64, address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		if !p.lost && p.table > version {
-			version, address = p.table, p.address
+		if v := of(p); !p.lost && v > version {
+			version, address = v, p.address
 		}
 	}
 	return version, address
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -26,6 +26,8 @@
 	Address string `cbor:"4,keyasint"`
 	// Table is the version of the sender's route table.
 	Table int64 `cbor:"5,keyasint"`
+	// Listing is the platform's version that the sender's list of endpoints reflects.
+	Listing int64 `cbor:"9,keyasint,omitempty"`
 	// Leaving is set while the sender shuts down.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// Loads is the sender's own work at each endpoint.
