forward: refused callers come back when the trouble may be over; short tries of the first list

A list that hung on the silent platform held the next try up for 1 s. Now the advice grows with how long the trouble has lasted, within what callers follow, spread; tries of a list are 0.4, 0.8 and 2 s.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -137,7 +137,7 @@
 	case len(answer.Header.ContentEncoding()) > 0 || (h.Seal != "" && len(answer.Header.Peek(h.Seal)) == 0):
 		return verdict{ran: true, result: balance.Broken, status: status, cause: "not an answer of the endpoint"}
 	case j.streams(answer):
-		return j.stream(choice, answer)
+		return j.stream(answer)
 	}
 	body, err := readBounded(answer.Body, maxHeldBody)
 	if err != nil {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,9 +22,6 @@
 )
 
 const (
-	// retryWhenUnready is when to come back to a daemon that has no configuration yet;
-	// the first list from the platform takes some hundred milliseconds.
-	retryWhenUnready = 500 * time.Millisecond
 	// retryWhenFull and its spread are when to come back after every endpoint refused:
 	// a batch of an engine turns over in about that time.
 	retryWhenFull       = 150 * time.Millisecond
@@ -33,6 +31,8 @@
 	maxSends = 4
 	// highestPriority is the least urgent value that an engine knows.
 	highestPriority = 9
+	// defaultTime is how long a request may take if neither caller nor route says.
+	defaultTime = 60 * time.Second
 	// minLeft is the time below which an attempt is not worth starting.
 	minLeft = 5 * time.Millisecond
 )
@@ -57,6 +57,11 @@
 	Options
 	filters filters
 	metrics metrics
+
+	mu sync.Mutex
+	// unready and empty note since when no configuration or no endpoint is known.
+	unready outage
+	empty   outage
 }
 
 // New returns a forwarder.
@@ -110,7 +115,7 @@
 func (j *job) admit() *failure.Failure {
 	j.table = j.f.Table()
 	if j.table == nil {
-		return failure.New(failure.PlatformUnavailable, "no configuration yet").WithRetryAfter(retryWhenUnready)
+		return failure.New(failure.PlatformUnavailable, "no configuration yet").WithRetryAfter(j.comeBackAfter(&j.f.unready))
 	}
 	if j.id == "" {
 		return failure.New(failure.InvalidRequest, "the request has no "+j.f.Headers.RequestID)
@@ -145,19 +150,30 @@
 
 // timeAllowed is the shorter of the caller's deadline and the route's timeout.
 func (j *job) timeAllowed() time.Duration {
-	allowed := j.route.Timeout
+	deadline := j.deadline()
+	if j.route.Timeout > 0 && (deadline <= 0 || j.route.Timeout < deadline) {
+		return j.route.Timeout
+	}
+	if deadline <= 0 {
+		return defaultTime
+	}
+	return deadline
+}
+
+// deadline is the time that the caller will wait, or 0 if it does not say.
+func (j *job) deadline() time.Duration {
 	ms, err := strconv.ParseInt(string(j.request.Header.Peek(j.f.Headers.Deadline)), 10, 64)
-	if deadline := time.Duration(ms) * time.Millisecond; err == nil && ms > 0 && (allowed <= 0 || deadline < allowed) {
-		allowed = deadline
+	if err != nil || ms < 0 {
+		return 0 // The route's timeout alone binds.
 	}
-	return allowed
+	return time.Duration(ms) * time.Millisecond
 }
 
 // run tries endpoints until one answers or nothing more may be tried.
 func (j *job) run() *failure.Failure {
 	pool := j.f.Pools(j.service)
 	if pool == nil || pool.Size() == 0 {
-		return failure.New(failure.NoEndpoint, "the service has no endpoint").WithRetryAfter(retryWhenUnready)
+		return failure.New(failure.NoEndpoint, "the service has no endpoint").WithRetryAfter(j.comeBackAfter(&j.f.empty))
 	}
 	j.f.Budget.Started(time.Now(), j.service)
 	for {
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -109,23 +109,6 @@
 	return tokens, declared
 }
 
-// loadHeader reads the running and waiting requests and the slots of an endpoint.
-func loadHeader(value string) (running, waiting, slots int, ok bool) {
-	fields := strings.Split(value, ",")
-	if len(fields) != 3 {
-		return 0, 0, 0, false
-	}
-	var numbers [3]int
-	for i, field := range fields {
-		n, err := strconv.Atoi(strings.TrimSpace(field))
-		if err != nil {
-			return 0, 0, 0, false
-		}
-		numbers[i] = n
-	}
-	return numbers[0], numbers[1], numbers[2], true
-}
-
 func appendField(block []byte, f httpio.Field) []byte {
 	block = append(block, f.Name...)
 	block = append(block, ": "...)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,7 +5,6 @@
 	"io"
 	"time"
 
-	"github.com/primrosewell/primrosewell/internal/balance"
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/httpio"
 )
@@ -13,7 +12,7 @@
 // stream passes events on as they arrive. Until the first one nothing is sent to the
 // caller, so a repeatable request can still go elsewhere as a whole; later, a resumable
 // stream goes on elsewhere after its last whole event.
-func (j *job) stream(choice *balance.Choice, answer *httpio.Answer) verdict {
+func (j *job) stream(answer *httpio.Answer) verdict {
 	fields := j.responseFields(answer)
 	status := answer.Header.StatusCode()
 	buffer := make([]byte, copyBuffer)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -59,7 +59,7 @@
 type Platform struct {
 	// URL is the scheme, IP number and port. Required.
 	URL string `json:"url"`
-	// Timeout bounds a call that does not wait for changes. Default "1s".
+	// Timeout bounds a call that does not wait for changes. Default "2s".
 	Timeout time.Duration `json:"timeout"`
 	// PollWait is how long a call waits for changes. Default "2s".
 	PollWait time.Duration `json:"poll_wait"`
@@ -89,7 +89,7 @@
 
 // Defaults of Settings.
 const (
-	defaultPlatformTimeout = time.Second
+	defaultPlatformTimeout = 2 * time.Second
 	defaultPollWait        = 2 * time.Second
 	defaultRetryRatio      = 0.2
 	defaultRetrySlack      = 50
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -15,9 +15,13 @@
 	// firstPause and longestPause bound the pause between two tries to reach the
 	// platform. The longest is short beside the time in which a change must be in force.
 	firstPause   = 100 * time.Millisecond
-	longestPause = 600 * time.Millisecond
+	longestPause = 400 * time.Millisecond
 )
 
+// listTimeouts bound the tries of a list, in turn. A platform that was silent and is
+// back answers the next try, so most are short; one that is slow needs a long one.
+var listTimeouts = []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second}
+
 // watcher follows collections of the platform.
 type watcher struct {
 	store  platform.Store
@@ -41,9 +45,11 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = firstPause, longestPause
 	lost := time.Time{}
+	tries := 0
 	for ctx.Err() == nil {
 		listed := time.Time{}
-		err := w.followOnce(ctx, collection, h, func() {
+		err := w.followOnce(ctx, collection, h, listTimeouts[tries%len(listTimeouts)], func() {
+			tries = 0
 			listed = time.Now()
 			pause.Reset()
 			if !lost.IsZero() {
@@ -64,6 +70,7 @@
 			sleep(ctx, time.Until(listed.Add(firstPause)))
 			continue
 		}
+		tries++
 		if lost.IsZero() {
 			lost = time.Now()
 			w.log.WithFields(logrus.Fields{"event": "platform_lost", "collection": collection, "error": err}).Warn("the platform can't be read; what is known stays in use")
@@ -75,9 +82,11 @@
 	}
 }
 
-// followOnce lists and watches until a call fails. answered is called after each answer.
-func (w *watcher) followOnce(ctx context.Context, collection string, h collectionHandler, answered func()) error {
-	list, err := w.store.List(ctx, collection, "")
+// followOnce lists and watches until a call fails. answered is called after the list.
+func (w *watcher) followOnce(ctx context.Context, collection string, h collectionHandler, timeout time.Duration, answered func()) error {
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	list, err := w.store.List(limited, collection, "")
+	cancel()
 	if err != nil {
 		return err
 	}
