--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/primrosewell/primrosewell/internal/directory"
+	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
 // Part is one declared part of a prompt.
@@ -42,7 +42,7 @@
 
 // endpoint is what is known of one endpoint.
 type endpoint struct {
-	directory.Endpoint
+	routetable.Endpoint
 	// coldUntil is when the endpoint reaches its full speed.
 	coldUntil time.Time
 	// running counts this daemon's requests there; reading is what they have yet to read, in tokens.
@@ -69,7 +69,7 @@
 
 // Update sets the endpoints that may get work. Those that stay keep their state
 // unless they were born again.
-func (p *Pool) Update(now time.Time, listed []directory.Endpoint) {
+func (p *Pool) Update(now time.Time, listed []routetable.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := make(map[string]*endpoint, len(listed))
@@ -122,7 +122,7 @@
 // Choice is an endpoint that was chosen for a request. Its methods may be called from
 // any goroutine; Done must be called once.
 type Choice struct {
-	directory.Endpoint
+	routetable.Endpoint
 	// Reason says in one word what decided.
 	Reason string
 	// Score is the cost of the endpoint and Alternatives the number of endpoints weighed.
--- a/internal/command/gateway.go
+++ b/internal/command/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 	"github.com/sirupsen/logrus"
 
+	"github.com/primrosewell/primrosewell/internal/adapter"
 	"github.com/primrosewell/primrosewell/internal/gateway"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
 	"github.com/primrosewell/primrosewell/platform"
@@ -20,7 +21,7 @@
 const logFlush = 200 * time.Millisecond
 
 // adapters are the platforms that a gateway runs on, by name.
-var adapters = map[string]func() gateway.Adapter{
+var adapters = map[string]func() adapter.Adapter{
 	"native":   gateway.NativeAdapter,
 	"platform": platform.Adapter,
 }
@@ -58,16 +59,16 @@
 
 // Execute implements subcommands.Command.
 func (c *gatewayCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	adapter, known := adapters[c.adapter]
+	chosen, known := adapters[c.adapter]
 	if !known {
 		return c.std.usage("-adapter is native or platform, not " + c.adapter)
 	}
 	file := c.file
 	if file == "" {
-		file = os.Getenv(adapter().SettingsVariable)
+		file = os.Getenv(chosen().SettingsVariable)
 	}
 	if file == "" {
-		return c.std.usage("gateway -settings FILE, or set " + adapter().SettingsVariable)
+		return c.std.usage("gateway -settings FILE, or set " + chosen().SettingsVariable)
 	}
 	settings, err := gateway.LoadSettings(file)
 	if err != nil {
@@ -76,7 +77,7 @@
 	lines := telemetry.NewLineWriter(c.std.out)
 	defer lines.Close(logFlush)
 	g, err := gateway.New(settings, gateway.Options{
-		Version: Version, Adapter: adapter(), Log: telemetry.NewLogger(lines, settings.Log.Level),
+		Version: Version, Adapter: chosen(), Log: telemetry.NewLogger(lines, settings.Log.Level),
 	})
 	if err != nil {
 		return c.std.fail(err)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -7,30 +7,17 @@
 	"maps"
 	"sync"
 	"time"
+
+	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
 // ReturnGrace is how long after the store's return an entry that lapsed while it was
 // away is still used; live endpoints have registered again by then.
 const ReturnGrace = 2300 * time.Millisecond
 
-// Endpoint is one endpoint as it registered itself.
-type Endpoint struct {
-	ID         string
-	Service    string
-	Address    string
-	DataCentre string
-	Slots      int
-	// Draining endpoints finish what they have and get nothing new.
-	Draining bool
-	// ColdFor is how much longer the endpoint is slow after its start.
-	ColdFor time.Duration
-	// Born is the start of this life in Unix milliseconds; the ID may outlive it.
-	Born int64
-}
-
 // entry is an endpoint and what is known of its row.
 type entry struct {
-	endpoint Endpoint
+	endpoint routetable.Endpoint
 	// missingSince is set while the row is absent because of an outage.
 	missingSince time.Time
 }
@@ -66,13 +53,13 @@
 }
 
 // Put notes a row.
-func (d *Directory) Put(e Endpoint) {
+func (d *Directory) Put(e routetable.Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.put(e)
 }
 
-func (d *Directory) put(e Endpoint) {
+func (d *Directory) put(e routetable.Endpoint) {
 	old := d.entries[e.ID]
 	if old != nil && old.missingSince.IsZero() && old.endpoint == e {
 		return
@@ -107,7 +94,7 @@
 }
 
 // Replace notes a whole list.
-func (d *Directory) Replace(now time.Time, rows []Endpoint) {
+func (d *Directory) Replace(now time.Time, rows []routetable.Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	listed := make(map[string]bool, len(rows))
@@ -147,10 +134,10 @@
 }
 
 // Rows returns every entry, draining ones included.
-func (d *Directory) Rows() []Endpoint {
+func (d *Directory) Rows() []routetable.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	rows := make([]Endpoint, 0, len(d.entries))
+	rows := make([]routetable.Endpoint, 0, len(d.entries))
 	for _, e := range d.entries {
 		if e.missingSince.IsZero() {
 			rows = append(rows, e.endpoint)
@@ -161,16 +148,16 @@
 
 // Usable returns the endpoints that may get new work, by service. Of several rows
 // with one address the latest born is used: addresses are reused.
-func (d *Directory) Usable() map[string][]Endpoint {
+func (d *Directory) Usable() map[string][]routetable.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	holder := make(map[string]Endpoint, len(d.entries))
+	holder := make(map[string]routetable.Endpoint, len(d.entries))
 	for _, e := range d.entries {
 		if other, taken := holder[e.endpoint.Address]; !taken || other.Born < e.endpoint.Born {
 			holder[e.endpoint.Address] = e.endpoint
 		}
 	}
-	services := make(map[string][]Endpoint)
+	services := make(map[string][]routetable.Endpoint)
 	for _, endpoint := range holder {
 		if !endpoint.Draining {
 			services[endpoint.Service] = append(services[endpoint.Service], endpoint)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -16,6 +16,7 @@
 
 	"github.com/primrosewell/primrosewell/internal/balance"
 	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/headers"
 	"github.com/primrosewell/primrosewell/internal/httpio"
 	"github.com/primrosewell/primrosewell/internal/retry"
 	"github.com/primrosewell/primrosewell/internal/routetable"
@@ -42,7 +43,7 @@
 
 // Options configure a Forwarder; all fields are required.
 type Options struct {
-	Headers Headers
+	Headers headers.Names
 	// Table returns the route table in force, or nil before the first.
 	Table  func() *routetable.Table
 	Pools  Pools
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,13 +17,12 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/primrosewell/primrosewell/internal/adapter"
 	"github.com/primrosewell/primrosewell/internal/directory"
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/forward"
 	"github.com/primrosewell/primrosewell/internal/gossip"
 	"github.com/primrosewell/primrosewell/internal/httpio"
-	"github.com/primrosewell/primrosewell/internal/platform"
-	"github.com/primrosewell/primrosewell/internal/routetable"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
 )
 
@@ -36,31 +35,10 @@
 	budgetMargin = 0.8
 )
 
-// Source decodes the platform's objects.
-type Source interface {
-	// TableObject names the object that holds the route table.
-	TableObject() (collection, name string)
-	// EndpointCollection names the collection in which endpoints register themselves.
-	EndpointCollection() string
-	DecodeTable(data []byte) (routetable.Spec, error)
-	DecodeEndpoint(id string, data []byte) (directory.Endpoint, error)
-}
-
-// Adapter is what differs between platforms; it only translates.
-type Adapter struct {
-	// SettingsVariable is the environment variable that holds the path of the settings file.
-	SettingsVariable string
-	// ReadinessPath is where the balancer asks.
-	ReadinessPath string
-	Headers       forward.Headers
-	Dialect       platform.Dialect
-	Source        Source
-}
-
 // Options are what a gateway is made of besides its settings.
 type Options struct {
 	Version string
-	Adapter Adapter
+	Adapter adapter.Adapter
 	Log     *logrus.Logger
 }
 
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosewell/primrosewell/internal/directory"
+	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
 // listing is the list of endpoints and the platform's version that it reflects. While
@@ -63,7 +64,7 @@
 }
 
 // TakeFromPeer takes a peer's list if it is newer and the platform is away.
-func (l *listing) TakeFromPeer(now time.Time, version int64, rows []directory.Endpoint, peer string) {
+func (l *listing) TakeFromPeer(now time.Time, version int64, rows []routetable.Endpoint, peer string) {
 	if !l.Behind(version) {
 		return
 	}
--- a/internal/gateway/native.go
+++ b/internal/gateway/native.go
@@ -6,31 +6,31 @@
 
 	"github.com/samber/oops"
 
-	"github.com/primrosewell/primrosewell/internal/directory"
-	"github.com/primrosewell/primrosewell/internal/forward"
+	"github.com/primrosewell/primrosewell/internal/adapter"
+	"github.com/primrosewell/primrosewell/internal/headers"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
 // NativeAdapter runs a gateway on primrosewell's own object API: the route table is
 // the object "table" of the collection "routes", and endpoints register in "endpoints".
-func NativeAdapter() Adapter {
-	return Adapter{
+func NativeAdapter() adapter.Adapter {
+	return adapter.Adapter{
 		SettingsVariable: "PRIMROSEWELL_SETTINGS",
 		ReadinessPath:    "/readyz",
-		Headers:          forward.DefaultHeaders(),
+		Headers:          headers.Default(),
 		Source:           nativeSource{},
 	}
 }
 
 type nativeSource struct{}
 
-// TableObject implements Source.
+// TableObject implements adapter.Source.
 func (nativeSource) TableObject() (collection, name string) { return "routes", "table" }
 
-// EndpointCollection implements Source.
+// EndpointCollection implements adapter.Source.
 func (nativeSource) EndpointCollection() string { return "endpoints" }
 
-// DecodeTable implements Source. Times are in ns, as Go encodes them.
+// DecodeTable implements adapter.Source. Times are in ns, as Go encodes them.
 func (nativeSource) DecodeTable(data []byte) (routetable.Spec, error) {
 	var spec routetable.Spec
 	if err := json.Unmarshal(data, &spec); err != nil {
@@ -53,16 +53,16 @@
 	Born       int64         `json:"born"`
 }
 
-// DecodeEndpoint implements Source.
-func (nativeSource) DecodeEndpoint(id string, data []byte) (directory.Endpoint, error) {
+// DecodeEndpoint implements adapter.Source.
+func (nativeSource) DecodeEndpoint(id string, data []byte) (routetable.Endpoint, error) {
 	var e nativeEndpoint
 	if err := json.Unmarshal(data, &e); err != nil {
-		return directory.Endpoint{}, oops.Wrapf(err, "endpoint")
+		return routetable.Endpoint{}, oops.Wrapf(err, "endpoint")
 	}
 	if e.Service == "" || e.Address == "" {
-		return directory.Endpoint{}, oops.Errorf("endpoint lacks its service or address")
+		return routetable.Endpoint{}, oops.Errorf("endpoint lacks its service or address")
 	}
-	return directory.Endpoint{
+	return routetable.Endpoint{
 		ID: id, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: e.Slots,
 		Draining: e.Draining, ColdFor: e.ColdFor, Born: e.Born,
 	}, nil
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -8,8 +8,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/primrosewell/primrosewell/internal/directory"
 	"github.com/primrosewell/primrosewell/internal/gossip"
+	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
 // snapshot is what a gateway tells a peer that the platform does not serve.
@@ -17,8 +17,8 @@
 	// Table is the platform's object that the table in force was made of.
 	Table json.RawMessage `json:"table,omitempty"`
 	// Listing is the platform's version of Endpoints.
-	Listing   int64                `json:"listing"`
-	Endpoints []directory.Endpoint `json:"endpoints"`
+	Listing   int64                 `json:"listing"`
+	Endpoints []routetable.Endpoint `json:"endpoints"`
 }
 
 // encodeSnapshot returns the gateway's own snapshot, or nil before there is one.
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/primrosewell/primrosewell/internal/adapter"
 	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
@@ -15,7 +16,7 @@
 // tableHolder holds the route table in force. A lower version never replaces a higher
 // one, wherever it comes from. It is safe for concurrent use.
 type tableHolder struct {
-	source Source
+	source adapter.Source
 	log    *logrus.Logger
 
 	mu      sync.Mutex
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -7,8 +7,9 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sirupsen/logrus"
 
-	"github.com/primrosewell/primrosewell/internal/directory"
+	"github.com/primrosewell/primrosewell/internal/adapter"
 	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
 const (
@@ -25,7 +26,7 @@
 // watcher follows collections of the platform.
 type watcher struct {
 	store  platform.Store
-	source Source
+	source adapter.Source
 	log    *logrus.Logger
 }
 
@@ -124,7 +125,7 @@
 		back:    l.StoreBack,
 		reached: l.Reached,
 		listed: func(items []platform.Object) {
-			rows := make([]directory.Endpoint, 0, len(items))
+			rows := make([]routetable.Endpoint, 0, len(items))
 			for _, item := range items {
 				if row, ok := w.decodeEndpoint(item); ok {
 					rows = append(rows, row)
@@ -134,7 +135,7 @@
 			changed()
 		},
 		changed: func(event platform.Event) {
-			row, ok := directory.Endpoint{}, false
+			row, ok := routetable.Endpoint{}, false
 			if event.Type == platform.Put {
 				row, ok = w.decodeEndpoint(event.Object)
 			}
@@ -151,11 +152,11 @@
 	})
 }
 
-func (w *watcher) decodeEndpoint(o platform.Object) (directory.Endpoint, bool) {
+func (w *watcher) decodeEndpoint(o platform.Object) (routetable.Endpoint, bool) {
 	row, err := w.source.DecodeEndpoint(o.Name, o.Data)
 	if err != nil {
 		w.log.WithFields(logrus.Fields{"event": "endpoint_refused", "endpoint": o.Name, "error": err}).Warn("an entry could not be read; it gets no work")
-		return directory.Endpoint{}, false
+		return routetable.Endpoint{}, false
 	}
 	return row, true
 }
