--- /dev/null
+++ b/internal/balance/balance_suite_test.go
@@ -0,0 +1,13 @@
+package balance_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestBalance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Balance")
+}
--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,225 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+)
+
+func endpoints(n int) []routetable.Endpoint {
+	listed := make([]routetable.Endpoint, n)
+	for i := range listed {
+		listed[i] = routetable.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:1", i), DataCentre: "dc", Slots: 64, Born: 1}
+	}
+	return listed
+}
+
+func newPool(n int) *balance.Pool {
+	p := balance.NewPool("dc", rand.New(rand.NewPCG(1, 2)))
+	p.Update(time.Unix(1000, 0), endpoints(n))
+	return p
+}
+
+func longAsk(thing int) balance.Ask {
+	return balance.Ask{PromptTokens: 17000, Parts: []balance.Part{{ID: fmt.Sprint("t", thing), Tokens: 13300}, {ID: "own", Tokens: 3700}}}
+}
+
+func shortAsk() balance.Ask {
+	return balance.Ask{PromptTokens: 1460, Parts: []balance.Part{{ID: "tiny", Tokens: 350}, {ID: "own", Tokens: 1110}}}
+}
+
+var _ = Describe("Pick", func() {
+	now := time.Unix(1000, 0)
+
+	// Load pattern: many prompts that share long parts, more of them than one endpoint reads at once.
+	Describe("with shared prompt parts under a burst", func() {
+		It("sends a part to one endpoint from several daemons, so that it is read once", func() {
+			homes := make(map[int]map[string]bool)
+			for daemon := range 6 {
+				p := balance.NewPool("dc", rand.New(rand.NewPCG(uint64(daemon), 7)))
+				p.Update(now, endpoints(9))
+				for thing := range 160 {
+					c := p.Pick(now.Add(time.Duration(thing)*10*time.Millisecond), longAsk(thing))
+					c.Begun(now)
+					c.Done(now, balance.Good)
+					if homes[thing] == nil {
+						homes[thing] = make(map[string]bool)
+					}
+					homes[thing][c.ID] = true
+				}
+			}
+			apart := 0
+			for _, ids := range homes {
+				apart += len(ids) - 1
+			}
+			Expect(apart).To(BeZero(), "parts read at more than one endpoint")
+		})
+
+		It("leaves the home only when much waits there, and then names where the parts can be fetched", func() {
+			p := newPool(9)
+			home := p.Pick(now, longAsk(1))
+			again := 0
+			var last *balance.Choice
+			for range 200 {
+				last = p.Pick(now, longAsk(1))
+				if last.ID != home.ID {
+					break
+				}
+				again++
+			}
+			Expect(again).To(BeNumerically(">=", 10), "one prompt in progress must not move the next")
+			Expect(last.ID).NotTo(Equal(home.ID), "a hot part must not fell its home")
+			Expect(last.FetchFrom).To(Equal(home.Address))
+		})
+	})
+
+	// Load pattern: long prompts beside short urgent streams.
+	Describe("with long and short prompts", func() {
+		It("keeps them apart while there is room", func() {
+			p := newPool(9)
+			short, long := make(map[string]int), make(map[string]int)
+			for i := range 40 {
+				short[p.Pick(now, shortAsk()).ID]++
+				c := p.Pick(now, longAsk(i))
+				c.Begun(now)
+				long[c.ID]++
+			}
+			for id := range short {
+				Expect(long).NotTo(HaveKey(id))
+			}
+			Expect(short).To(HaveLen(2))
+			Expect(len(long)).To(BeNumerically(">=", 6))
+		})
+
+		It("lets long prompts into the express lane when the rest is far behind", func() {
+			p := newPool(9)
+			used := make(map[string]bool)
+			for i := range 400 {
+				used[p.Pick(now, longAsk(i)).ID] = true
+			}
+			Expect(used).To(HaveLen(9))
+		})
+
+		It("has no lane in a pool of a few endpoints", func() {
+			p := newPool(3)
+			used := make(map[string]bool)
+			for range 30 {
+				used[p.Pick(now, shortAsk()).ID] = true
+			}
+			Expect(used).To(HaveLen(3))
+		})
+	})
+
+	// Load pattern: endpoints crash, go dark, fail or turn slow under load.
+	Describe("with endpoints in trouble", func() {
+		fail := func(p *balance.Pool, id string, result balance.Result, times int) {
+			for range times {
+				exclude := map[string]bool{}
+				for _, e := range endpoints(9) {
+					exclude[e.ID] = e.ID != id
+				}
+				c := p.Pick(now, balance.Ask{Exclude: exclude})
+				Expect(c.ID).To(Equal(id))
+				c.Done(now, result)
+			}
+		}
+		picks := func(p *balance.Pool, at time.Time, n int) map[string]int {
+			counts := make(map[string]int)
+			for range n {
+				c := p.Pick(at, balance.Ask{})
+				counts[c.ID]++
+				c.Begun(at.Add(20 * time.Millisecond))
+				c.Done(at, balance.Good)
+			}
+			return counts
+		}
+
+		It("ejects an endpoint that broke, tries it with one request, and takes it back", func() {
+			p := newPool(3)
+			fail(p, "e0", balance.Broken, 1)
+			Expect(picks(p, now.Add(100*time.Millisecond), 60)).NotTo(HaveKey("e0"))
+			exclude := map[string]bool{"e1": true, "e2": true}
+			later := now.Add(10 * time.Second)
+			trial := p.Pick(later, balance.Ask{Exclude: exclude})
+			Expect(trial.ID).To(Equal("e0"))
+			for range 30 {
+				c := p.Pick(later, balance.Ask{})
+				Expect(c.ID).NotTo(Equal("e0"), "one trial at a time")
+				c.Done(later, balance.Good)
+			}
+			trial.Done(later, balance.Good)
+			returned := make(map[string]int)
+			for range 12 { // At once: idle endpoints without any failure go first.
+				returned[p.Pick(later, balance.Ask{}).ID]++
+			}
+			Expect(returned).To(HaveKey("e0"))
+		})
+
+		It("still serves when all endpoints are suspected", func() {
+			p := newPool(3)
+			for _, id := range []string{"e0", "e1", "e2"} {
+				fail(p, id, balance.Unreachable, 1)
+			}
+			Expect(p.Pick(now, balance.Ask{})).NotTo(BeNil())
+		})
+
+		It("avoids an endpoint that fails part of its requests, and forgets with time", func() {
+			p := newPool(3)
+			fail(p, "e0", balance.Failed, 3)
+			Expect(picks(p, now, 60)["e0"]).To(BeZero())
+			Expect(picks(p, now.Add(60*time.Second), 90)["e0"]).To(BeNumerically(">", 10))
+		})
+
+		It("gives a slow endpoint less", func() {
+			p := newPool(3)
+			for range 20 {
+				for _, e := range endpoints(3) {
+					exclude := map[string]bool{"e0": true, "e1": true, "e2": true}
+					delete(exclude, e.ID)
+					c := p.Pick(now, balance.Ask{Exclude: exclude})
+					elapsed := 20 * time.Millisecond
+					if e.ID == "e0" {
+						elapsed *= 8
+					}
+					c.Begun(now.Add(elapsed))
+					c.Done(now.Add(elapsed), balance.Good)
+				}
+			}
+			Expect(picks(p, now.Add(200*time.Millisecond), 60)["e0"]).To(BeNumerically("<", 5))
+		})
+
+		It("does not offer a request twice to the same endpoint", func() {
+			p := newPool(2)
+			first := p.Pick(now, balance.Ask{})
+			second := p.Pick(now, balance.Ask{Exclude: map[string]bool{first.ID: true}})
+			Expect(second.ID).NotTo(Equal(first.ID))
+			Expect(p.Pick(now, balance.Ask{Exclude: map[string]bool{"e0": true, "e1": true}})).To(BeNil())
+		})
+
+		It("forgets what it knew of an endpoint that was born again", func() {
+			p := newPool(3)
+			fail(p, "e0", balance.Stranger, 1)
+			listed := endpoints(3)
+			listed[0].Born = 2
+			p.Update(now, listed)
+			Expect(picks(p, now, 60)).To(HaveKey("e0"))
+		})
+	})
+
+	It("counts the work of other daemons", func() {
+		p := newPool(3)
+		p.SetElsewhere(map[string]balance.Load{"e0": {Running: 20}, "e1": {Running: 20}})
+		counts := make(map[string]int)
+		for range 10 {
+			counts[p.Pick(now, balance.Ask{}).ID]++
+		}
+		Expect(counts).To(Equal(map[string]int{"e2": 10}))
+		Expect(p.Own()).To(Equal(map[string]balance.Load{"e2": {Running: 10}}))
+	})
+})
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,86 @@
+package directory_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/directory"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+)
+
+var _ = Describe("Directory", func() {
+	var (
+		d   *directory.Directory
+		now time.Time
+	)
+	row := func(id string) routetable.Endpoint {
+		return routetable.Endpoint{ID: id, Service: "s", Address: id + ":1", Slots: 1}
+	}
+	usable := func() []string {
+		var ids []string
+		for _, e := range d.Usable()["s"] {
+			ids = append(ids, e.ID)
+		}
+		return ids
+	}
+
+	BeforeEach(func() {
+		d, now = directory.New(), time.Unix(1000, 0)
+		d.Put(row("a"))
+		d.Put(row("b"))
+	})
+
+	It("drops a removed endpoint at once while the store serves", func() {
+		d.Remove(now, "a")
+		Expect(usable()).To(ConsistOf("b"))
+	})
+
+	It("gives a draining endpoint nothing new, also while the store is away", func() {
+		d.StoreAway()
+		draining := row("a")
+		draining.Draining = true
+		d.Put(draining)
+		Expect(usable()).To(ConsistOf("b"))
+	})
+
+	It("keeps entries that lapsed during an outage until the grace after its end is over", func() {
+		d.StoreAway()
+		now = now.Add(10 * time.Second)
+		d.StoreBack(now)
+		d.Replace(now, nil)
+		Expect(usable()).To(ConsistOf("a", "b"))
+		d.Put(row("a"))
+		Expect(d.Expire(now.Add(directory.ReturnGrace - time.Millisecond))).To(BeEmpty())
+		Expect(d.Expire(now.Add(directory.ReturnGrace))).To(ConsistOf("b"))
+		Expect(usable()).To(ConsistOf("a"))
+	})
+
+	It("does not bring an endpoint back that drained and then vanished during an outage", func() {
+		draining := row("a")
+		draining.Draining = true
+		d.Put(draining)
+		d.StoreAway()
+		d.StoreBack(now)
+		d.Replace(now, []routetable.Endpoint{row("b")})
+		Expect(usable()).To(ConsistOf("b"))
+		Expect(d.Rows()).To(HaveLen(1))
+	})
+
+	It("keeps missing entries for as long as the store is away again", func() {
+		d.StoreAway()
+		d.StoreBack(now)
+		d.Replace(now, nil)
+		d.StoreAway()
+		Expect(d.Expire(now.Add(time.Hour))).To(BeEmpty())
+	})
+
+	It("uses the latest born of two rows with one address", func() {
+		old, reborn := row("a"), row("c")
+		old.Born, reborn.Born, reborn.Address = 1, 2, old.Address
+		d.Put(old)
+		d.Put(reborn)
+		Expect(usable()).To(ConsistOf("b", "c"))
+	})
+})
--- /dev/null
+++ b/internal/forward/harness_test.go
@@ -0,0 +1,237 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/forward"
+	"github.com/primrosewell/primrosewell/internal/headers"
+	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/retry"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+	"github.com/primrosewell/primrosewell/internal/telemetry"
+)
+
+// script answers one request on a raw connection. It returns false to close it.
+type script func(r *http.Request, body string, conn net.Conn) bool
+
+// fakeEndpoint runs scripts, one for each request in order, the last one for the rest.
+type fakeEndpoint struct {
+	listener net.Listener
+	mu       sync.Mutex
+	scripts  []script
+	requests []*http.Request
+	accepted int
+	closed   int
+}
+
+func newEndpoint(scripts ...script) *fakeEndpoint {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	e := &fakeEndpoint{listener: listener, scripts: scripts}
+	DeferCleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(conn)
+		}
+	}()
+	return e
+}
+
+func (e *fakeEndpoint) serve(conn net.Conn) {
+	e.mu.Lock()
+	e.accepted++
+	e.mu.Unlock()
+	defer func() {
+		_ = conn.Close()
+		e.mu.Lock()
+		e.closed++
+		e.mu.Unlock()
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.requests = append(e.requests, r)
+		next := e.scripts[min(len(e.requests), len(e.scripts))-1]
+		e.mu.Unlock()
+		if !next(r, string(body), conn) {
+			return
+		}
+	}
+}
+
+func (e *fakeEndpoint) seen() []*http.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]*http.Request(nil), e.requests...)
+}
+
+func (e *fakeEndpoint) acceptedConns() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.accepted
+}
+
+func (e *fakeEndpoint) closedConns() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.closed
+}
+
+const idField = "Primrosewell-Request-Id"
+
+// reply writes a whole answer with the seal.
+func reply(status int, fields, body string) script {
+	return func(r *http.Request, _ string, conn net.Conn) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, idField, r.Header.Get(idField), fields, len(body), body)
+		return true
+	}
+}
+
+const sealed = "Seal: s\r\n"
+
+func ok(body string) script { return reply(200, sealed, body) }
+
+func refuse() script { return reply(503, "Primrosewell-Not-Run: 1\r\n", "") }
+
+// hangUp closes the connection after it has read the request.
+func hangUp(*http.Request, string, net.Conn) bool { return false }
+
+func event(n int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", n, n) }
+
+// streamOf sends events as chunks, and the end of the stream if whole.
+func streamOf(whole bool, tail string, events ...int) script {
+	return func(r *http.Request, _ string, conn net.Conn) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", idField, r.Header.Get(idField), sealed)
+		for _, n := range events {
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event(n)), event(n))
+		}
+		if tail != "" {
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(tail), tail)
+		}
+		if whole {
+			_, _ = io.WriteString(conn, "0\r\n\r\n")
+		}
+		return whole
+	}
+}
+
+// world is a forwarder between a callers' listener and fake endpoints.
+type world struct {
+	address string
+	pool    *balance.Pool
+	table   *routetable.Table
+	server  *httpio.Server
+}
+
+func newWorld(spec routetable.Spec, endpoints ...*fakeEndpoint) *world {
+	w := &world{pool: balance.NewPool("dc", rand.New(rand.NewPCG(1, 1))), table: routetable.New(spec)}
+	var listed []routetable.Endpoint
+	for i, e := range endpoints {
+		listed = append(listed, routetable.Endpoint{ID: fmt.Sprint("e", i), Service: "svc", Address: e.listener.Addr().String(), DataCentre: "dc", Slots: 8})
+	}
+	w.pool.Update(time.Now(), listed)
+	names := headers.Default()
+	names.Seal = "Seal"
+	names.Reserved = []string{"Hold"}
+	f := forward.New(forward.Options{
+		Headers: names,
+		Table:   func() *routetable.Table { return w.table },
+		Pools:   func(string) *balance.Pool { return w.pool },
+		Dialer:  httpio.NewDialer(),
+		Budget:  retry.NewShared(retry.SharedConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50, Margin: 1}, 1),
+		Log:     telemetry.SilentLogger(),
+		Scope:   tally.NoopScope,
+	})
+	w.server = httpio.NewServer(httpio.Options{
+		Handler: f.Handle,
+		Limits: func() httpio.Limits {
+			return httpio.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+		},
+		OnReject: func(net.Addr, int, httpio.RejectReason) {},
+	})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	w.address = listener.Addr().String()
+	go func() { _ = w.server.Serve(listener) }()
+	return w
+}
+
+// spec is a table with one route of each kind.
+func spec() routetable.Spec {
+	backends := []routetable.Backend{{Service: "svc", Weight: 1}}
+	route := func(name string, kind routetable.Kind, attempts int) routetable.Route {
+		return routetable.Route{
+			Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Backends: backends,
+			Timeout: 5 * time.Second, MaxAttempts: attempts, Priority: 2,
+		}
+	}
+	s := routetable.Spec{
+		Version: 1, KeysRequired: true,
+		Routes: []routetable.Route{
+			route("safe", routetable.Idempotent, 2), route("unsafe", routetable.NonIdempotent, 1),
+			route("stream", routetable.Streaming, 1), route("resume", routetable.Streaming, 2), route("open", routetable.Idempotent, 1),
+		},
+		Workspaces: []routetable.Workspace{{Name: "acme", Keys: []string{"key"}}},
+	}
+	s.Routes[3].Resumable = true
+	s.Routes[4].Anonymous = true
+	return s
+}
+
+// call sends one request on a connection of its own.
+func (w *world) call(path string, fields ...string) *http.Response {
+	return w.callWith(context.Background(), path, fields...)
+}
+
+func (w *world) callWith(ctx context.Context, path string, fields ...string) *http.Response {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.address+path, strings.NewReader("the body"))
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "h"
+	r.Header.Set(idField, "id-1")
+	r.Header.Set("Primrosewell-Key", "key")
+	r.Header.Set("Primrosewell-Deadline-Ms", "3000")
+	for i := 0; i+1 < len(fields); i += 2 {
+		r.Header.Set(fields[i], fields[i+1])
+	}
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	DeferCleanup(transport.CloseIdleConnections)
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return nil
+	}
+	return response
+}
+
+// text reads a body; whole tells whether it ended as it should.
+func text(r *http.Response) (body string, whole bool) {
+	data, err := io.ReadAll(r.Body)
+	_ = r.Body.Close()
+	return string(data), err == nil
+}
--- /dev/null
+++ b/internal/gossip/members_test.go
@@ -0,0 +1,71 @@
+package gossip_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/gossip"
+)
+
+var _ = Describe("Members", func() {
+	now := time.Unix(1000, 0)
+	var m *gossip.Members
+	message := func(address string, incarnation int64) gossip.Message {
+		return gossip.Message{Node: "n" + address, Address: address, Incarnation: incarnation, Table: 7, Listing: 9}
+	}
+
+	BeforeEach(func() { m = gossip.NewMembers(now, "1", []string{"1", "2"}) })
+
+	It("finds peers by seeds and by what peers pass on, but not itself", func() {
+		greeting := message("2", 5)
+		greeting.Known = []string{"1", "3"}
+		change, changed := m.Heard(now, greeting)
+		Expect(changed).To(BeTrue())
+		Expect(change.What).To(Equal("found"))
+		Expect(m.Addresses()).To(Equal([]string{"2", "3"}))
+		_, changed = m.Heard(now, message("1", 5))
+		Expect(changed).To(BeFalse())
+	})
+
+	It("ignores what an earlier process of a peer sent", func() {
+		m.Heard(now, message("2", 5))
+		late := message("2", 4)
+		late.Table = 99
+		m.Heard(now, late)
+		version, address := m.Newest()
+		Expect(version).To(Equal(int64(7)))
+		Expect(address).To(Equal("2"))
+	})
+
+	It("tells of a restart, and of a loss once", func() {
+		m.Heard(now, message("2", 5))
+		change, _ := m.Heard(now, message("2", 6))
+		Expect(change.What).To(Equal("restarted"))
+		lost := m.Expire(now.Add(5 * time.Second))
+		Expect(lost).To(HaveLen(1))
+		Expect(m.Expire(now.Add(6 * time.Second))).To(BeEmpty())
+		version, _ := m.NewestListing()
+		Expect(version).To(BeZero(), "a lost peer's news can't be fetched")
+	})
+
+	It("uses loads only while they are fresh, and sums them", func() {
+		for _, address := range []string{"2", "3"} {
+			loaded := message(address, 5)
+			loaded.Loads = map[string]balance.Load{"e": {Running: 2, Reading: 10}}
+			m.Heard(now, loaded)
+		}
+		Expect(m.Elsewhere(now)).To(HaveKeyWithValue("e", balance.Load{Running: 4, Reading: 20}))
+		Expect(m.Elsewhere(now.Add(2 * time.Second))).To(BeEmpty())
+	})
+
+	It("counts a peer that was just lost among the holders of shared budgets", func() {
+		Expect(m.Counted(now)).To(Equal(2), "a seed that was not heard of may be there")
+		m.Heard(now, message("2", 5))
+		m.Expire(now.Add(5 * time.Second))
+		Expect(m.Counted(now.Add(5 * time.Second))).To(Equal(2))
+		Expect(m.Counted(now.Add(30 * time.Second))).To(Equal(1))
+	})
+})
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -37,7 +37,9 @@
 	// Length is the length of the body, or negative if only its end tells.
 	Length int
 
-	conn     *Conn
+	conn *Conn
+	// bodiless is set for answers to HEAD, which state a length and have no body.
+	bodiless bool
 	sent     chan error
 	wrote    bool
 	complete bool
@@ -47,7 +49,7 @@
 // Exchange sends a request, given as its header block and body, and reads the header
 // of the answer whose idField echoes id. sent reports whether a byte may have left.
 func (c *Conn) Exchange(head, body []byte, idField, id string) (answer *Answer, sent bool, err error) {
-	a := &Answer{conn: c}
+	a := &Answer{conn: c, bodiless: bytes.HasPrefix(head, []byte("HEAD "))}
 	if len(body) <= inlineBody {
 		if _, err := c.Write(append(head, body...)); err != nil {
 			return nil, true, err
@@ -109,7 +111,7 @@
 	status := a.Header.StatusCode()
 	a.reusable = !a.Header.ConnectionClose()
 	switch {
-	case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || a.Length == 0:
+	case a.bodiless || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || a.Length == 0:
 		a.Length, a.Body = 0, a.ending(bytes.NewReader(nil))
 	case a.Length > 0:
 		a.Body = a.ending(&exactReader{r: a.conn.reader, left: a.Length})
--- /dev/null
+++ b/internal/httpio/server_test.go
@@ -0,0 +1,149 @@
+package httpio_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/httpio"
+)
+
+var _ = Describe("Server", func() {
+	var (
+		server  *httpio.Server
+		address string
+		handled atomic.Int32
+		gone    chan struct{}
+	)
+
+	BeforeEach(func() {
+		handled.Store(0)
+		gone = make(chan struct{}, 1)
+		server = httpio.NewServer(httpio.Options{
+			Handler: func(ctx context.Context, r *httpio.Request, w *httpio.Writer) {
+				handled.Add(1)
+				if strings.HasPrefix(r.Target, "/wait") {
+					<-ctx.Done()
+					gone <- struct{}{}
+					return
+				}
+				Expect(w.Whole(200, nil, append([]byte(r.Target+" "), r.Body...))).To(Succeed())
+			},
+			Limits: func() httpio.Limits {
+				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 400 * time.Millisecond}
+			},
+			OnReject: func(net.Addr, int, httpio.RejectReason) {},
+		})
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		address = listener.Addr().String()
+		go func() { _ = server.Serve(listener) }()
+	})
+
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp4", address)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = conn.Close() })
+		Expect(conn.SetDeadline(time.Now().Add(5 * time.Second))).To(Succeed())
+		return conn
+	}
+	everything := func(conn net.Conn) string {
+		data, _ := io.ReadAll(conn)
+		return string(data)
+	}
+
+	DescribeTable("answers what it can't take without handing it on, and says nothing of what was sent",
+		func(request string, status int) {
+			conn := dial()
+			_, err := io.WriteString(conn, request)
+			Expect(err).NotTo(HaveOccurred())
+			answer := everything(conn)
+			Expect(answer).To(HavePrefix(fmt.Sprintf("HTTP/1.1 %d ", status)))
+			Expect(answer).To(ContainSubstring("Connection: close"))
+			Expect(answer).NotTo(ContainSubstring("secret"))
+			Expect(handled.Load()).To(BeZero())
+		},
+		Entry("two lengths", "POST /x HTTP/1.1\r\nHost: h\r\nKey: secret\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", 400),
+		Entry("a length beside a transfer encoding", "POST /x HTTP/1.1\r\nHost: h\r\nKey: secret\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+		Entry("the same in the other order", "POST /x HTTP/1.1\r\nHost: h\r\nKey: secret\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", 400),
+		Entry("two hosts", "GET /x HTTP/1.1\r\nHost: h\r\nHost: i\r\nKey: secret\r\n\r\n", 400),
+		Entry("no protocol", "secret\r\n\r\n", 400),
+		Entry("a header that is too large", "GET /x HTTP/1.1\r\nHost: h\r\nKey: secret"+strings.Repeat("x", 4096)+"\r\n\r\n", 431),
+		Entry("a body that is too large", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\nsecret", 413),
+		Entry("a chunked body that is too large", "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n"+strings.Repeat("x", 4096)+"\r\n0\r\n\r\n", 413),
+		Entry("a header that does not end", "GET /x HTTP/1.1\r\nHost: h\r\nKey: secret", 408),
+	)
+
+	It("answers requests of one connection in order, also when they come together", func() {
+		conn := dial()
+		_, err := io.WriteString(conn, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\naPOST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbc\r\n0\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		reader := bufio.NewReader(conn)
+		for _, want := range []string{"/1 a", "/2 bc"} {
+			r, err := http.ReadResponse(reader, nil)
+			Expect(err).NotTo(HaveOccurred())
+			body, err := io.ReadAll(r.Body)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(r.Body.Close()).To(Succeed())
+			Expect(string(body)).To(Equal(want))
+		}
+	})
+
+	It("lets a caller send the body that it announced", func() {
+		conn := dial()
+		_, err := io.WriteString(conn, "POST /1 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		Expect(err).NotTo(HaveOccurred())
+		Expect(line).To(HavePrefix("HTTP/1.1 100"))
+	})
+
+	It("tells the handler that its caller has left", func() {
+		conn := dial()
+		_, err := io.WriteString(conn, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(server.Active).Should(Equal(1))
+		Expect(conn.Close()).To(Succeed())
+		Eventually(gone).Should(Receive())
+		Eventually(server.Active).Should(BeZero())
+	})
+
+	It("closes an idle connection after its time, and a draining server after each answer", func() {
+		idle := dial()
+		Expect(everything(idle)).To(BeEmpty())
+		server.Drain()
+		conn := dial()
+		_, err := io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(everything(conn)).To(ContainSubstring("Connection: close"))
+	})
+
+	It("closes idle connections on demand, but none with a request in progress", func() {
+		busy, idle := dial(), dial()
+		_, err := io.WriteString(busy, "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(server.Active).Should(Equal(1))
+		server.CloseIdle()
+		Expect(everything(idle)).To(BeEmpty())
+		Expect(busy.SetReadDeadline(time.Now().Add(50 * time.Millisecond))).To(Succeed())
+		_, err = busy.Read(make([]byte, 1))
+		Expect(err).To(MatchError(ContainSubstring("timeout")))
+	})
+
+	It("sends no body after HEAD", func() {
+		conn := dial()
+		_, err := io.WriteString(conn, "HEAD /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(everything(conn)).To(HaveSuffix("\r\n\r\n"))
+	})
+})
--- a/internal/httpio/writer.go
+++ b/internal/httpio/writer.go
@@ -24,6 +24,8 @@
 	buffer   []byte
 	close    bool
 	draining *atomic.Bool
+	// bodiless is set for answers to HEAD.
+	bodiless bool
 	started  bool
 	finished bool
 }
@@ -34,13 +36,15 @@
 // Whole sends a complete answer.
 func (w *Writer) Whole(status int, fields []Field, body []byte) error {
 	w.head(status, fields)
-	if status != http.StatusNoContent && status != http.StatusNotModified {
+	if !w.bodiless && status != http.StatusNoContent && status != http.StatusNotModified {
 		w.buffer = append(w.buffer, "Content-Length: "...)
 		w.buffer = strconv.AppendInt(w.buffer, int64(len(body)), 10)
 		w.buffer = append(w.buffer, "\r\n"...)
 	}
 	w.buffer = append(w.buffer, "\r\n"...)
-	w.buffer = append(w.buffer, body...)
+	if !w.bodiless {
+		w.buffer = append(w.buffer, body...)
+	}
 	w.finished = true
 	return w.flush()
 }
--- /dev/null
+++ b/internal/routetable/table_test.go
@@ -0,0 +1,67 @@
+package routetable_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/routetable"
+)
+
+var _ = Describe("Table", func() {
+	table := routetable.New(routetable.Spec{
+		Version: 3,
+		Routes: []routetable.Route{
+			{Name: "short", Host: "A.example", PathPrefix: "/x/"},
+			{Name: "long", Host: "a.example", PathPrefix: "/x/y/"},
+			{Name: "other", Host: "b.example", PathPrefix: "/x/"},
+		},
+		Workspaces: []routetable.Workspace{{Name: "w", Keys: []string{"k1", "k2"}}},
+	})
+
+	DescribeTable("matches the longest prefix of the host",
+		func(host, path, want string) {
+			route := table.Match(host, path)
+			if want == "" {
+				Expect(route).To(BeNil())
+				return
+			}
+			Expect(route).NotTo(BeNil())
+			Expect(route.Name).To(Equal(want))
+		},
+		Entry("the longest prefix wins", "a.example", "/x/y/z", "long"),
+		Entry("a shorter one fits the rest", "a.example", "/x/z", "short"),
+		Entry("hosts are compared without case", "A.EXAMPLE", "/x/", "short"),
+		Entry("and without their port", "b.example:8080", "/x/1", "other"),
+		Entry("a prefix without its last slash does not fit", "a.example", "/x", ""),
+		Entry("an unknown host has no route", "c.example", "/x/", ""),
+		Entry("an IPv6 host keeps its colons", "[::1]", "/x/", ""),
+	)
+
+	It("knows keys and fills limits that are left out", func() {
+		Expect(table.Workspace("k2").Name).To(Equal("w"))
+		Expect(table.Workspace("k3")).To(BeNil())
+		Expect(table.Limits().IdleTimeout).To(Equal(routetable.DefaultIdleTimeout))
+		Expect(routetable.Limits{HeaderTimeout: time.Second}.WithDefaults().HeaderTimeout).To(Equal(time.Second))
+	})
+
+	DescribeTable("splits a route by weight",
+		func(point float64, want string) {
+			r := routetable.Route{Backends: []routetable.Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: -5}}}
+			Expect(r.PickBackend(point)).To(Equal(want))
+		},
+		Entry("the first", 0.0, "a"), Entry("its end", 0.899, "a"), Entry("the second", 0.9, "b"), Entry("the end", 0.9999, "b"),
+	)
+
+	DescribeTable("says what may be repeated",
+		func(kind routetable.Kind, resumable, want bool) {
+			r := routetable.Route{Kind: kind, Resumable: resumable}
+			Expect(r.Repeatable()).To(Equal(want))
+		},
+		Entry("idempotent", routetable.Idempotent, false, true),
+		Entry("not idempotent", routetable.NonIdempotent, true, false),
+		Entry("a stream", routetable.Streaming, false, false),
+		Entry("a resumable stream", routetable.Streaming, true, true),
+	)
+})
