gateway: crash looks, quarantine of content, freezes, settings that change without a signal; specs of whole gateways

An endpoint whose connection broke is dialled at once: refused, its load moves and what ran there is evidence against its content; accepted, an answer was only lost and the endpoint stays in use. Content is refused for a while after a third crash, on all gateways (evidence travels with the gossip). Specs use the stand-in platform: the whole path, a gateway cut off from the platform, a drain.

--- a/internal/balance/cache.go
+++ b/internal/balance/cache.go
@@ -41,6 +41,9 @@
 	}
 }
 
+// clear forgets everything: the endpoint starts anew.
+func (c partCache) clear() { c.used.Purge() }
+
 // held returns how many leading tokens of the prompt the endpoint is taken to hold.
 func (c partCache) held(now time.Time, parts []Part) int {
 	tokens := 0
--- a/internal/balance/evidence.go
+++ b/internal/balance/evidence.go
@@ -30,6 +30,8 @@
 	// time doubles with each break in a row.
 	ejectFirst = 400 * time.Millisecond
 	ejectMost  = 4 * time.Second
+	// aliveBreaks is the number of breaks in a row that an accepted connection explains.
+	aliveBreaks = 2
 	// fullPause is how long an endpoint that refused for lack of room is avoided.
 	fullPause = 150 * time.Millisecond
 	// strangerPause outlasts the time in which the list names a replaced endpoint.
@@ -105,6 +107,14 @@
 	}
 }
 
+// alive ends the ejection after a first break; an endpoint that breaks again and again
+// stays out for its time.
+func (v *evidence) alive(now time.Time) {
+	if v.breaks <= aliveBreaks {
+		v.breaks, v.ejectedUntil = 0, now
+	}
+}
+
 func (v *evidence) pause(now time.Time, d time.Duration) {
 	if until := now.Add(d); until.After(v.ejectedUntil) {
 		v.ejectedUntil = until
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -198,3 +198,18 @@
 		c.e.cache.forget(c.parts)
 	}
 }
+
+// Alive notes that the endpoint accepted a connection after one broke: it did not crash.
+func (c *Choice) Alive(now time.Time) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.e.evidence.alive(now)
+}
+
+// Dead notes that the endpoint accepted no connection after one broke.
+func (c *Choice) Dead(now time.Time) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.e.evidence.ended(now, Unreachable)
+	c.e.cache.clear()
+}
--- a/internal/failure/codes.go
+++ b/internal/failure/codes.go
@@ -41,6 +41,9 @@
 	Draining Code = "draining"
 	// Quarantined means that the request crashed endpoints and is refused for good.
 	Quarantined Code = "quarantined"
+	// Suspended means that endpoints crashed under the request's content and that it is
+	// refused for a while.
+	Suspended Code = "suspended"
 	// ClientGone means that the caller left.
 	ClientGone Code = "client_gone"
 	// EndpointFailed means that the endpoint failed after the request reached it.
@@ -93,6 +96,7 @@
 	PlatformUnavailable: http.StatusServiceUnavailable,
 	Draining:            http.StatusServiceUnavailable,
 	Quarantined:         http.StatusUnprocessableEntity,
+	Suspended:           http.StatusServiceUnavailable,
 	ClientGone:          statusClientClosedRequest,
 	EndpointFailed:      http.StatusBadGateway,
 	EndpointRefused:     http.StatusBadGateway,
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/headers"
 	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/retry"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
@@ -27,6 +28,9 @@
 	// a batch of an engine turns over in about that time.
 	retryWhenFull       = 150 * time.Millisecond
 	retryWhenFullSpread = 250 * time.Millisecond
+	// retryWhenSuspended is when to come back with content that crashed endpoints; by
+	// then the evidence has faded.
+	retryWhenSuspended = 60 * time.Second
 	// maxSends bounds the endpoints that one request is offered to, refusals and
 	// connections that did not open included.
 	maxSends = 4
@@ -49,8 +53,10 @@
 	Pools  Pools
 	Dialer *httpio.Dialer
 	Budget *retry.Shared
-	Log    *logrus.Logger
-	Scope  tally.Scope
+	// Register holds the evidence against requests that crash endpoints.
+	Register *quarantine.Register
+	Log      *logrus.Logger
+	Scope    tally.Scope
 }
 
 // Forwarder answers callers. It is safe for concurrent use.
@@ -58,6 +64,7 @@
 	Options
 	filters filters
 	metrics metrics
+	crashes *crashLook
 
 	mu sync.Mutex
 	// unready and empty note since when no configuration or no endpoint is known.
@@ -67,7 +74,10 @@
 
 // New returns a forwarder.
 func New(options Options) *Forwarder {
-	return &Forwarder{Options: options, filters: newFilters(options.Headers), metrics: newMetrics(options.Scope)}
+	return &Forwarder{
+		Options: options, filters: newFilters(options.Headers), metrics: newMetrics(options.Scope),
+		crashes: newCrashLook(options.Dialer, options.Register, options.Log),
+	}
 }
 
 // job is one request of a caller on its way.
@@ -176,6 +186,10 @@
 	if pool == nil || pool.Size() == 0 {
 		return failure.New(failure.NoEndpoint, "the service has no endpoint").WithRetryAfter(j.comeBackAfter(&j.f.empty))
 	}
+	content := j.digest()
+	if j.f.Register.State(time.Now(), content) == quarantine.Blocked {
+		return failure.New(failure.Suspended, "endpoints crashed under this content; it is refused for a while").WithRetryAfter(retryWhenSuspended)
+	}
 	j.f.Budget.Started(time.Now(), j.service)
 	for {
 		choice := j.place(pool)
@@ -185,6 +199,12 @@
 		v := j.attempt(choice)
 		choice.Done(time.Now(), v.result)
 		j.logAttempt(choice, v)
+		switch v.result {
+		case balance.Broken:
+			j.f.crashes.broke(choice, content)
+		case balance.Good:
+			j.f.Register.Cleared(time.Now(), content)
+		}
 		if v.done {
 			return v.failure
 		}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -316,4 +316,45 @@
 		Expect(response.StatusCode).To(Equal(http.StatusOK))
 		Expect(got == long).To(BeTrue())
 	})
+
+	// Load pattern: a request that crashes each endpoint that runs it comes again and again.
+	It("holds content back after it crashed three endpoints, and no other content", func() {
+		var ends []*fakeEndpoint
+		for range 6 {
+			var e *fakeEndpoint
+			e = newEndpoint(func(r *http.Request, _ string, conn net.Conn) bool {
+				if r.Header.Get("X-Poison") == "" {
+					return ok("fine")(r, "", conn)
+				}
+				_ = e.listener.Close()
+				return false
+			})
+			ends = append(ends, e)
+		}
+		w := newWorld(spec(), ends...)
+		crashed := func() int {
+			n := 0
+			for _, e := range ends {
+				for _, r := range e.seen() {
+					if r.Header.Get("X-Poison") != "" {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		Eventually(func() int {
+			return w.call("/unsafe/poison", "X-Poison", "1").StatusCode
+		}, 20*time.Second).Should(Equal(http.StatusServiceUnavailable))
+		Expect(crashed()).To(Equal(3))
+		Expect(w.call("/unsafe/other").StatusCode).To(Equal(http.StatusOK))
+	})
+
+	It("does not take lost answers for crashes", func() {
+		e := newEndpoint(hangUp)
+		w := newWorld(spec(), e)
+		for range 12 {
+			Expect(w.call("/unsafe/x").StatusCode).To(Equal(http.StatusBadGateway))
+		}
+	})
 })
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/primrosewell/primrosewell/internal/forward"
 	"github.com/primrosewell/primrosewell/internal/headers"
 	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/retry"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
@@ -165,8 +166,10 @@
 		Pools:   func(string) *balance.Pool { return w.pool },
 		Dialer:  httpio.NewDialer(),
 		Budget:  retry.NewShared(retry.SharedConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50, Margin: 1}, 1),
-		Log:     telemetry.SilentLogger(),
-		Scope:   tally.NoopScope,
+
+		Register: quarantine.New(quarantine.Config{BlockAt: 3}),
+		Log:      telemetry.SilentLogger(),
+		Scope:    tally.NoopScope,
 	})
 	w.server = httpio.NewServer(httpio.Options{
 		Handler: f.Handle,
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -19,6 +19,9 @@
 	drainPoll = 50 * time.Millisecond
 )
 
+// InFlight counts the requests that have not ended.
+func (g *Gateway) InFlight() int { return g.server.Active() }
+
 // Drain begins the shutdown: the readiness check fails, answers close their connections,
 // and Run returns once nothing is in progress or the grace time is over.
 func (g *Gateway) Drain() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/primrosewell/primrosewell/internal/forward"
 	"github.com/primrosewell/primrosewell/internal/gossip"
 	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
 )
 
@@ -118,6 +119,7 @@
 	w := do.MustInvoke[*watcher](g.parts)
 	go w.followTable(ctx, g.holder)
 	go w.followEndpoints(ctx, g.listing)
+	go watchFreezes(ctx, bootTime, g.log, w.Renew)
 }
 
 func (g *Gateway) startPeers(ctx context.Context) error {
@@ -130,6 +132,7 @@
 	exchange, err := gossip.Listen(gossip.Options{
 		Node: g.settings.VM.ID, Address: address, Port: g.settings.Peers.GossipPort, Members: g.members,
 		Table: g.holder.Version, Listing: g.listing.Version, Loads: g.pools.Own, Log: g.log,
+		Register: do.MustInvoke[*quarantine.Register](g.parts),
 		OnHeard: func(now time.Time) {
 			g.pools.SetElsewhere(g.members.Elsewhere(now))
 			budget.SetDaemons(g.members.Counted(now))
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,232 @@
+package gateway_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/gateway"
+	"github.com/primrosewell/primrosewell/internal/headers"
+	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+	platformstandin "github.com/primrosewell/primrosewell/internal/standin/platform"
+	"github.com/primrosewell/primrosewell/internal/telemetry"
+)
+
+// patience is how long a change may take to show; it asserts nothing about speed.
+const patience = 20 * time.Second
+
+var names = headers.Default()
+
+// site is a stand-in platform with one endpoint.
+type site struct {
+	store    platform.Store
+	url      string
+	endpoint *httptest.Server
+	release  chan struct{}
+}
+
+func newSite() *site {
+	standin := platformstandin.New(platformstandin.Options{BookmarkInterval: 100 * time.Millisecond})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go func() { _ = standin.Serve(ctx, listener) }()
+	s := &site{store: standin.Store(), url: "http://" + listener.Addr().String(), release: make(chan struct{})}
+	s.endpoint = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 1\n\n")
+			w.(http.Flusher).Flush()
+			<-s.release
+			_, _ = io.WriteString(w, "id: 2\n\n")
+			return
+		}
+		_, _ = io.WriteString(w, r.Header.Get(names.Workspace))
+	}))
+	DeferCleanup(s.endpoint.Close)
+	return s
+}
+
+// put creates or replaces an object.
+func (s *site) put(collection, name string, content any) {
+	data, err := json.Marshal(content)
+	Expect(err).NotTo(HaveOccurred())
+	object := platform.Object{Collection: collection, Name: name, Data: data}
+	if old, err := s.store.Get(context.Background(), collection, name); err == nil {
+		object.Version = old.Version
+		_, err = s.store.Update(context.Background(), object)
+		Expect(err).NotTo(HaveOccurred())
+		return
+	}
+	_, err = s.store.Create(context.Background(), object)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (s *site) putTable(version int64, keys ...string) {
+	s.put("routes", "table", routetable.Spec{
+		Version: version, KeysRequired: true,
+		Routes: []routetable.Route{{
+			Name: "r", Host: "h", PathPrefix: "/x/", Kind: routetable.Streaming, Timeout: 20 * time.Second, MaxAttempts: 1,
+			Backends: []routetable.Backend{{Service: "svc", Weight: 1}},
+		}},
+		Workspaces: []routetable.Workspace{{Name: "acme", Keys: keys}},
+	})
+}
+
+func (s *site) putEndpoint(id string, draining bool) {
+	s.put("endpoints", id, map[string]any{
+		"service": "svc", "address": s.endpoint.Listener.Addr().String(), "data_centre": "dc", "slots": 4, "draining": draining, "born": 1,
+	})
+}
+
+// daemon is one gateway on an address of its own.
+type daemon struct {
+	*gateway.Gateway
+	ip   string
+	done chan error
+}
+
+// ports of all gateways of a spec; they differ in their address.
+type ports struct{ callers, readiness, gossip, fetch int }
+
+func freePorts() ports {
+	var free [4]int
+	for i := range free {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		free[i] = l.Addr().(*net.TCPAddr).Port
+		defer func() { _ = l.Close() }()
+	}
+	return ports{callers: free[0], readiness: free[1], gossip: free[2], fetch: free[3]}
+}
+
+func start(p ports, ip, platformURL string, seeds ...string) *daemon {
+	s := gateway.Settings{
+		VM:        gateway.VM{ID: "vm-" + ip, DataCentre: "dc"},
+		Callers:   gateway.Listener{Listen: fmt.Sprintf("%s:%d", ip, p.callers)},
+		Readiness: gateway.Listener{Listen: fmt.Sprintf("%s:%d", ip, p.readiness)},
+		Peers:     gateway.Peers{Address: ip, GossipPort: p.gossip, FetchPort: p.fetch, Seeds: seeds},
+		Platform:  gateway.Platform{URL: platformURL, Timeout: time.Second},
+		Retries:   gateway.Retries{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		Drain:     gateway.Drain{Grace: patience},
+	}
+	g, err := gateway.New(s, gateway.Options{Adapter: gateway.NativeAdapter(), Log: telemetry.SilentLogger()})
+	Expect(err).NotTo(HaveOccurred())
+	d := &daemon{Gateway: g, ip: ip, done: make(chan error, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { d.done <- g.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(d.done, patience).Should(Or(Receive(), BeClosed()))
+	})
+	return d
+}
+
+func (d *daemon) get(port int, path, key string) (status int, body string) {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, fmt.Sprintf("http://%s:%d%s", d.ip, port, path), nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "h"
+	r.Header.Set(names.RequestID, "id")
+	r.Header.Set(names.Key, key)
+	transport := &http.Transport{DisableKeepAlives: true}
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(data)
+}
+
+var _ = Describe("Gateway", func() {
+	It("serves what the platform says, and stops what it no longer says", func() {
+		s, p := newSite(), freePorts()
+		d := start(p, "127.0.0.1", s.url)
+		status := func(key string) func() int {
+			return func() int {
+				code, _ := d.get(p.callers, "/x/1", key)
+				return code
+			}
+		}
+		ready := func() int {
+			code, _ := d.get(p.readiness, "/readyz", "")
+			return code
+		}
+		Eventually(ready, patience).Should(Equal(503))
+		Expect(status("k")()).To(Equal(503), "without a configuration nothing is denied")
+		s.putTable(5, "k")
+		s.put("endpoints", "foreign", "not an endpoint")
+		s.putEndpoint("e", false)
+		Eventually(status("k"), patience).Should(Equal(200))
+		Expect(ready()).To(Equal(200))
+		Expect(status("revoked")()).To(Equal(401))
+		s.putTable(4, "old")
+		s.putTable(6, "k2")
+		Eventually(status("k2"), patience).Should(Equal(200))
+		Expect(status("old")()).To(Equal(401), "a lower version is not installed")
+		Expect(status("k")()).To(Equal(401))
+		s.putEndpoint("e", true)
+		Eventually(status("k2"), patience).Should(Equal(503))
+	})
+
+	It("learns from a peer what the platform does not tell it", func() {
+		s, p := newSite(), freePorts()
+		s.putTable(5, "k")
+		s.putEndpoint("e", false)
+		start(p, "127.0.0.1", s.url)
+		cut := start(p, "127.0.0.2", "http://127.0.0.1:1", "127.0.0.1")
+		status := func(key string) func() int {
+			return func() int {
+				code, _ := cut.get(p.callers, "/x/1", key)
+				return code
+			}
+		}
+		Eventually(status("k"), patience).Should(Equal(200))
+		s.putTable(7, "k2")
+		Eventually(status("k"), patience).Should(Equal(401))
+		s.putEndpoint("e", true)
+		Eventually(status("k2"), patience).Should(Equal(503))
+	})
+
+	It("drains without cutting a stream in progress", func() {
+		s, p := newSite(), freePorts()
+		s.putTable(5, "k")
+		s.putEndpoint("e", false)
+		d := start(p, "127.0.0.1", s.url)
+		Eventually(func() int {
+			code, _ := d.get(p.callers, "/x/1", "k")
+			return code
+		}, patience).Should(Equal(200))
+		answers := make(chan string, 1)
+		go func() {
+			defer GinkgoRecover()
+			_, body := d.get(p.callers, "/x/slow", "k")
+			answers <- body
+		}()
+		Eventually(d.InFlight, patience).Should(Equal(1))
+		d.Drain()
+		code, _ := d.get(p.readiness, "/readyz", "")
+		Expect(code).To(Equal(503))
+		code, _ = d.get(p.callers, "/x/1", "k")
+		Expect(code).To(Equal(200), "callers that the balancer still sends are served")
+		Consistently(d.done, "300ms").ShouldNot(Receive())
+		close(s.release)
+		Eventually(answers, patience).Should(Receive(Equal("id: 1\n\nid: 2\n\n")))
+		var ended error
+		Eventually(d.done, patience).Should(Receive(&ended))
+		Expect(ended).NotTo(HaveOccurred())
+		d.done <- nil
+	})
+})
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
@@ -10,15 +11,21 @@
 	"github.com/primrosewell/primrosewell/internal/gossip"
 	"github.com/primrosewell/primrosewell/internal/httpio"
 	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/retry"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
 )
 
+// quarantineConfig holds content back after its third crash, and only for a while: an
+// endpoint's other requests break with it, and content that repeats may be one of them.
+var quarantineConfig = quarantine.Config{SuspectFor: 60 * time.Second, BlockFor: 60 * time.Second, BlockAt: 3}
+
 // provide registers how the parts of a gateway are made.
 func provide(g *Gateway) {
 	do.ProvideValue(g.parts, telemetry.NewMetrics())
 	do.ProvideValue(g.parts, httpio.NewDialer())
+	do.ProvideValue(g.parts, quarantine.New(quarantineConfig))
 	do.Provide(g.parts, g.newBudget)
 	do.Provide(g.parts, g.newWatcher)
 	do.Provide(g.parts, g.newPeerNews)
@@ -60,8 +67,10 @@
 		Pools:   g.pools.Pool,
 		Dialer:  do.MustInvoke[*httpio.Dialer](i),
 		Budget:  do.MustInvoke[*retry.Shared](i),
-		Log:     g.log,
-		Scope:   metrics.Scope,
+
+		Register: do.MustInvoke[*quarantine.Register](i),
+		Log:      g.log,
+		Scope:    metrics.Scope,
 	}), nil
 }
 
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"bytes"
+	"context"
+	"os"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -12,6 +15,30 @@
 // Log returns the gateway's logger.
 func (g *Gateway) Log() *logrus.Logger { return g.log }
 
+// settingsPoll is the time between two looks at the settings file, which may change
+// without a signal.
+const settingsPoll = 2 * time.Second
+
+// FollowSettings reloads the file whenever its content changes, until ctx ends.
+func (g *Gateway) FollowSettings(ctx context.Context, file string) {
+	last, err := os.ReadFile(file)
+	for ctx.Err() == nil {
+		sleep(ctx, settingsPoll)
+		data, readErr := os.ReadFile(file)
+		if readErr != nil {
+			if err == nil {
+				g.log.WithFields(logrus.Fields{"event": "settings_unreadable", "file": file, "error": readErr}).Warn("the settings in force stay")
+			}
+			err = readErr
+			continue
+		}
+		if err = nil; !bytes.Equal(data, last) {
+			last = data
+			g.Reload(file)
+		}
+	}
+}
+
 // Reload reads the settings file again and takes over what can change while the
 // process runs: the retry budget, the seeds and the log level.
 func (g *Gateway) Reload(file string) {
--- /dev/null
+++ b/internal/gateway/settings_test.go
@@ -0,0 +1,44 @@
+package gateway_test
+
+import (
+	"os"
+	"path/filepath"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/gateway"
+)
+
+const goodSettings = `{"vm":{"id":"a","data_centre":"z","later":1},"callers":{"listen":"10.0.0.1:80"},"readiness":{"listen":"10.0.0.1:81"},
+"peers":{"address":"10.0.0.1","gossip_port":7000,"fetch_port":7001,"seeds":["10.0.0.2:9"]},"platform":{"url":"http://10.0.0.3"},"drain":{"grace":"8s"},"new":true}`
+
+var _ = Describe("Settings", func() {
+	It("ignores fields that it does not know and fills in the rest", func() {
+		s, err := gateway.ParseSettings([]byte(goodSettings))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Drain.Grace).To(Equal(8 * time.Second))
+		Expect(s.Retries.Ratio).To(Equal(0.2))
+	})
+
+	DescribeTable("names the file and each field in fault",
+		func(text string, fields ...string) {
+			file := filepath.Join(GinkgoT().TempDir(), "gateway.json")
+			Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+			_, err := gateway.LoadSettings(file)
+			Expect(err).To(MatchError(ContainSubstring(file)))
+			for _, field := range fields {
+				Expect(err).To(MatchError(ContainSubstring(field)))
+			}
+		},
+		Entry("an empty object", `{}`, "vm.id", "vm.data_centre", "platform.url", "callers.listen", "readiness.listen", "peers.address", "peers.gossip_port", "peers.fetch_port"),
+		Entry("a wrong type", `{"drain":{"grace":"soon"}}`, "grace"),
+		Entry("no JSON", `vm: a`),
+	)
+
+	It("names a file that is not there", func() {
+		_, err := gateway.LoadSettings("no-such-file.json")
+		Expect(err).To(MatchError(ContainSubstring("no-such-file.json")))
+	})
+})
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -28,6 +29,31 @@
 	store  platform.Store
 	source adapter.Source
 	log    *logrus.Logger
+
+	mu sync.Mutex
+	// renewals end the calls that wait for changes, by collection.
+	renewals map[string]context.CancelFunc
+}
+
+// Renew makes every collection be listed again at once.
+func (w *watcher) Renew() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, end := range w.renewals {
+		end()
+	}
+}
+
+// renewable returns a context for one round of a collection, which Renew ends.
+func (w *watcher) renewable(ctx context.Context, collection string) (context.Context, context.CancelFunc) {
+	ctx, end := context.WithCancel(ctx)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.renewals == nil {
+		w.renewals = make(map[string]context.CancelFunc)
+	}
+	w.renewals[collection] = end
+	return ctx, end
 }
 
 // collectionHandler takes the content of a collection and its changes.
@@ -85,6 +111,8 @@
 
 // followOnce lists and watches until a call fails. answered is called after the list.
 func (w *watcher) followOnce(ctx context.Context, collection string, h collectionHandler, timeout time.Duration, answered func()) error {
+	ctx, end := w.renewable(ctx, collection)
+	defer end()
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	list, err := w.store.List(limited, collection, "")
 	cancel()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
 )
 
 const (
@@ -19,6 +20,8 @@
 	// fanout bounds the peers told at each interval, so that the cost of a daemon does
 	// not grow with their number.
 	fanout = 12
+	// crashesSent bounds the digests passed on in a message.
+	crashesSent = 6
 	// knownSent bounds the addresses passed on in a message.
 	knownSent = 24
 )
@@ -36,6 +39,8 @@
 	Listing func() int64
 	// Loads returns the own work at each endpoint.
 	Loads func() map[string]balance.Load
+	// Register holds the evidence against requests that crash endpoints; it is shared.
+	Register *quarantine.Register
 	// OnHeard is called after each message and at each interval.
 	OnHeard func(now time.Time)
 	Log     *logrus.Logger
@@ -84,7 +89,7 @@
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	data, err := encode(Message{
 		Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Table: g.Table(), Listing: g.Listing(),
-		Loads: g.Loads(), Known: addresses[:min(len(addresses), knownSent)],
+		Crashes: g.crashes(), Loads: g.Loads(), Known: addresses[:min(len(addresses), knownSent)],
 	})
 	if err != nil {
 		g.Log.WithFields(logrus.Fields{"event": "gossip_failed", "error": err}).Error("a message could not be encoded")
@@ -100,6 +105,12 @@
 	}
 }
 
+// crashes returns the latest evidence, as much as fits beside the rest.
+func (g *Gossip) crashes() []quarantine.Entry {
+	entries := g.Register.Entries(time.Now())
+	return entries[max(0, len(entries)-crashesSent):]
+}
+
 func (g *Gossip) receive(ctx context.Context) {
 	buffer := make([]byte, 64<<10)
 	for {
@@ -119,6 +130,7 @@
 		if change, changed := g.Members.Heard(now, message); changed {
 			g.logChange(change)
 		}
+		g.Register.Merge(now, message.Crashes)
 		g.OnHeard(now)
 	}
 }
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -8,6 +8,7 @@
 	"github.com/samber/oops"
 
 	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
 )
 
 // maxDatagram bounds a message; larger ones would be cut into fragments.
@@ -32,6 +33,8 @@
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// Loads is the sender's own work at each endpoint.
 	Loads map[string]balance.Load `cbor:"7,keyasint,omitempty"`
+	// Crashes is the evidence against requests that crash endpoints.
+	Crashes []quarantine.Entry `cbor:"10,keyasint,omitempty"`
 	// Known are the IP numbers of some daemons that the sender heard of lately.
 	Known []string `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/httpio/dial.go
+++ b/internal/httpio/dial.go
@@ -82,6 +82,11 @@
 		}
 		_ = c.Close()
 	}
+	return d.Dial(ctx, address, timeout)
+}
+
+// Dial opens a new connection within timeout.
+func (d *Dialer) Dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := d.dialer.DialContext(ctx, "tcp4", address)
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -10,7 +10,7 @@
 	"github.com/samber/lo"
 )
 
-// maxEndpoints bounds the endpoints remembered for one digest. Two unforgiven
+// maxEndpoints bounds the endpoints remembered for one digest. A few unforgiven
 // crashes block, so more are only seen for a digest that is forgiven again and again.
 const maxEndpoints = 16
 
@@ -40,15 +40,17 @@
 	sightings map[string]sighting
 	expires   time.Time
 	version   uint64
+	// blockAt is the number of unforgiven crashes at which the digest is blocked.
+	blockAt uint32
 }
 
 func (e *evidence) state() State {
 	var open uint32
 	for _, s := range e.sightings {
-		open += min(s.open(), blockAt)
+		open += min(s.open(), e.blockAt)
 	}
 	switch {
-	case open >= blockAt:
+	case open >= e.blockAt:
 		return Blocked
 	case open > 0:
 		return Suspect
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -56,6 +56,8 @@
 	SameCrash time.Duration
 	// MaxEntries bounds the digests held.
 	MaxEntries int
+	// BlockAt is the number of unforgiven crashes at which a digest is blocked.
+	BlockAt int
 }
 
 // Defaults of Config.
@@ -64,11 +66,9 @@
 	DefaultBlockFor   = 15 * time.Minute
 	DefaultSameCrash  = 3 * time.Second
 	DefaultMaxEntries = 8192
+	DefaultBlockAt    = 2
 )
 
-// blockAt is the number of unforgiven crashes at which a digest is blocked.
-const blockAt = 2
-
 // shardCount is a power of two.
 const shardCount = 16
 
@@ -102,6 +102,9 @@
 	if c.MaxEntries <= 0 {
 		c.MaxEntries = DefaultMaxEntries
 	}
+	if c.BlockAt <= 0 {
+		c.BlockAt = DefaultBlockAt
+	}
 	return c
 }
 
--- a/internal/quarantine/shard.go
+++ b/internal/quarantine/shard.go
@@ -37,7 +37,7 @@
 		return e
 	}
 	s.makeRoom(now)
-	e := &evidence{sightings: map[string]sighting{}}
+	e := &evidence{sightings: map[string]sighting{}, blockAt: uint32(s.cfg.BlockAt)}
 	s.entries[digest] = e
 	return e
 }
