ingress: a request that can't be read is refused without repeating its header; two framings are refused; 431 for a large header

Cause: the parser's message, passed on as the error's text, quotes the header block and with it the caller's key; a length beside a transfer encoding was accepted; the status of a large header was mapped to 400. The table of four cases failed on all four before.

--- a/internal/failure/codes.go
+++ b/internal/failure/codes.go
@@ -11,6 +11,8 @@
 	InvalidRequest Code = "invalid_request"
 	// BodyTooLarge means that the body exceeds the configured limit.
 	BodyTooLarge Code = "body_too_large"
+	// HeaderTooLarge means that the header exceeds what the server reads.
+	HeaderTooLarge Code = "header_too_large"
 	// Unauthenticated means that the API key or token is missing or wrong.
 	Unauthenticated Code = "unauthenticated"
 	// Forbidden means that the workspace may not use the profile.
@@ -81,6 +83,7 @@
 var statuses = map[Code]int{
 	InvalidRequest:      http.StatusBadRequest,
 	BodyTooLarge:        http.StatusRequestEntityTooLarge,
+	HeaderTooLarge:      http.StatusRequestHeaderFieldsTooLarge,
 	Unauthenticated:     http.StatusUnauthorized,
 	Forbidden:           http.StatusForbidden,
 	UnknownProfile:      http.StatusNotFound,
--- a/internal/httpio/framing.go
+++ b/internal/httpio/framing.go
@@ -11,9 +11,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// ambiguousLength reports a header with both a length and a transfer encoding: what
+// AmbiguousLength reports a header with both a length and a transfer encoding: what
 // follows it could be read as another request by the next hop.
-func ambiguousLength(h *fasthttp.RequestHeader) bool {
+func AmbiguousLength(h *fasthttp.RequestHeader) bool {
 	raw := bytes.ToLower(h.RawHeaders())
 	return hasField(raw, "transfer-encoding:") && hasField(raw, "content-length:")
 }
--- a/internal/httpio/server.go
+++ b/internal/httpio/server.go
@@ -197,7 +197,7 @@
 		c.rejectHeader(err)
 		return false
 	}
-	if ambiguousLength(&request.Header) {
+	if AmbiguousLength(&request.Header) {
 		c.reject(fasthttp.StatusBadRequest, Malformed)
 		return false
 	}
--- a/internal/ingress/failures.go
+++ b/internal/ingress/failures.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/httpio"
 )
 
 // Response headers.
@@ -51,11 +52,23 @@
 		return failure.New(failure.InvalidRequest, "the path does not take this method")
 	case fiber.StatusRequestTimeout:
 		return failure.New(failure.InvalidRequest, "the request was not sent within callers.read_timeout")
+	case fiber.StatusRequestHeaderFieldsTooLarge:
+		return failure.New(failure.HeaderTooLarge, "the header is larger than the server reads")
 	default:
-		return failure.New(failure.InvalidRequest, httpErr.Message)
+		// The parser's own message repeats the header, and with it the caller's key.
+		return failure.New(failure.InvalidRequest, "the request could not be read as HTTP/1.1")
 	}
 }
 
+// refuseAmbiguousLength refuses a request whose end can be read in two ways.
+func refuseAmbiguousLength(c fiber.Ctx) error {
+	if httpio.AmbiguousLength(&c.RequestCtx().Request.Header) {
+		c.RequestCtx().SetConnectionClose()
+		return failure.New(failure.InvalidRequest, "the request states both a length and a transfer encoding")
+	}
+	return c.Next()
+}
+
 // writeFailure answers with f as its status, headers and typed body.
 func (s *Server) writeFailure(c fiber.Ctx, id string, f *failure.Failure) error {
 	c.Set(OutcomeHeader, string(f.Outcome))
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -52,6 +52,7 @@
 		DisableHeaderNormalizing:  false,
 	})
 	s.app.Use(s.announceClose)
+	s.app.Use(refuseAmbiguousLength)
 	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	s.app.Get("/readyz", s.handleReady)
 	s.app.Get("/v1/models", s.handleModels)
