--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -16,9 +16,9 @@
 func benchGroup(std streams) subcommands.Command {
 	return &group{
 		name:     "bench",
-		synopsis: "measure the decisions on a virtual clock",
+		synopsis: "measure the decisions, and show measured rounds",
 		std:      std,
-		members:  []subcommands.Command{&benchDecisions{std: std}},
+		members:  []subcommands.Command{&benchDecisions{std: std}, &roundsCommand{std: std}},
 	}
 }
 
