forward: a request whose wait would be twice its target is refused at once

The wait is predicted from the prompts that wait at the best endpoint, as urgent or more so, without the request's own size.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -212,6 +212,49 @@
 		})
 	})
 
+	// Load pattern: more prompts than the engines read, for seconds on end.
+	Describe("the predicted wait", func() {
+		const perToken = 6 * time.Microsecond
+		loaded := func() *balance.Pool {
+			p := newPool(1) // One endpoint: the choice does not depend on the request.
+			first := p.Pick(now, longAsk(0))
+			first.Begun(now.Add(17000 * perToken))
+			first.Done(now, balance.Good)
+			for i := range 200 {
+				ask := longAsk(i)
+				ask.Priority = 2
+				p.Pick(now, ask)
+			}
+			return p
+		}
+
+		It("grows with the prompts that wait, not with the request's own", func() {
+			p := loaded()
+			large, small := longAsk(3), longAsk(3)
+			large.Priority, small.Priority = 2, 2
+			large.PromptTokens, small.PromptTokens = 60000, 15000
+			a := p.Pick(now, small)
+			a.Done(now, balance.Neutral)
+			b := p.Pick(now, large)
+			Expect(a.Wait).To(BeNumerically(">", time.Second))
+			Expect(b.Wait).To(Equal(a.Wait))
+		})
+
+		It("counts only what is at least as urgent", func() {
+			p := loaded()
+			urgent := longAsk(3)
+			Expect(p.Pick(now, urgent).Wait).To(BeZero())
+		})
+
+		It("is nothing while nothing waits, and after all was read", func() {
+			p := newPool(4)
+			c := p.Pick(now, longAsk(1))
+			Expect(c.Wait).To(BeZero())
+			c.Begun(now.Add(time.Second))
+			Expect(p.Pick(now, longAsk(1)).Wait).To(BeZero())
+		})
+	})
+
 	It("counts the work of other daemons", func() {
 		p := newPool(3)
 		p.SetElsewhere(map[string]balance.Load{"e0": {Running: 20}, "e1": {Running: 20}})
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -24,6 +24,8 @@
 	PromptTokens int
 	// Parts are the declared parts of the prompt in order; the last one is the request's own.
 	Parts []Part
+	// Priority is the urgency at the engine; 0 is first.
+	Priority int
 	// Exclude names endpoints that this request has tried.
 	Exclude map[string]bool
 }
@@ -38,6 +40,8 @@
 	order      []*endpoint
 	// prompts is set once a request has declared a prompt: the pool is one of engines.
 	prompts bool
+	// unhindered is the cost of a prompt token at an idle endpoint.
+	unhindered floor
 }
 
 // endpoint is what is known of one endpoint.
@@ -48,6 +52,8 @@
 	// running counts this daemon's requests there; reading is what they have yet to read, in tokens.
 	running int
 	reading int
+	// waiting is what is yet to be read, by urgency.
+	waiting backlog
 	// elsewhere is the work of other daemons there.
 	elsewhere Load
 	// express endpoints are kept for short prompts.
@@ -129,12 +135,15 @@
 	Score        float64
 	Alternatives int
 
+	// Wait is the predicted time before the endpoint begins to read the prompt.
+	Wait time.Duration
 	// FetchFrom is the address of an endpoint that holds shared parts of the prompt, or "".
 	FetchFrom string
 
 	pool    *Pool
 	e       *endpoint
 	reading int
+	urgency int
 	parts   []Part
 	started time.Time
 	begun   bool
@@ -157,12 +166,13 @@
 	c := &Choice{
 		Endpoint: e.Endpoint, Reason: best.reason, Score: best.cost, Alternatives: len(candidates),
 		pool: p, e: e, reading: best.reading, parts: ask.Parts, started: now,
+		Wait: p.wait(e, ask.Priority), urgency: ask.Priority,
 	}
 	if best.holder != nil {
 		c.FetchFrom = best.holder.Address
 	}
 	e.running++
-	e.reading += c.reading
+	e.expect(c.urgency, c.reading)
 	e.evidence.sent(now)
 	e.cache.note(now, ask.Parts)
 	return c
@@ -180,8 +190,15 @@
 		return
 	}
 	c.begun = true
-	c.e.reading -= c.reading
+	c.e.expect(c.urgency, -c.reading)
 	c.e.evidence.answered(now, now.Sub(c.started), c.reading)
+	c.pool.unhindered.sample(now.Sub(c.started), c.reading)
+}
+
+// expect changes what is yet to be read at the endpoint.
+func (e *endpoint) expect(priority, tokens int) {
+	e.reading += tokens
+	e.waiting.add(priority, tokens)
 }
 
 // Done notes how the attempt ended and takes its work off the endpoint.
@@ -190,7 +207,7 @@
 	defer c.pool.mu.Unlock()
 	if !c.begun {
 		c.begun = true
-		c.e.reading -= c.reading
+		c.e.expect(c.urgency, -c.reading)
 	}
 	c.e.running--
 	c.e.evidence.ended(now, result)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -31,6 +31,9 @@
 	// retryWhenSuspended is when to come back with content that crashed endpoints; by
 	// then the evidence has faded.
 	retryWhenSuspended = 60 * time.Second
+	// waitShare is the part of the latency target that a request may wait for the prompts
+	// ahead of it.
+	waitShare = 2.0
 	// maxSends bounds the endpoints that one request is offered to, refusals and
 	// connections that did not open included.
 	maxSends = 4
@@ -196,6 +199,10 @@
 		if choice == nil {
 			return j.exhausted("no further endpoint")
 		}
+		if f := j.overloaded(choice); f != nil {
+			choice.Done(time.Now(), balance.Neutral)
+			return f
+		}
 		v := j.attempt(choice)
 		choice.Done(time.Now(), v.result)
 		j.logAttempt(choice, v)
@@ -217,7 +224,7 @@
 // place chooses the next endpoint.
 func (j *job) place(pool *balance.Pool) *balance.Choice {
 	now := time.Now()
-	choice := pool.Pick(now, balance.Ask{PromptTokens: j.tokens, Parts: j.parts, Exclude: j.tried})
+	choice := pool.Pick(now, balance.Ask{PromptTokens: j.tokens, Parts: j.parts, Priority: j.priority(), Exclude: j.tried})
 	if choice == nil {
 		return nil
 	}
@@ -226,11 +233,22 @@
 	j.f.Log.WithFields(logrus.Fields{
 		"event": "placement", "request_id": j.id, "route": j.route.Name, "service": j.service, "endpoint": choice.ID,
 		"reason": choice.Reason, "score": int(choice.Score), "alternatives": choice.Alternatives, "send": j.sends,
-		"table_version": j.table.Version(), "left": j.limit.Sub(now),
+		"table_version": j.table.Version(), "left": j.limit.Sub(now), "wait": choice.Wait,
 	}).Info("endpoint chosen")
 	return choice
 }
 
+// overloaded refuses a new request that would wait for longer than its target at the
+// best endpoint. It has not been sent anywhere.
+func (j *job) overloaded(choice *balance.Choice) *failure.Failure {
+	limit := time.Duration(waitShare * float64(j.route.Target))
+	if j.sends > 1 || j.route.Target <= 0 || choice.Wait <= limit {
+		return nil
+	}
+	wait := comeback(choice.Wait-limit, time.Until(j.limit), rand.Float64())
+	return failure.New(failure.Overloaded, "the prompts ahead take longer to read than the latency target allows").WithRetryAfter(wait)
+}
+
 // mayTryAgain returns why no further attempt is made, or "".
 func (j *job) mayTryAgain(v verdict) string {
 	switch {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/primrosewell/primrosewell/internal/balance"
 	"github.com/primrosewell/primrosewell/internal/headers"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
@@ -317,6 +318,24 @@
 		Expect(got == long).To(BeTrue())
 	})
 
+	// Load pattern: more prompts than the engines read; a newcomer would be hopelessly late.
+	It("refuses at once what would wait for far longer than its target", func() {
+		sp := spec()
+		sp.Routes[1].Target = time.Second
+		e := newEndpoint(ok("fine"))
+		w := newWorld(sp, e)
+		now := time.Now()
+		c := w.pool.Pick(now, balance.Ask{PromptTokens: 20000})
+		c.Begun(now.Add(100 * time.Millisecond))
+		for range 30 {
+			w.pool.Pick(now, balance.Ask{PromptTokens: 20000, Priority: 2})
+		}
+		r := w.call("/unsafe/x", names.PromptSize, "1000,10")
+		Expect(r.StatusCode).To(Equal(http.StatusTooManyRequests))
+		Expect(r.Header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(e.seen()).To(BeEmpty(), "not run is true")
+	})
+
 	// Load pattern: a request that crashes each endpoint that runs it comes again and again.
 	It("holds content back after it crashed three endpoints, and no other content", func() {
 		var ends []*fakeEndpoint
