--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -52,10 +52,12 @@
 type Options struct {
 	Headers headers.Names
 	// Table returns the route table in force, or nil before the first.
-	Table  func() *routetable.Table
-	Pools  Pools
-	Dialer *httpio.Dialer
-	Budget *retry.Shared
+	Table func() *routetable.Table
+	Pools Pools
+	// Listing returns the platform's version of the list of endpoints in use.
+	Listing func() int64
+	Dialer  *httpio.Dialer
+	Budget  *retry.Shared
 	// Register holds the evidence against requests that crash endpoints.
 	Register *quarantine.Register
 	Log      *logrus.Logger
@@ -233,7 +235,7 @@
 	j.f.Log.WithFields(logrus.Fields{
 		"event": "placement", "request_id": j.id, "route": j.route.Name, "service": j.service, "endpoint": choice.ID,
 		"reason": choice.Reason, "score": int(choice.Score), "alternatives": choice.Alternatives, "send": j.sends,
-		"table_version": j.table.Version(), "left": j.limit.Sub(now), "wait": choice.Wait,
+		"table_version": j.table.Version(), "endpoints_version": j.f.Listing(), "left": j.limit.Sub(now), "wait": choice.Wait,
 	}).Info("endpoint chosen")
 	return choice
 }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -164,6 +164,7 @@
 		Headers: names,
 		Table:   func() *routetable.Table { return w.table },
 		Pools:   func(string) *balance.Pool { return w.pool },
+		Listing: func() int64 { return 1 },
 		Dialer:  httpio.NewDialer(),
 		Budget:  retry.NewShared(retry.SharedConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50, Margin: 1}, 1),
 
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -65,6 +65,7 @@
 		Headers: g.options.Adapter.Headers,
 		Table:   g.holder.Table,
 		Pools:   g.pools.Pool,
+		Listing: g.listing.Version,
 		Dialer:  do.MustInvoke[*httpio.Dialer](i),
 		Budget:  do.MustInvoke[*retry.Shared](i),
 
