--- a/internal/adapter/adapter.go
+++ b/internal/adapter/adapter.go
@@ -25,6 +25,8 @@
 	// ReadinessPath is where the balancer asks.
 	ReadinessPath string
 	Headers       headers.Names
-	Dialect       platform.Dialect
-	Source        Source
+	// MakeRequestIDs names requests that callers did not name; otherwise they are refused.
+	MakeRequestIDs bool
+	Dialect        platform.Dialect
+	Source         Source
 }
--- a/internal/command/main.go
+++ b/internal/command/main.go
@@ -38,6 +38,7 @@
 	commander := newCommander(flags, flags.Name(), std)
 	commander.Register(&serveCommand{std: std}, groupRun)
 	commander.Register(&gatewayCommand{std: std}, groupRun)
+	commander.Register(&gatewayDevCommand{std: std}, groupRun)
 	commander.Register(&devCommand{std: std}, groupRun)
 	commander.Register(standinGroup(std), groupRun)
 	for _, group := range objectGroups(std) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -110,7 +110,7 @@
 		fields = append(fields, httpio.Field{Name: h.Workspace, Value: j.workspace.Name})
 	}
 	if j.route.PromptAffinity {
-		fields = append(fields, httpio.Field{Name: h.Priority, Value: strconv.Itoa(j.priority())})
+		fields = append(fields, httpio.Field{Name: h.Priority, Value: strconv.Itoa(j.urgency)})
 	}
 	if j.events.last != "" {
 		fields = append(fields, httpio.Field{Name: h.LastEventID, Value: j.events.last})
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
@@ -37,8 +38,6 @@
 	// maxSends bounds the endpoints that one request is offered to, refusals and
 	// connections that did not open included.
 	maxSends = 4
-	// highestPriority is the least urgent value that an engine knows.
-	highestPriority = 9
 	// defaultTime is how long a request may take if neither caller nor route says.
 	defaultTime = 60 * time.Second
 	// minLeft is the time below which an attempt is not worth starting.
@@ -51,6 +50,8 @@
 // Options configure a Forwarder; all fields are required.
 type Options struct {
 	Headers headers.Names
+	// MakeRequestIDs names requests that callers did not name.
+	MakeRequestIDs bool
 	// Table returns the route table in force, or nil before the first.
 	Table func() *routetable.Table
 	Pools Pools
@@ -96,6 +97,8 @@
 	route     *routetable.Route
 	workspace *routetable.Workspace
 	service   string
+	// urgency is the request's place at an engine; 0 is first.
+	urgency int
 	// limit is when the caller or the route stops waiting.
 	limit  time.Time
 	tokens int
@@ -133,6 +136,10 @@
 	if j.table == nil {
 		return failure.New(failure.PlatformUnavailable, "no configuration yet").WithRetryAfter(j.comeBackAfter(&j.f.unready))
 	}
+	if j.id == "" && j.f.MakeRequestIDs {
+		j.id = uuid.NewString()
+		j.request.Header.Set(j.f.Headers.RequestID, j.id)
+	}
 	if j.id == "" {
 		return failure.New(failure.InvalidRequest, "the request has no "+j.f.Headers.RequestID)
 	}
@@ -144,6 +151,7 @@
 	if err := j.authenticate(); err != nil {
 		return err
 	}
+	j.urgency = j.table.Urgency(j.workspace, j.route)
 	j.limit = j.request.Arrived.Add(j.timeAllowed())
 	j.tokens, j.parts = parsePrompt(string(j.request.Header.Peek(j.f.Headers.PromptSize)), string(j.request.Header.Peek(j.f.Headers.PromptParts)))
 	j.service = j.route.PickBackend(rand.Float64())
@@ -226,7 +234,7 @@
 // place chooses the next endpoint.
 func (j *job) place(pool *balance.Pool) *balance.Choice {
 	now := time.Now()
-	choice := pool.Pick(now, balance.Ask{PromptTokens: j.tokens, Parts: j.parts, Priority: j.priority(), Exclude: j.tried})
+	choice := pool.Pick(now, balance.Ask{PromptTokens: j.tokens, Parts: j.parts, Priority: j.urgency, Exclude: j.tried})
 	if choice == nil {
 		return nil
 	}
@@ -235,7 +243,7 @@
 	j.f.Log.WithFields(logrus.Fields{
 		"event": "placement", "request_id": j.id, "route": j.route.Name, "service": j.service, "endpoint": choice.ID,
 		"reason": choice.Reason, "score": int(choice.Score), "alternatives": choice.Alternatives, "send": j.sends,
-		"table_version": j.table.Version(), "endpoints_version": j.f.Listing(), "left": j.limit.Sub(now), "wait": choice.Wait,
+		"priority": j.urgency, "table_version": j.table.Version(), "endpoints_version": j.f.Listing(), "left": j.limit.Sub(now), "wait": choice.Wait,
 	}).Info("endpoint chosen")
 	return choice
 }
@@ -285,12 +293,3 @@
 	wait := retryWhenFull + time.Duration(rand.Int64N(int64(retryWhenFullSpread)))
 	return failure.New(failure.NoEndpoint, "no endpoint took the request: "+reason).WithRetryAfter(wait)
 }
-
-// priority is the urgency at an engine; a workspace's own goes before the route's.
-func (j *job) priority() int {
-	p := j.route.Priority
-	if j.workspace != nil && j.workspace.Priority != nil {
-		p = *j.workspace.Priority
-	}
-	return min(max(p, 0), highestPriority)
-}
--- a/internal/gateway/native.go
+++ b/internal/gateway/native.go
@@ -18,6 +18,7 @@
 		SettingsVariable: "PRIMROSEWELL_SETTINGS",
 		ReadinessPath:    "/readyz",
 		Headers:          headers.Default(),
+		MakeRequestIDs:   true,
 		Source:           nativeSource{},
 	}
 }
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -78,7 +78,7 @@
 type Workspace struct {
 	Name string   `json:"name"`
 	Keys []string `json:"keys"`
-	// Priority replaces the priority of the route if set.
+	// Priority goes before the priority of the route if set; see Urgency.
 	Priority *int `json:"priority,omitempty"`
 }
 
@@ -133,6 +133,7 @@
 	byHost   map[string][]*Route
 	services map[string]*Service
 	byKey    map[string]*Workspace
+	urgency  map[rank]int
 }
 
 // New prepares a table; it keeps spec.
@@ -143,6 +144,7 @@
 		byHost:   make(map[string][]*Route),
 		services: make(map[string]*Service, len(spec.Services)),
 		byKey:    make(map[string]*Workspace),
+		urgency:  rankAll(spec),
 	}
 	for i := range spec.Routes {
 		route := &spec.Routes[i]
--- a/internal/routetable/table_test.go
+++ b/internal/routetable/table_test.go
@@ -64,4 +64,38 @@
 		Entry("a stream", routetable.Streaming, false, false),
 		Entry("a resumable stream", routetable.Streaming, true, true),
 	)
+
+	It("ranks by the workspace's priority, then by the route's", func() {
+		zero, one := 0, 1
+		spec := routetable.Spec{
+			Routes: []routetable.Route{{Name: "urgent", Priority: 0}, {Name: "middle", Priority: 1}, {Name: "batch", Priority: 2}},
+			Workspaces: []routetable.Workspace{
+				{Name: "first", Priority: &zero}, {Name: "second", Priority: &one}, {Name: "plain"},
+			},
+		}
+		table := routetable.New(spec)
+		urgency := func(workspace, route int) int {
+			return table.Urgency(&spec.Workspaces[workspace], &spec.Routes[route])
+		}
+		Expect(urgency(0, 2)).To(BeNumerically("<", urgency(1, 0)), "the workspace goes first")
+		Expect(urgency(1, 1)).To(BeNumerically("<", urgency(1, 2)), "then the route")
+		Expect(urgency(1, 0)).To(BeNumerically("<", urgency(1, 1)))
+		Expect(urgency(2, 0)).To(Equal(urgency(0, 0)), "without a priority of its own a workspace has the route's")
+		Expect(urgency(2, 2)).To(BeNumerically("<=", 9))
+	})
+
+	It("keeps the order when there are more ranks than an engine knows", func() {
+		var spec routetable.Spec
+		for i := range 40 {
+			spec.Routes = append(spec.Routes, routetable.Route{Priority: i})
+		}
+		table := routetable.New(spec)
+		last := 0
+		for i := range spec.Routes {
+			u := table.Urgency(nil, &spec.Routes[i])
+			Expect(u).To(And(BeNumerically(">=", last), BeNumerically("<=", 9)))
+			last = u
+		}
+		Expect(last).To(Equal(9))
+	})
 })
