gateway: four gateways follow the platform for all; the others learn from them

Change: the first four live gateways by hash that can read the platform follow it; the others fetch what is newer from a peer and take over within the silence after which a peer counts as lost. Lists of endpoints carry a number that orders the platform's version and later drops. Gossip from gateways that don't follow goes round in turns, so that its cost does not grow with their number. Ruled out: longer waits (a store that drops its history says nothing for their length).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -133,15 +133,13 @@
 	return d.version
 }
 
-// Rows returns every entry, draining ones included.
+// Rows returns every entry, draining ones and those within the grace included.
 func (d *Directory) Rows() []routetable.Endpoint {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	rows := make([]routetable.Endpoint, 0, len(d.entries))
 	for _, e := range d.entries {
-		if e.missingSince.IsZero() {
-			rows = append(rows, e.endpoint)
-		}
+		rows = append(rows, e.endpoint)
 	}
 	return rows
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -122,6 +122,13 @@
 	go watchFreezes(ctx, bootTime, g.log, w.Renew)
 }
 
+// follows reports whether this gateway follows the platform itself: it is one of the
+// few that do so for all, it can't read the platform and waits for its return, or it
+// knows nothing yet.
+func (g *Gateway) follows() bool {
+	return g.listing.Away() || g.holder.Table() == nil || g.members.Follows()
+}
+
 func (g *Gateway) startPeers(ctx context.Context) error {
 	address, err := netip.ParseAddr(g.settings.Peers.Address)
 	if err != nil {
@@ -131,7 +138,8 @@
 	budget := do.MustInvoke[budgetSharer](g.parts)
 	exchange, err := gossip.Listen(gossip.Options{
 		Node: g.settings.VM.ID, Address: address, Port: g.settings.Peers.GossipPort, Members: g.members,
-		Table: g.holder.Version, Listing: g.listing.Version, Loads: g.pools.Own, Log: g.log,
+		Table: g.holder.Version, Listing: g.listing.Number, Loads: g.pools.Own, Log: g.log,
+		Following: g.follows, Blind: g.listing.Away, Leaving: g.draining.Load,
 		Register: do.MustInvoke[*quarantine.Register](g.parts),
 		OnHeard: func(now time.Time) {
 			g.pools.SetElsewhere(g.members.Elsewhere(now))
@@ -217,10 +225,7 @@
 	for ctx.Err() == nil {
 		sleep(ctx, sweepInterval)
 		dialer.Sweep()
-		if gone := g.directory.Expire(time.Now()); len(gone) > 0 {
-			g.log.WithFields(logrus.Fields{"event": "endpoints_gone", "endpoints": gone}).Info("entries did not return after the outage")
-			g.pools.Refresh()
-		}
+		g.listing.Expire(time.Now())
 	}
 }
 
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -10,66 +10,99 @@
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
-// listing is the list of endpoints and the platform's version that it reflects. While
-// the platform can't be read, a peer's newer list is taken. It is safe for concurrent use.
+// dropBits is the part of a listing's number that counts entries dropped since the
+// platform's last change.
+const dropBits = 16
+
+// listing is the list of endpoints and its number, which orders the lists of all
+// gateways: the platform's version, then the drops of lapsed entries. While this gateway
+// does not follow the platform, or can't read it, a peer's newer list is taken. It is
+// safe for concurrent use.
 type listing struct {
 	directory *directory.Directory
 	// changed is called after each change of the directory.
 	changed func()
 	log     *logrus.Logger
 
-	mu      sync.Mutex
-	version int64
+	mu     sync.Mutex
+	number int64
 	// away is set while the platform can't be read, and before it first was.
 	away bool
+	// idle is set while others follow the platform for this gateway.
+	idle bool
 }
 
-// Version returns the platform's version of the list, or 0 before the first.
-func (l *listing) Version() int64 {
+// Number returns the number of the list, or 0 before the first.
+func (l *listing) Number() int64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.version
+	return l.number
 }
 
-// Behind reports whether a peer's list of that version would be taken.
-func (l *listing) Behind(version int64) bool {
+// Away reports whether the platform can't be read.
+func (l *listing) Away() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.away && version > l.version
+	return l.away
+}
+
+// Behind reports whether a peer's list of that number would be taken.
+func (l *listing) Behind(number int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return (l.away || l.idle) && number > l.number
 }
 
 // Reached notes that the platform told of everything up to version.
-func (l *listing) Reached(version int64) {
+func (l *listing) Reached(version int64) { l.raise(version << dropBits) }
+
+func (l *listing) raise(number int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.version = max(l.version, version)
+	l.number = max(l.number, number)
+}
+
+// Expire drops entries that did not return after an outage.
+func (l *listing) Expire(now time.Time) {
+	gone := l.directory.Expire(now)
+	if len(gone) == 0 {
+		return
+	}
+	l.mu.Lock()
+	l.number++
+	l.mu.Unlock()
+	l.log.WithFields(logrus.Fields{"event": "endpoints_gone", "endpoints": gone}).Info("entries did not return after the outage")
+	l.changed()
 }
 
 // StoreAway notes that the platform can't be read.
 func (l *listing) StoreAway() {
-	l.setAway(true)
+	l.set(true, false)
 	l.directory.StoreAway()
 }
 
 // StoreBack notes that the platform answers.
 func (l *listing) StoreBack() {
-	l.setAway(false)
+	l.set(false, false)
 	l.directory.StoreBack(time.Now())
 }
 
-func (l *listing) setAway(away bool) {
+// Idle notes that others follow the platform from now on.
+func (l *listing) Idle() { l.set(false, true) }
+
+func (l *listing) set(away, idle bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.away = away
+	l.away, l.idle = away, idle
 }
 
-// TakeFromPeer takes a peer's list if it is newer and the platform is away.
-func (l *listing) TakeFromPeer(now time.Time, version int64, rows []routetable.Endpoint, peer string) {
-	if !l.Behind(version) {
+// TakeFromPeer takes a peer's list if it is newer and this gateway has no better one.
+func (l *listing) TakeFromPeer(now time.Time, number int64, rows []routetable.Endpoint, peer string) {
+	if !l.Behind(number) {
 		return
 	}
 	l.directory.Replace(now, rows)
-	l.Reached(version)
-	l.log.WithFields(logrus.Fields{"event": "endpoints", "from": "peer " + peer, "version": version, "endpoints": len(rows)}).Info("a peer's list of endpoints is in use")
+	l.raise(number)
+	l.log.WithFields(logrus.Fields{"event": "endpoints", "from": "peer " + peer, "version": number >> dropBits, "endpoints": len(rows)}).Info("a peer's list of endpoints is in use")
 	l.changed()
 }
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -49,7 +49,7 @@
 		BaseURL: g.settings.Platform.URL, Timeout: g.settings.Platform.Timeout, PollWait: g.settings.Platform.PollWait,
 		Dialect: g.options.Adapter.Dialect, Observe: observeCalls(calls),
 	})
-	return &watcher{store: client, source: g.options.Adapter.Source, log: g.log}, nil
+	return &watcher{store: client, source: g.options.Adapter.Source, log: g.log, onDuty: g.follows}, nil
 }
 
 func (g *Gateway) newPeerNews(do.Injector) (*peerNews, error) {
@@ -67,7 +67,7 @@
 		MakeRequestIDs: g.options.Adapter.MakeRequestIDs,
 		Table:          g.holder.Table,
 		Pools:          g.pools.Pool,
-		Listing:        g.listing.Version,
+		Listing:        g.listing.Number,
 		Dialer:         do.MustInvoke[*httpio.Dialer](i),
 		Budget:         do.MustInvoke[*retry.Shared](i),
 
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -16,7 +16,7 @@
 type snapshot struct {
 	// Table is the platform's object that the table in force was made of.
 	Table json.RawMessage `json:"table,omitempty"`
-	// Listing is the platform's version of Endpoints.
+	// Listing is the number of Endpoints; see listing.
 	Listing   int64                 `json:"listing"`
 	Endpoints []routetable.Endpoint `json:"endpoints"`
 }
@@ -27,7 +27,7 @@
 	if table == nil {
 		return nil
 	}
-	data, err := json.Marshal(snapshot{Table: table, Listing: g.listing.Version(), Endpoints: g.directory.Rows()})
+	data, err := json.Marshal(snapshot{Table: table, Listing: g.listing.Number(), Endpoints: g.directory.Rows()})
 	if err != nil {
 		g.log.WithFields(logrus.Fields{"event": "snapshot_failed", "error": err}).Error("the snapshot for peers could not be encoded")
 		return nil
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -18,6 +19,8 @@
 	// platform. The longest is short beside the time in which a change must be in force.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 400 * time.Millisecond
+	// dutyPoll is the time between two looks at who follows the platform.
+	dutyPoll = 100 * time.Millisecond
 )
 
 // listTimeouts bound the tries of a list, in turn. A platform that was silent and is
@@ -29,6 +32,8 @@
 	store  platform.Store
 	source adapter.Source
 	log    *logrus.Logger
+	// onDuty reports whether this gateway follows the platform itself.
+	onDuty func() bool
 
 	mu sync.Mutex
 	// renewals end the calls that wait for changes, by collection.
@@ -65,6 +70,8 @@
 	// away and back tell of a platform that can't be read, and of its return.
 	away func()
 	back func()
+	// idle tells that others follow the platform from now on.
+	idle func()
 }
 
 // follow lists a collection and then watches it, again and again until ctx ends.
@@ -74,6 +81,10 @@
 	lost := time.Time{}
 	tries := 0
 	for ctx.Err() == nil {
+		if !w.onDuty() {
+			w.standBy(ctx, collection, h)
+			continue
+		}
 		listed := time.Time{}
 		err := w.followOnce(ctx, collection, h, listTimeouts[tries%len(listTimeouts)], func() {
 			tries = 0
@@ -90,6 +101,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if errors.Is(err, errOffDuty) {
+			continue
+		}
 		if !listed.IsZero() {
 			// Whether the platform is away shows when the collection is listed again. A
 			// watch may break by itself, and a silence as short as its wait lapses no entry.
@@ -109,6 +123,21 @@
 	}
 }
 
+// errOffDuty ends a round of a gateway that others follow the platform for.
+var errOffDuty = errors.New("others follow the platform")
+
+// standBy waits until this gateway has to follow the platform itself.
+func (w *watcher) standBy(ctx context.Context, collection string, h collectionHandler) {
+	w.log.WithFields(logrus.Fields{"event": "standby", "collection": collection}).Info("other gateways follow the platform; their news is used")
+	if h.idle != nil {
+		h.idle()
+	}
+	for ctx.Err() == nil && !w.onDuty() {
+		sleep(ctx, dutyPoll)
+	}
+	w.log.WithFields(logrus.Fields{"event": "on_duty", "collection": collection}).Info("this gateway follows the platform")
+}
+
 // followOnce lists and watches until a call fails. answered is called after the list.
 func (w *watcher) followOnce(ctx context.Context, collection string, h collectionHandler, timeout time.Duration, answered func()) error {
 	ctx, end := w.renewable(ctx, collection)
@@ -136,6 +165,9 @@
 			h.changed(event)
 		}
 		h.noteReached(event.Object.Version)
+		if event.Type == platform.Bookmark && !w.onDuty() {
+			return errOffDuty
+		}
 	}
 }
 
@@ -152,6 +184,7 @@
 		away:    l.StoreAway,
 		back:    l.StoreBack,
 		reached: l.Reached,
+		idle:    l.Idle,
 		listed: func(items []platform.Object) {
 			rows := make([]routetable.Endpoint, 0, len(items))
 			for _, item := range items {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,8 +17,8 @@
 const (
 	// Interval is the time between two messages to a peer.
 	Interval = 200 * time.Millisecond
-	// fanout bounds the peers told at each interval, so that the cost of a daemon does
-	// not grow with their number.
+	// fanout bounds the peers told at each interval by a daemon that does not follow the
+	// platform, so that its cost does not grow with their number.
 	fanout = 12
 	// crashesSent bounds the digests passed on in a message.
 	crashesSent = 6
@@ -35,8 +35,10 @@
 	Members *Members
 	// Table returns the version of the own route table.
 	Table func() int64
-	// Listing returns the platform's version of the own list of endpoints.
+	// Listing returns the number of the own list of endpoints.
 	Listing func() int64
+	// Following, Blind and Leaving tell the own state; see Message.
+	Following, Blind, Leaving func() bool
 	// Loads returns the own work at each endpoint.
 	Loads func() map[string]balance.Load
 	// Register holds the evidence against requests that crash endpoints; it is shared.
@@ -51,6 +53,8 @@
 	Options
 	conn        *net.UDPConn
 	incarnation int64
+	// turn is the index of the next peer to tell.
+	turn int
 }
 
 // Listen opens the socket.
@@ -86,16 +90,20 @@
 // tell sends the daemon's state to the peers, or to some of them if there are many.
 func (g *Gossip) tell() {
 	addresses := g.Members.Addresses()
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	following := g.Following()
 	data, err := encode(Message{
 		Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Table: g.Table(), Listing: g.Listing(),
-		Crashes: g.crashes(), Loads: g.Loads(), Known: addresses[:min(len(addresses), knownSent)],
+		Following: following, Blind: g.Blind(), Leaving: g.Leaving(),
+		Crashes: g.crashes(), Loads: g.Loads(), Known: someOf(addresses, knownSent),
 	})
 	if err != nil {
 		g.Log.WithFields(logrus.Fields{"event": "gossip_failed", "error": err}).Error("a message could not be encoded")
 		return
 	}
-	for _, address := range addresses[:min(len(addresses), fanout)] {
+	if !following {
+		addresses = g.nextPeers(addresses)
+	}
+	for _, address := range addresses {
 		to, err := netip.ParseAddr(address)
 		if err != nil {
 			continue // An address that a peer passed on; no message comes from it either.
@@ -105,6 +113,31 @@
 	}
 }
 
+// nextPeers returns the peers whose turn it is, so that all hear within a round.
+func (g *Gossip) nextPeers(addresses []string) []string {
+	if len(addresses) <= fanout {
+		return addresses
+	}
+	turn := make([]string, 0, fanout)
+	for i := range fanout {
+		turn = append(turn, addresses[(g.turn+i)%len(addresses)])
+	}
+	g.turn = (g.turn + fanout) % len(addresses)
+	return turn
+}
+
+// someOf returns up to n of the addresses, other ones each time.
+func someOf(addresses []string, n int) []string {
+	if len(addresses) <= n {
+		return addresses
+	}
+	some := make([]string, 0, n)
+	for _, i := range rand.Perm(len(addresses))[:n] {
+		some = append(some, addresses[i])
+	}
+	return some
+}
+
 // crashes returns the latest evidence, as much as fits beside the rest.
 func (g *Gossip) crashes() []quarantine.Entry {
 	entries := g.Register.Entries(time.Now())
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -5,12 +5,17 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/primrosewell/primrosewell/internal/balance"
 )
 
 const (
 	// lostAfter is the silence after which a peer counts as lost: a few messages in a row.
 	lostAfter = 1500 * time.Millisecond
+	// followers is the number of daemons that follow the platform for all: more than are
+	// commonly cut off from it at once, and few beside a large fleet.
+	followers = 4
 	// forgetAfter is the silence after which a peer's address is tried no more.
 	forgetAfter = 60 * time.Second
 	// loadsFresh is how long a peer's loads are used.
@@ -27,6 +32,8 @@
 	incarnation int64
 	table       int64
 	listing     int64
+	following   bool
+	blind       bool
 	leaving     bool
 	heard       time.Time
 	since       time.Time
@@ -97,7 +104,8 @@
 	case p.lost:
 		change.What = "found"
 	}
-	p.node, p.incarnation, p.leaving = message.Node, message.Incarnation, message.Leaving
+	p.node, p.incarnation = message.Node, message.Incarnation
+	p.following, p.blind, p.leaving = message.Following, message.Blind, message.Leaving
 	p.table, p.listing = message.Table, message.Listing
 	p.heard, p.lost, p.loads = now, false, message.Loads
 	return change, change.What != ""
@@ -110,7 +118,7 @@
 	var lost []Change
 	for address, p := range m.peers {
 		silent := now.Sub(p.heard)
-		if !p.lost && silent > lostAfter {
+		if !p.lost && silent > m.patience(p) {
 			p.lost = true
 			lost = append(lost, Change{Node: p.node, Address: address, What: "lost", Silent: silent})
 		}
@@ -121,6 +129,20 @@
 	return lost
 }
 
+// round is the time in which a daemon that does not follow the platform tells every peer once.
+func (m *Members) round() time.Duration {
+	return Interval * time.Duration((len(m.peers)+fanout-1)/fanout)
+}
+
+// patience is the silence after which a peer counts as lost. Those that follow the
+// platform tell every peer at each interval.
+func (m *Members) patience(p *peer) time.Duration {
+	if p.following {
+		return lostAfter
+	}
+	return max(lostAfter, 3*m.round())
+}
+
 // Addresses returns the addresses to send to.
 func (m *Members) Addresses() []string {
 	m.mu.Lock()
@@ -173,7 +195,7 @@
 	defer m.mu.Unlock()
 	total := make(map[string]balance.Load)
 	for _, p := range m.peers {
-		if now.Sub(p.heard) > loadsFresh {
+		if now.Sub(p.heard) > max(loadsFresh, 2*m.round()) {
 			continue
 		}
 		for id, load := range p.loads {
@@ -185,3 +207,18 @@
 	}
 	return total
 }
+
+// Follows reports whether this daemon is among the few that follow the platform for
+// all: the first ones by hash of the live daemons that can read it.
+func (m *Members) Follows() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := xxhash.Sum64String(m.self)
+	ahead := 0
+	for address, p := range m.peers {
+		if !p.lost && !p.blind && !p.leaving && xxhash.Sum64String(address) < own {
+			ahead++
+		}
+	}
+	return ahead < followers
+}
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -68,4 +68,65 @@
 		Expect(m.Counted(now.Add(5 * time.Second))).To(Equal(2))
 		Expect(m.Counted(now.Add(30 * time.Second))).To(Equal(1))
 	})
+
+	Describe("who follows the platform", func() {
+		addresses := []string{"1", "2", "3", "4", "5", "6", "7", "8"}
+		// fleet lets every daemon hear of every other, as tell changes each message.
+		fleet := func(tell func(*gossip.Message)) map[string]*gossip.Members {
+			all := make(map[string]*gossip.Members)
+			for _, self := range addresses {
+				all[self] = gossip.NewMembers(now, self, nil)
+				for _, other := range addresses {
+					m := message(other, 5)
+					tell(&m)
+					all[self].Heard(now, m)
+				}
+			}
+			return all
+		}
+		following := func(all map[string]*gossip.Members, but string) (n int) {
+			for self, m := range all {
+				if self != but && m.Follows() {
+					n++
+				}
+			}
+			return n
+		}
+
+		It("is a few of many, and everybody agrees", func() {
+			Expect(following(fleet(func(*gossip.Message) {}), "")).To(Equal(4))
+		})
+
+		It("is everybody who is alone", func() {
+			Expect(gossip.NewMembers(now, "1", addresses).Follows()).To(BeTrue())
+		})
+
+		DescribeTable("moves on when one of them can't",
+			func(tell func(*gossip.Message)) {
+				for _, gone := range addresses {
+					all := fleet(func(m *gossip.Message) {
+						if m.Address == gone {
+							tell(m)
+						}
+					})
+					Expect(following(all, gone)).To(Equal(4), gone)
+				}
+			},
+			Entry("it is cut off from the platform", func(m *gossip.Message) { m.Blind = true }),
+			Entry("it leaves", func(m *gossip.Message) { m.Leaving = true }),
+		)
+
+		It("moves on when one of them falls silent, sooner than for the others", func() {
+			all := fleet(func(m *gossip.Message) { m.Following = true })
+			for self, m := range all {
+				for _, other := range addresses[1:] {
+					if other != self {
+						m.Heard(now.Add(2*time.Second), message(other, 5))
+					}
+				}
+				m.Expire(now.Add(2 * time.Second))
+			}
+			Expect(following(all, "1")).To(Equal(4))
+		})
+	})
 })
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -27,8 +27,12 @@
 	Address string `cbor:"4,keyasint"`
 	// Table is the version of the sender's route table.
 	Table int64 `cbor:"5,keyasint"`
-	// Listing is the platform's version that the sender's list of endpoints reflects.
+	// Listing numbers the sender's list of endpoints; a higher number is newer.
 	Listing int64 `cbor:"9,keyasint,omitempty"`
+	// Following is set while the sender follows the platform itself.
+	Following bool `cbor:"11,keyasint,omitempty"`
+	// Blind is set while the sender can't read the platform.
+	Blind bool `cbor:"12,keyasint,omitempty"`
 	// Leaving is set while the sender shuts down.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// Loads is the sender's own work at each endpoint.
