--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -165,7 +165,7 @@
 			h.changed(event)
 		}
 		h.noteReached(event.Object.Version)
-		if event.Type == platform.Bookmark && !w.onDuty() {
+		if !w.onDuty() {
 			return errOffDuty
 		}
 	}
