--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -255,6 +255,24 @@
 		})
 	})
 
+	// Load pattern: a hot part whose home has no slot left; each further request would wait there.
+	It("leaves a home whose slots are taken, also when nothing is left to read there", func() {
+		p := newPool(9)
+		home := p.Pick(now, longAsk(1))
+		home.Begun(now)
+		taken := 1
+		for range 200 {
+			c := p.Pick(now, longAsk(1))
+			c.Begun(now)
+			if c.ID != home.ID {
+				break
+			}
+			taken++
+		}
+		Expect(taken).To(BeNumerically(">=", 64), "the slots of the home are used")
+		Expect(taken).To(BeNumerically("<", 100), "and little more than those")
+	})
+
 	It("counts the work of other daemons", func() {
 		p := newPool(3)
 		p.SetElsewhere(map[string]balance.Load{"e0": {Running: 20}, "e1": {Running: 20}})
--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -8,6 +8,9 @@
 const (
 	// runningWork is what one running request costs the next one, in prompt tokens.
 	runningWork = 250
+	// slotWork is what each request beyond an endpoint's slots costs the next one: it waits
+	// until one ends, which takes about as long as reading so many tokens.
+	slotWork = 8000
 	// failurePenalty is the cost of a certain failure, in prompt tokens.
 	failurePenalty = 60000
 	// coldFactor is how much slower a cold endpoint is taken to be.
@@ -107,6 +110,7 @@
 		unit = plainWork
 	}
 	work := rereadWeight*float64(reading) + float64(e.reading+e.elsewhere.Reading) + unit*float64(e.running+e.elsewhere.Running+1)
+	work += slotWork * float64(max(0, e.running+e.elsewhere.Running+1-e.Slots))
 	work *= e.evidence.slowness(now, typical)
 	if now.Before(e.coldUntil) {
 		work *= coldFactor
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -83,6 +83,7 @@
 	return &Forwarder{
 		Options: options, filters: newFilters(options.Headers), metrics: newMetrics(options.Scope),
 		crashes: newCrashLook(options.Dialer, options.Register, options.Log),
+		unready: outage{since: time.Now()}, // A configuration is wanted from the start.
 	}
 }
 
