balance: the express lane is sized by the slots that short prompts take

Load pattern: a fleet of engines with few slots in a burst of long prompts. Now its size follows the short prompts in progress, at 0.7 of its slots, between 0.08 and 0.25 of the pool.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -106,6 +106,44 @@
 			Expect(used).To(HaveLen(9))
 		})
 
+		It("grows the lane with the slots that short prompts take, and shrinks it again", func() {
+			p := newPool(40) // 64 slots each.
+			lane := func(at time.Time) int {
+				used := make(map[string]bool)
+				for i := range 400 {
+					c := p.Pick(at, longAsk(i))
+					c.Begun(at)
+					c.Done(at, balance.Good)
+					used[c.ID] = true
+				}
+				return 40 - len(used)
+			}
+			before := lane(now)
+			Expect(before).To(Equal(4))
+			var running []*balance.Choice
+			for range 320 {
+				c := p.Pick(now, shortAsk())
+				c.Begun(now)
+				running = append(running, c)
+			}
+			at := now
+			for range 30 {
+				at = at.Add(1100 * time.Millisecond)
+				p.Pick(at, shortAsk()).Done(at, balance.Good)
+			}
+			Expect(lane(at)).To(And(BeNumerically(">=", 7), BeNumerically("<=", 10)))
+			for _, c := range running {
+				c.Done(at, balance.Good)
+			}
+			for range 30 {
+				at = at.Add(1100 * time.Millisecond)
+				c := p.Pick(at, longAsk(1))
+				p.Pick(at, longAsk(2)).Done(at, balance.Good)
+				c.Done(at, balance.Good)
+			}
+			Expect(lane(at)).To(Equal(before))
+		})
+
 		It("has no lane in a pool of a few endpoints", func() {
 			p := newPool(3)
 			used := make(map[string]bool)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -42,6 +42,7 @@
 	order      []*endpoint
 	// prompts is set once a request has declared a prompt: the pool is one of engines.
 	prompts bool
+	lane    lane
 	// unhindered is the cost of a prompt token at an idle endpoint.
 	unhindered floor
 	// typical is the median speed as of typicalAt; it moves slowly.
@@ -62,6 +63,8 @@
 	// running counts this daemon's requests there; reading is what they have yet to read, in tokens.
 	running int
 	reading int
+	// short counts those of running whose prompts are short.
+	short int
 	// waiting is what is yet to be read, by urgency.
 	waiting backlog
 	// elsewhere is the work of other daemons there.
@@ -103,7 +106,16 @@
 		p.order = append(p.order, e)
 	}
 	p.endpoints = next
-	assignExpress(p.order, p.prompts)
+	p.lane.size = laneSize(len(p.order), p.slots(), p.lane.short)
+	p.assignExpress()
+}
+
+func (p *Pool) slots() int {
+	slots := 0
+	for _, e := range p.order {
+		slots += e.Slots
+	}
+	return slots
 }
 
 // Size returns the number of endpoints that may get work.
@@ -154,6 +166,7 @@
 	e       *endpoint
 	reading int
 	urgency int
+	short   bool
 	parts   []hashedPart
 	started time.Time
 	begun   bool
@@ -165,8 +178,9 @@
 	defer p.mu.Unlock()
 	if ask.PromptTokens > 0 && !p.prompts {
 		p.prompts = true
-		assignExpress(p.order, true)
+		p.assignExpress()
 	}
+	p.reviewLane(now)
 	candidates := p.filter(now, ask)
 	if len(candidates) == 0 {
 		return nil
@@ -177,12 +191,15 @@
 	c := &Choice{
 		Endpoint: e.Endpoint, Reason: best.reason, Score: best.cost, Alternatives: len(candidates),
 		pool: p, e: e, reading: best.reading, parts: parts, started: now,
-		Wait: p.wait(e, ask.Priority), urgency: ask.Priority,
+		Wait: p.wait(e, ask.Priority), urgency: ask.Priority, short: ask.PromptTokens <= shortPrompt,
 	}
 	if best.holder != nil {
 		c.FetchFrom = best.holder.Address
 	}
 	e.running++
+	if c.short {
+		e.short++
+	}
 	e.expect(c.urgency, c.reading)
 	e.evidence.sent(now)
 	e.cache.note(now, parts)
@@ -221,6 +238,9 @@
 		c.e.expect(c.urgency, -c.reading)
 	}
 	c.e.running--
+	if c.short {
+		c.e.short--
+	}
 	c.e.evidence.ended(now, result)
 	if result != Good {
 		c.e.cache.forget(c.parts)
