--- a/internal/command/gatewaydev.go
+++ b/internal/command/gatewaydev.go
@@ -75,13 +75,13 @@
 // surroundings starts a platform with one route and two endpoints, and returns settings for it.
 func (c *gatewayDevCommand) surroundings(ctx context.Context) (gateway.Settings, error) {
 	store := platformstandin.New(platformstandin.Options{})
-	address, err := serveLoopback(func(l net.Listener) error { return store.Serve(ctx, l) })
+	address, err := serveLoopback(ctx, func(l net.Listener) error { return store.Serve(ctx, l) })
 	if err != nil {
 		return gateway.Settings{}, err
 	}
 	for _, id := range []string{"endpoint-1", "endpoint-2"} {
 		standin := opaque.Endpoint{ID: id, Names: headers.Default()}
-		at, err := serveLoopback(func(l net.Listener) error { return standin.Serve(ctx, l) })
+		at, err := serveLoopback(ctx, func(l net.Listener) error { return standin.Serve(ctx, l) })
 		if err != nil {
 			return gateway.Settings{}, err
 		}
@@ -93,7 +93,7 @@
 	if err := put(ctx, store.Store(), "routes", "table", devTable()); err != nil {
 		return gateway.Settings{}, err
 	}
-	return c.devSettings("http://" + address)
+	return c.devSettings(ctx, "http://"+address)
 }
 
 func devTable() routetable.Spec {
@@ -107,10 +107,10 @@
 	}
 }
 
-func (c *gatewayDevCommand) devSettings(platformURL string) (gateway.Settings, error) {
+func (c *gatewayDevCommand) devSettings(ctx context.Context, platformURL string) (gateway.Settings, error) {
 	var free [4]string
 	for i := range free {
-		l, err := net.Listen("tcp4", loopbackAny)
+		l, err := new(net.ListenConfig).Listen(ctx, "tcp4", loopbackAny)
 		if err != nil {
 			return gateway.Settings{}, err
 		}
@@ -139,8 +139,8 @@
 }
 
 // serveLoopback serves on a free loopback port and returns its address.
-func serveLoopback(serve func(net.Listener) error) (string, error) {
-	listener, err := net.Listen("tcp4", loopbackAny)
+func serveLoopback(ctx context.Context, serve func(net.Listener) error) (string, error) {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", loopbackAny)
 	if err != nil {
 		return "", err
 	}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -218,12 +218,7 @@
 		choice.Done(time.Now(), v.result)
 		j.logAttempt(choice, v)
 		j.f.metrics.attempted(j.service, v.result)
-		switch v.result {
-		case balance.Broken:
-			j.f.crashes.broke(choice, content)
-		case balance.Good:
-			j.f.Register.Cleared(time.Now(), content)
-		}
+		j.noteEvidence(choice, v.result, content)
 		if v.done {
 			return v.failure
 		}
@@ -233,6 +228,16 @@
 	}
 }
 
+// noteEvidence tells of what the attempt says about its content.
+func (j *job) noteEvidence(choice *balance.Choice, result balance.Result, content string) {
+	if result == balance.Broken {
+		j.f.crashes.broke(choice, content)
+	}
+	if result == balance.Good {
+		j.f.Register.Cleared(time.Now(), content)
+	}
+}
+
 // place chooses the next endpoint.
 func (j *job) place(pool *balance.Pool) *balance.Choice {
 	now := time.Now()
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -36,7 +36,7 @@
 	Reserved []string `json:"reserved"`
 }
 
-// DefaultNames are the names of primrosewell's own interface.
+// Default returns the names of primrosewell's own interface.
 func Default() Names {
 	return Names{
 		RequestID: "Primrosewell-Request-Id", Deadline: "Primrosewell-Deadline-Ms", Key: "Primrosewell-Key",
