--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -46,7 +46,7 @@
 	}
 	calls := metrics.Scope.SubScope("platform")
 	client := platform.NewClient(platform.ClientOptions{
-		BaseURL: g.settings.Platform.URL, Timeout: g.settings.Platform.Timeout, PollWait: g.settings.Platform.PollWait,
+		BaseURL: g.settings.Platform.URL, Token: g.settings.Platform.Token, Timeout: g.settings.Platform.Timeout, PollWait: g.settings.Platform.PollWait,
 		Dialect: g.options.Adapter.Dialect, Observe: observeCalls(calls),
 	})
 	return &watcher{store: client, source: g.options.Adapter.Source, log: g.log, onDuty: g.follows}, nil
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -59,6 +59,8 @@
 type Platform struct {
 	// URL is the scheme, IP number and port. Required.
 	URL string `json:"url"`
+	// Token authenticates the gateway. Default: none is sent.
+	Token string `json:"token"`
 	// Timeout bounds a call that does not wait for changes. Default "2s".
 	Timeout time.Duration `json:"timeout"`
 	// PollWait is how long a call waits for changes. Default "2s".
--- /dev/null
+++ b/test/e2e/gateway_test.go
@@ -0,0 +1,207 @@
+package e2e_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"github.com/onsi/gomega/gexec"
+
+	"github.com/primrosewell/primrosewell/internal/headers"
+	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+	"github.com/primrosewell/primrosewell/internal/standin/opaque"
+)
+
+// gatewayProcess is one gateway of a fleet.
+type gatewayProcess struct {
+	*process
+	ip, file, settings string
+}
+
+// gatewayFleet is gateways before a stand-in platform and two endpoints.
+type gatewayFleet struct {
+	store    platform.Store
+	platform *process
+	ports    [4]int
+	gateways []*gatewayProcess
+}
+
+var gatewayNames = headers.Default()
+
+func startGateways(n int) *gatewayFleet {
+	f := &gatewayFleet{}
+	var address string
+	f.platform, address = standin("platform", "-token", platformToken)
+	f.store = platform.NewClient(platform.ClientOptions{BaseURL: "http://" + address, Token: platformToken})
+	var held []net.Listener // All at once, so that the ports differ.
+	for i := range f.ports {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		held = append(held, l)
+		f.ports[i] = l.Addr().(*net.TCPAddr).Port
+	}
+	for _, l := range held {
+		Expect(l.Close()).To(Succeed())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	for _, id := range []string{"a", "b"} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = opaque.Endpoint{ID: id, Names: gatewayNames}.Serve(ctx, l) }()
+		f.put("endpoints", id, map[string]any{"service": "svc", "address": l.Addr().String(), "data_centre": "dc-1", "slots": 8, "born": 1})
+	}
+	f.putTable(1, "key")
+	for i := range n {
+		f.add(fmt.Sprintf("127.0.0.%d", i+1), "http://"+address)
+	}
+	return f
+}
+
+func (f *gatewayFleet) put(collection, name string, content any) {
+	data, err := json.Marshal(content)
+	Expect(err).NotTo(HaveOccurred())
+	o := platform.Object{Collection: collection, Name: name, Data: data}
+	if old, err := f.store.Get(context.Background(), collection, name); err == nil {
+		o.Version = old.Version
+		_, err = f.store.Update(context.Background(), o)
+		Expect(err).NotTo(HaveOccurred())
+		return
+	}
+	_, err = f.store.Create(context.Background(), o)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (f *gatewayFleet) putTable(version int64, key string) {
+	f.put("routes", "table", routetable.Spec{
+		Version: version, KeysRequired: true,
+		Routes: []routetable.Route{{
+			Name: "r", Host: "h", PathPrefix: "/x/", Kind: routetable.Streaming, Timeout: 20 * time.Second, MaxAttempts: 1,
+			Backends: []routetable.Backend{{Service: "svc", Weight: 1}},
+		}},
+		Workspaces: []routetable.Workspace{{Name: "acme", Keys: []string{key}}},
+	})
+}
+
+func (f *gatewayFleet) add(ip, platformURL string) {
+	g := &gatewayProcess{ip: ip, file: filepath.Join(GinkgoT().TempDir(), "gateway.json")}
+	g.settings = fmt.Sprintf(`{"vm":{"id":%q,"data_centre":"dc-1"},"callers":{"listen":"%s:%d"},"readiness":{"listen":"%s:%d"},
+"peers":{"address":%q,"gossip_port":%d,"fetch_port":%d,"seeds":["127.0.0.1"]},"platform":{"url":%q,"token":%q},"drain":{"grace":"20s"}}`,
+		"vm-"+ip, ip, f.ports[0], ip, f.ports[1], ip, f.ports[2], f.ports[3], platformURL, platformToken)
+	Expect(os.WriteFile(g.file, []byte(g.settings), 0o600)).To(Succeed())
+	g.process = launch("gateway", "-settings", g.file)
+	f.gateways = append(f.gateways, g)
+	Eventually(func() int { return f.get(g, "/x/1", "key").status }, startTimeout).Should(Equal(200))
+}
+
+type gatewayAnswer struct {
+	status int
+	body   string
+	// whole is true if the answer ended as it should.
+	whole bool
+}
+
+func (f *gatewayFleet) get(g *gatewayProcess, path, key string) gatewayAnswer {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d%s", g.ip, f.ports[0], path), nil)
+	Expect(err).NotTo(HaveOccurred())
+	r.Host = "h"
+	r.Header.Set(gatewayNames.Key, key)
+	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
+	if err != nil {
+		return gatewayAnswer{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return gatewayAnswer{status: response.StatusCode, body: string(body), whole: err == nil}
+}
+
+const streamEvents = 5
+
+var _ = Describe("Gateways as processes", func() {
+	It("keep their promises through a kill, a freeze and a drain under load", func() {
+		f := startGateways(3)
+		var mu sync.Mutex
+		answers := make(map[*gatewayProcess][]gatewayAnswer)
+		ctx, stop := context.WithCancel(context.Background())
+		var callers sync.WaitGroup
+		for _, g := range f.gateways {
+			for range 4 {
+				callers.Add(1)
+				go func() {
+					defer callers.Done()
+					for ctx.Err() == nil {
+						a := f.get(g, "/x/stream", "key")
+						mu.Lock()
+						answers[g] = append(answers[g], a)
+						mu.Unlock()
+						if a.status == 0 {
+							time.Sleep(50 * time.Millisecond)
+						}
+					}
+				}()
+			}
+		}
+		killed, frozen, drained := f.gateways[0], f.gateways[1], f.gateways[2]
+		time.Sleep(time.Second)
+		killed.signal(syscall.SIGKILL)
+		frozen.signal(syscall.SIGSTOP)
+		time.Sleep(2 * time.Second)
+		frozen.signal(syscall.SIGCONT)
+		drained.signal(syscall.SIGTERM)
+		Eventually(drained.session, startTimeout).Should(gexec.Exit(0))
+		Eventually(frozen.log, startTimeout).Should(gbytes.Say("event=woke"))
+		stop()
+		callers.Wait()
+		for g, all := range answers {
+			for _, a := range all {
+				if a.whole && a.status == 200 {
+					Expect(strings.Count(a.body, "id: ")).To(Equal(streamEvents), "a short answer must not look whole")
+				}
+				if g != killed && a.status == 200 {
+					Expect(a.whole).To(BeTrue(), g.ip+" cut an answer: "+a.body)
+				}
+			}
+		}
+		Expect(f.get(frozen, "/x/1", "key").status).To(Equal(200))
+	})
+
+	It("read their settings again, and keep those in force when the file is wrong", func() {
+		f := startGateways(1)
+		g := f.gateways[0]
+		Expect(os.WriteFile(g.file, []byte(`{"vm":`), 0o600)).To(Succeed())
+		g.signal(syscall.SIGHUP)
+		Eventually(g.log, startTimeout).Should(gbytes.Say("event=reload_failed"))
+		Expect(f.get(g, "/x/1", "key").status).To(Equal(200))
+		changed := strings.Replace(g.settings, `"drain"`, `"retries":{"ratio":0.1},"drain"`, 1)
+		Expect(os.WriteFile(g.file, []byte(changed), 0o600)).To(Succeed())
+		Eventually(g.log, startTimeout).Should(gbytes.Say("event=reload .*retry_ratio=0.1"))
+	})
+
+	It("apply a configuration on every gateway, also after one was killed and came back", func() {
+		f := startGateways(2)
+		f.gateways[1].signal(syscall.SIGKILL)
+		Eventually(f.gateways[1].session, startTimeout).Should(gexec.Exit())
+		f.putTable(2, "new-key")
+		back := f.gateways[1]
+		back.process = launch("gateway", "-settings", back.file)
+		for _, g := range f.gateways {
+			Eventually(func() int { return f.get(g, "/x/1", "new-key").status }, startTimeout).Should(Equal(200))
+			Expect(f.get(g, "/x/1", "key").status).To(Equal(401))
+		}
+	})
+})
