forward: a more urgent request is never refused while a less urgent one is taken

Cause: the limit was twice the request's own target. Now it is twice the longest target among all requests to the service that are not more urgent. The new spec failed before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -32,8 +32,7 @@
 	// retryWhenSuspended is when to come back with content that crashed endpoints; by
 	// then the evidence has faded.
 	retryWhenSuspended = 60 * time.Second
-	// waitShare is the part of the latency target that a request may wait for the prompts
-	// ahead of it.
+	// waitShare is how many latency targets a request may wait for the prompts ahead of it.
 	waitShare = 2.0
 	// maxSends bounds the endpoints that one request is offered to, refusals and
 	// connections that did not open included.
@@ -256,10 +255,11 @@
 	return choice
 }
 
-// overloaded refuses a new request that would wait for longer than its target at the
-// best endpoint. It has not been sent anywhere.
+// overloaded refuses a new request that would wait for far longer than its target at the
+// best endpoint, and than the targets of all that are not more urgent: those must be
+// refused first. It has not been sent anywhere.
 func (j *job) overloaded(choice *balance.Choice) *failure.Failure {
-	limit := time.Duration(waitShare * float64(j.route.Target))
+	limit := time.Duration(waitShare * float64(j.table.LongestTarget(j.service, j.urgency)))
 	if j.sends > 1 || j.route.Target <= 0 || choice.Wait <= limit {
 		return nil
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -338,6 +338,22 @@
 		Expect(e.seen()).To(BeEmpty(), "not run is true")
 	})
 
+	// Load pattern: the same backlog before requests of a short and of a long target.
+	It("does not refuse a more urgent request while it takes a less urgent one", func() {
+		sp := spec()
+		sp.Routes[0].Target, sp.Routes[0].Priority = time.Second, 1
+		sp.Routes[1].Target, sp.Routes[1].Priority = 10*time.Second, 2
+		e := newEndpoint(ok("fine"))
+		w := newWorld(sp, e)
+		c := w.pool.Pick(time.Now(), balance.Ask{PromptTokens: 20000})
+		c.Begun(time.Now().Add(100 * time.Millisecond))
+		for range 50 {
+			w.pool.Pick(time.Now(), balance.Ask{PromptTokens: 20000})
+		}
+		Expect(w.call("/unsafe/x", names.PromptSize, "1000,10").StatusCode).To(Equal(http.StatusOK))
+		Expect(w.call("/safe/x", names.PromptSize, "1000,10").StatusCode).To(Equal(http.StatusOK))
+	})
+
 	// Load pattern: a request that crashes each endpoint that runs it comes again and again.
 	It("holds content back after it crashed three endpoints, and no other content", func() {
 		var ends []*fakeEndpoint
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -134,6 +134,7 @@
 	services map[string]*Service
 	byKey    map[string]*Workspace
 	urgency  map[rank]int
+	targets  longestTargets
 }
 
 // New prepares a table; it keeps spec.
@@ -146,6 +147,7 @@
 		byKey:    make(map[string]*Workspace),
 		urgency:  rankAll(spec),
 	}
+	t.targets = findLongestTargets(spec, t.urgency)
 	for i := range spec.Routes {
 		route := &spec.Routes[i]
 		host := strings.ToLower(route.Host)
--- a/internal/routetable/table_test.go
+++ b/internal/routetable/table_test.go
@@ -98,4 +98,30 @@
 		}
 		Expect(last).To(Equal(9))
 	})
+
+	It("knows the longest target among what is not more urgent", func() {
+		zero, one := 0, 1
+		backends := []routetable.Backend{{Service: "llm"}}
+		spec := routetable.Spec{
+			Routes: []routetable.Route{
+				{Name: "urgent", Priority: 0, Target: 500 * time.Millisecond, Backends: backends},
+				{Name: "middle", Priority: 1, Target: 800 * time.Millisecond, Backends: backends},
+				{Name: "batch", Priority: 2, Target: 2 * time.Second, Backends: backends},
+				{Name: "other", Priority: 2, Target: time.Minute, Backends: []routetable.Backend{{Service: "plain"}}},
+			},
+			Workspaces: []routetable.Workspace{{Name: "first", Priority: &zero}, {Name: "second", Priority: &one}},
+		}
+		table := routetable.New(spec)
+		for i := range spec.Workspaces {
+			for j := range 3 {
+				urgency := table.Urgency(&spec.Workspaces[i], &spec.Routes[j])
+				Expect(table.LongestTarget("llm", urgency)).To(Equal(2 * time.Second))
+			}
+		}
+		spec.Routes[2].Target, spec.Routes[0].Target = 100*time.Millisecond, 3*time.Second
+		table = routetable.New(spec)
+		last := table.Urgency(&spec.Workspaces[1], &spec.Routes[2])
+		Expect(table.LongestTarget("llm", last)).To(Equal(100 * time.Millisecond))
+		Expect(table.LongestTarget("unknown", 0)).To(BeZero())
+	})
 })
