--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -260,7 +260,7 @@
 			first.Done(now, balance.Good)
 			for i := range 200 {
 				ask := longAsk(i)
-				ask.Priority = 2
+				ask.Urgency = 2
 				p.Pick(now, ask)
 			}
 			return p
@@ -269,7 +269,7 @@
 		It("grows with the prompts that wait, not with the request's own", func() {
 			p := loaded()
 			large, small := longAsk(3), longAsk(3)
-			large.Priority, small.Priority = 2, 2
+			large.Urgency, small.Urgency = 2, 2
 			large.PromptTokens, small.PromptTokens = 60000, 15000
 			a := p.Pick(now, small)
 			a.Done(now, balance.Neutral)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -26,8 +26,8 @@
 	PromptTokens int
 	// Parts are the declared parts of the prompt in order; the last one is the request's own.
 	Parts []Part
-	// Priority is the urgency at the engine; 0 is first.
-	Priority int
+	// Urgency is the request's place at the engine; 0 is first.
+	Urgency int
 	// Exclude names endpoints that this request has tried.
 	Exclude map[string]bool
 }
@@ -191,7 +191,7 @@
 	c := &Choice{
 		Endpoint: e.Endpoint, Reason: best.reason, Score: best.cost, Alternatives: len(candidates),
 		pool: p, e: e, reading: best.reading, parts: parts, started: now,
-		Wait: p.wait(e, ask.Priority), urgency: ask.Priority, short: ask.PromptTokens <= shortPrompt,
+		Wait: p.wait(e, ask.Urgency), urgency: ask.Urgency, short: ask.PromptTokens <= shortPrompt,
 	}
 	if best.holder != nil {
 		c.FetchFrom = best.holder.Address
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -60,7 +60,7 @@
 	_ = conn.SetDeadline(j.limit)
 	stop := context.AfterFunc(j.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	answer, _, err := conn.Exchange(j.head(choice), j.request.Body, j.f.Headers.RequestID, j.id)
+	answer, err := conn.Exchange(j.head(choice), j.request.Body, j.f.Headers.RequestID, j.id)
 	if err != nil {
 		_ = conn.Close()
 		return j.broken(err, "before an answer")
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -240,7 +240,7 @@
 // place chooses the next endpoint.
 func (j *job) place(pool *balance.Pool) *balance.Choice {
 	now := time.Now()
-	choice := pool.Pick(now, balance.Ask{PromptTokens: j.tokens, Parts: j.parts, Priority: j.urgency, Exclude: j.tried})
+	choice := pool.Pick(now, balance.Ask{PromptTokens: j.tokens, Parts: j.parts, Urgency: j.urgency, Exclude: j.tried})
 	if choice == nil {
 		return nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,25 +5,18 @@
 import (
 	"context"
 	"math"
-	"net"
-	"net/http"
-	"net/netip"
 	"runtime/debug"
-	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 
 	"github.com/primrosewell/primrosewell/internal/adapter"
 	"github.com/primrosewell/primrosewell/internal/directory"
 	"github.com/primrosewell/primrosewell/internal/failure"
-	"github.com/primrosewell/primrosewell/internal/forward"
 	"github.com/primrosewell/primrosewell/internal/gossip"
 	"github.com/primrosewell/primrosewell/internal/httpio"
-	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/retry"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
 )
@@ -130,96 +123,6 @@
 	return g.listing.Away() || g.holder.Table() == nil || g.members.Follows()
 }
 
-func (g *Gateway) startPeers(ctx context.Context) error {
-	address, err := netip.ParseAddr(g.settings.Peers.Address)
-	if err != nil {
-		return failure.Wrap(err, failure.InvalidObject, "peers.address")
-	}
-	news := do.MustInvoke[*peerNews](g.parts)
-	budget := do.MustInvoke[budgetSharer](g.parts)
-	exchange, err := gossip.Listen(gossip.Options{
-		Node: g.settings.VM.ID, Address: address, Port: g.settings.Peers.GossipPort, Members: g.members,
-		Table: g.holder.Version, Listing: g.listing.Number, Loads: g.pools.Own, Log: g.log,
-		Following: g.follows, Blind: g.listing.Away, Leaving: g.draining.Load,
-		Register: do.MustInvoke[*quarantine.Register](g.parts),
-		OnHeard: func(now time.Time) {
-			g.pools.SetElsewhere(g.members.Elsewhere(now))
-			budget.SetDaemons(g.members.Counted(now))
-			news.Check(ctx)
-		},
-	})
-	if err != nil {
-		return failure.Wrap(err, failure.Internal, "peers' datagram socket")
-	}
-	go exchange.Run(ctx)
-	listener, err := listen(ctx, joinPort(g.settings.Peers.Address, g.settings.Peers.FetchPort))
-	if err != nil {
-		return failure.Wrap(err, failure.Internal, "peers' listener")
-	}
-	g.serveHTTP(gossip.NewFetchServer(g.encodeSnapshot), listener, "peers")
-	return nil
-}
-
-// budgetSharer is told how many daemons share the retry budget.
-type budgetSharer interface{ SetDaemons(n int) }
-
-// startPages serves readiness, and metrics where they are asked for.
-func (g *Gateway) startPages() error {
-	if err := g.startReadiness(); err != nil {
-		return err
-	}
-	if g.settings.Metrics.Listen == "" {
-		return nil
-	}
-	listener, err := listen(context.Background(), g.settings.Metrics.Listen)
-	if err != nil {
-		return failure.Wrap(err, failure.Internal, "metrics listener")
-	}
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", do.MustInvoke[*telemetry.Metrics](g.parts).Page)
-	g.serveHTTP(&http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}, listener, "metrics")
-	return nil
-}
-
-func (g *Gateway) startReadiness() error {
-	listener, err := listen(context.Background(), g.settings.Readiness.Listen)
-	if err != nil {
-		return failure.Wrap(err, failure.Internal, "readiness listener")
-	}
-	server := &fasthttp.Server{Handler: g.handleReadiness, NoDefaultServerHeader: true, ReadBufferSize: readinessBuffer}
-	go func() {
-		if err := server.Serve(listener); err != nil {
-			g.log.WithFields(logrus.Fields{"event": "listener_failed", "listener": "readiness", "error": err}).Error("readiness is no longer served")
-		}
-	}()
-	return nil
-}
-
-func (g *Gateway) serveHTTP(server *http.Server, listener net.Listener, name string) {
-	go func() {
-		if err := server.Serve(listener); err != nil {
-			g.log.WithFields(logrus.Fields{"event": "listener_failed", "listener": name, "error": err}).Error("a listener failed")
-		}
-	}()
-}
-
-const (
-	// headerTimeout bounds the time in which a reader of metrics sends its request.
-	headerTimeout = 2 * time.Second
-	// readinessBuffer holds the header of a readiness check.
-	readinessBuffer = 4 << 10
-)
-
-func (g *Gateway) handleReadiness(c *fasthttp.RequestCtx) {
-	if string(c.Path()) != g.options.Adapter.ReadinessPath {
-		c.SetStatusCode(fasthttp.StatusNotFound)
-		return
-	}
-	if g.draining.Load() || g.holder.Table() == nil {
-		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	}
-}
-
 // sweep drops what has lapsed.
 func (g *Gateway) sweep(ctx context.Context) {
 	dialer := do.MustInvoke[*httpio.Dialer](g.parts)
@@ -231,23 +134,3 @@
 		g.listing.Expire(time.Now())
 	}
 }
-
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: callerProbe, Interval: callerProbe, Count: callerProbes,
-	}}
-	config.SetMultipathTCP(false)
-	return config.Listen(ctx, "tcp4", address)
-}
-
-// callerProbe and callerProbes find callers that are gone without a word.
-const (
-	callerProbe  = 2 * time.Second
-	callerProbes = 3
-)
-
-func joinPort(address string, port int) string {
-	return net.JoinHostPort(address, strconv.Itoa(port))
-}
-
-var _ forward.Pools = (&pools{}).Pool
--- a/internal/httpio/dial.go
+++ b/internal/httpio/dial.go
@@ -33,9 +33,7 @@
 // Conn is a connection to an endpoint. It carries one request at a time.
 type Conn struct {
 	net.Conn
-	reader *bufio.Reader
-	// Reused is true if the connection has carried a request before.
-	Reused    bool
+	reader    *bufio.Reader
 	idleSince time.Time
 	keepFor   time.Duration
 }
@@ -77,7 +75,6 @@
 			break
 		}
 		if time.Since(c.idleSince) < c.keepFor && c.quiet() {
-			c.Reused = true
 			return c, nil
 		}
 		_ = c.Close()
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -47,12 +47,13 @@
 }
 
 // Exchange sends a request, given as its header block and body, and reads the header
-// of the answer whose idField echoes id. sent reports whether a byte may have left.
-func (c *Conn) Exchange(head, body []byte, idField, id string) (answer *Answer, sent bool, err error) {
+// of the answer whose idField echoes id. After an error the endpoint may have run the
+// request; the caller closes the connection.
+func (c *Conn) Exchange(head, body []byte, idField, id string) (*Answer, error) {
 	a := &Answer{conn: c, bodiless: bytes.HasPrefix(head, []byte("HEAD "))}
 	if len(body) <= inlineBody {
 		if _, err := c.Write(append(head, body...)); err != nil {
-			return nil, true, err
+			return nil, err
 		}
 		a.wrote = true
 	} else {
@@ -63,9 +64,9 @@
 		}()
 	}
 	if err := a.readHeader(idField, id); err != nil {
-		return nil, true, err
+		return nil, err
 	}
-	return a, true, nil
+	return a, nil
 }
 
 // readHeader skips answers to earlier requests on this connection.
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -59,21 +59,6 @@
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
 }
 
-// Service is a set of interchangeable endpoints.
-type Service struct {
-	Name string `json:"name"`
-	// Engine is set for model engines; nil for plain services.
-	Engine *Engine `json:"engine,omitempty"`
-}
-
-// Engine is what the endpoints of a model service hold.
-type Engine struct {
-	// Slots is the number of requests in a batch.
-	Slots int `json:"slots"`
-	// KVTokens is the memory of running requests and cached prompt parts, in tokens.
-	KVTokens int `json:"kv_tokens"`
-}
-
 // Workspace is a customer with its API keys.
 type Workspace struct {
 	Name string   `json:"name"`
@@ -120,7 +105,6 @@
 	// Version grows with every change; a lower one never replaces a higher one.
 	Version    int64       `json:"version"`
 	Routes     []Route     `json:"routes"`
-	Services   []Service   `json:"services"`
 	Workspaces []Workspace `json:"workspaces"`
 	Limits     Limits      `json:"limits"`
 	// KeysRequired is set if callers need a key on routes that are not anonymous.
@@ -129,23 +113,21 @@
 
 // Table is a Spec prepared for look-ups. It is safe for concurrent use.
 type Table struct {
-	spec     Spec
-	byHost   map[string][]*Route
-	services map[string]*Service
-	byKey    map[string]*Workspace
-	urgency  map[rank]int
-	targets  longestTargets
+	spec    Spec
+	byHost  map[string][]*Route
+	byKey   map[string]*Workspace
+	urgency map[rank]int
+	targets longestTargets
 }
 
 // New prepares a table; it keeps spec.
 func New(spec Spec) *Table {
 	spec.Limits = spec.Limits.WithDefaults()
 	t := &Table{
-		spec:     spec,
-		byHost:   make(map[string][]*Route),
-		services: make(map[string]*Service, len(spec.Services)),
-		byKey:    make(map[string]*Workspace),
-		urgency:  rankAll(spec),
+		spec:    spec,
+		byHost:  make(map[string][]*Route),
+		byKey:   make(map[string]*Workspace),
+		urgency: rankAll(spec),
 	}
 	t.targets = findLongestTargets(spec, t.urgency)
 	for i := range spec.Routes {
@@ -156,9 +138,6 @@
 	for _, routes := range t.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
 	}
-	for i := range spec.Services {
-		t.services[spec.Services[i].Name] = &spec.Services[i]
-	}
 	for i := range spec.Workspaces {
 		for _, key := range spec.Workspaces[i].Keys {
 			t.byKey[key] = &spec.Workspaces[i]
@@ -199,9 +178,6 @@
 // Workspace returns the holder of a key, or nil.
 func (t *Table) Workspace(key string) *Workspace { return t.byKey[key] }
 
-// Service returns the service of that name, or nil.
-func (t *Table) Service(name string) *Service { return t.services[name] }
-
 // PickBackend chooses a service by weight; point is uniform in [0, 1).
 func (r *Route) PickBackend(point float64) string {
 	total := 0
