--- a/internal/balance/admit.go
+++ b/internal/balance/admit.go
@@ -8,8 +8,10 @@
 // ones of a kind are treated alike, and counts only what an engine reads first.
 
 const (
-	// floorRise is the share by which a slower sample raises the cost of an unhindered token.
-	floorRise = 0.01
+	// floorRise is the factor by which a slower sample raises the cost of an unhindered
+	// token, so that an engine that has become slower is noticed within some seconds. A
+	// sample's own cost does not count: most of it is waiting.
+	floorRise = 1.001
 	// priorities is the number of urgencies that an engine knows.
 	priorities = 10
 )
@@ -46,7 +48,7 @@
 	case *f == 0 || cost < *f:
 		*f = cost
 	default:
-		*f += floorRise * (cost - *f)
+		*f = min(cost, *f*floorRise)
 	}
 }
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -284,6 +284,28 @@
 			Expect(p.Pick(now, urgent).Wait).To(BeZero())
 		})
 
+		It("does not take the waiting of others for the cost of reading", func() {
+			wait := func(slowAnswers int) time.Duration {
+				p := newPool(1)
+				at := now
+				for i := range 1 + slowAnswers {
+					c := p.Pick(at, longAsk(i))
+					elapsed := 17000 * perToken
+					if i > 0 {
+						elapsed *= 20 // Behind a backlog.
+					}
+					at = at.Add(elapsed)
+					c.Begun(at)
+					c.Done(at, balance.Good)
+				}
+				for i := range 50 {
+					p.Pick(at, longAsk(1000+i))
+				}
+				return p.Pick(at, longAsk(2000)).Wait
+			}
+			Expect(wait(100)).To(BeNumerically("<", wait(0)*5/4))
+		})
+
 		It("is nothing while nothing waits, and after all was read", func() {
 			p := newPool(4)
 			c := p.Pick(now, longAsk(1))
