--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -33,7 +33,7 @@
 	// then the evidence has faded.
 	retryWhenSuspended = 60 * time.Second
 	// waitShare is how many latency targets a request may wait for the prompts ahead of it.
-	waitShare = 1.5
+	waitShare = 1.0
 	// maxSends bounds the endpoints that one request is offered to, refusals and
 	// connections that did not open included.
 	maxSends = 4
