broker: a new broker collects the asks before its first grant

A new broker granted as soon as it was told of the running grants, in the order in which asks came again; the daemons look for the broker each 25 ms, so asks of tier 3 started before those of tier 2 that had waited at the lost one. Ruled out: the order of the pool (one tick in caution grants by tier); the ramp after it. Change: asks are let in once all have restated, and grants follow 50 ms after (two looks for the broker).

--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -86,6 +86,20 @@
 		}(),
 	)
 
+	// Load pattern: twice the load, and the daemon that brokers the pool is lost. Each seed had
+	// starts of the lowest tier before asks of a higher one that waited at the lost broker.
+	DescribeTable("starts no lower tier first after the loss of the broker",
+		func(seed int) {
+			report, err := bench.Run(bench.Options{Scenario: "daemon-loss", Policy: "broker", Size: "siamseal", Seed: uint64(seed)})
+			Expect(err).NotTo(HaveOccurred())
+			for _, pool := range report.Pools {
+				Expect(pool.Inversions).To(BeZero(), pool.Pool)
+				Expect(pool.Violations).To(BeZero(), pool.Pool)
+			}
+		},
+		Entry("seed 2", 2), Entry("seed 8", 8),
+	)
+
 	DescribeTable("meets the aim for goodput at twice the load",
 		func(size string) {
 			for _, pool := range run("overload", "broker", size).Pools {
--- a/internal/bench/policy_broker.go
+++ b/internal/bench/policy_broker.go
@@ -15,9 +15,8 @@
 	takeoverDelay = 500 * time.Millisecond
 	// heartbeatSpread is the time within which every daemon has restated its grants.
 	heartbeatSpread = 250 * time.Millisecond
-	// cautiousFor is how long a new broker is cautious, unless all daemons have
-	// restated their grants before.
-	cautiousFor = time.Second
+	// gatherFor is how long a new broker takes asks before its first grant, as in package broker.
+	gatherFor = 50 * time.Millisecond
 )
 
 // brokerRouter has one queue for the whole pool, on one daemon.
@@ -30,6 +29,8 @@
 	daemon   int
 	// queue is nil between the loss of a broker and the takeover.
 	queue *queue
+	// grantsAt is when the broker makes its first grant.
+	grantsAt time.Duration
 	// earlier counts the violations of lost brokers.
 	earlier int
 }
@@ -89,7 +90,7 @@
 }
 
 func (r *brokerRouter) tick() {
-	if r.queue != nil {
+	if r.queue != nil && r.sim.clock.elapsed >= r.grantsAt {
 		r.queue.deliver(r.queue.pool.Tick(r.sim.clock.now()), hop)
 	}
 }
@@ -105,16 +106,13 @@
 	r.sim.clock.after(takeoverDelay, r.takeOver)
 }
 
-// takeOver starts a new broker: it is told of every grant that runs and asked
-// again for every attempt that waits.
+// takeOver starts a new broker: it is told of every grant that runs, takes asks once
+// every daemon has told it, and grants after gatherFor.
 func (r *brokerRouter) takeOver() {
 	r.start()
-	now := r.sim.clock.now()
-	r.queue.pool.SetCautious(now, now.Add(cautiousFor))
-	r.sim.clock.after(heartbeatSpread, func() {
-		now := r.sim.clock.now()
-		r.queue.pool.SetCautious(now, now)
-	})
+	opens := r.sim.clock.elapsed + heartbeatSpread
+	r.grantsAt = opens + gatherFor
+	r.queue.pool.SetCautious(r.sim.clock.now(), r.sim.clock.now().Add(heartbeatSpread+gatherFor))
 	for _, a := range r.sim.liveAttempts() {
 		if a.job.pool != r.pool {
 			continue
--- a/internal/broker/queue.go
+++ b/internal/broker/queue.go
@@ -32,9 +32,11 @@
 	granted map[string]granted
 	ended   *lru.Cache[string, struct{}]
 	closed  bool
-	// opened is closed when a new broker starts to grant, or gives up the role.
+	// opened is closed when a new broker takes asks, or gives up the role.
 	opened chan struct{}
-	// holdUntil is when it starts at the latest.
+	// openedAt is when it began to take asks; zero before.
+	openedAt time.Time
+	// holdUntil is when it begins at the latest.
 	holdUntil time.Time
 	// restated holds the incarnation of each daemon that has restated its grants.
 	restated map[string]string
--- a/internal/broker/restate.go
+++ b/internal/broker/restate.go
@@ -14,6 +14,9 @@
 	mismatchesMean = 3
 	// restateInterval bounds how often one daemon is asked to restate its grants.
 	restateInterval = 5 * time.Second
+	// gatherFor is how long a new broker collects asks before its first grant: a daemon
+	// looks for the broker each findDelay, and as much again covers the way here.
+	gatherFor = 2 * findDelay
 )
 
 // digestOf sums up ask IDs without regard to order.
@@ -109,15 +112,20 @@
 	return true
 }
 
-// takeOver lets asks in, and ends the caution, once every member that answers has
-// restated its grants.
-func (q *queue) takeOver(now time.Time, members []membership.Member) {
+// takeOver lets asks in once every member that answers has restated its grants, or
+// at holdUntil. Asks that waited at the broker before come again within gatherFor; the
+// first grants follow after that, so that what arrives first does not go before what
+// is more urgent. It reports whether the queue may grant, and ends the caution once
+// every member has restated.
+func (q *queue) takeOver(now time.Time, members []membership.Member) (grants bool) {
 	q.mu.Lock()
 	all := q.allRestated(members)
-	if all || !now.Before(q.holdUntil) {
+	if q.openedAt.IsZero() && (all || !now.Before(q.holdUntil)) {
+		q.openedAt = now
 		q.open()
 	}
-	ended := all && now.Before(q.cautious)
+	grants = !q.openedAt.IsZero() && now.Sub(q.openedAt) >= gatherFor
+	ended := grants && all && now.Before(q.cautious)
 	if ended {
 		q.cautious = now
 	}
@@ -125,6 +133,7 @@
 	if ended {
 		q.parts.Pool.SetCautious(now, now)
 	}
+	return grants
 }
 
 // allRestated reports whether every member that answers has restated; the lock is held.
--- a/internal/broker/rounds.go
+++ b/internal/broker/rounds.go
@@ -81,10 +81,9 @@
 			q.beCautious(now, now.Add(b.opts.CautiousFor))
 		}
 		b.updateFleet(now, q, members)
-		if !q.local {
-			q.takeOver(now, members)
+		if q.local || q.takeOver(now, members) {
+			q.tick(now)
 		}
-		q.tick(now)
 	}
 }
 
