broker: asks that wait on a daemon's own decision find the broker again

Two families: (a) the fleet counted as settled when the views agreed, but routes follow the view a round (10 ms) later, so the first ask still went by the route to b; (b) on a stalled machine a was suspected after the 300 ms of these specs, and b granted. With suspicion put off, the spec failed always: an ask that waits alone was woken only by a later ask that happened to find the broker, or by a change of the view. A daemon with one waiting request would have decided alone until then. Ruled out: the relay (the cut itself held in each failure). Change: the daemon itself calls a broker that it did not find, twice a second, and wakes those who wait alone once it answers; asks no longer pay for that look. The specs' fleet is settled when routes agree too (stricter), and this spec suspects nobody.

--- a/internal/broker/acquire.go
+++ b/internal/broker/acquire.go
@@ -22,7 +22,7 @@
 	for try := 0; ; try++ {
 		now := b.now()
 		sent := nthTry(ask, try, now.Sub(start))
-		alone := p.decidesAlone(now) || (!lostSince.IsZero() && now.Sub(lostSince) >= b.opts.AloneAfter)
+		alone := p.decidesAlone() || (!lostSince.IsZero() && now.Sub(lostSince) >= b.opts.AloneAfter)
 		grant, err := b.acquireOnce(ctx, p, sent, alone)
 		if err == nil {
 			b.ledger.add(ask.ID, sent, &held{endpoint: grant.Endpoint.Name, since: b.now()})
--- a/internal/broker/broker_test.go
+++ b/internal/broker/broker_test.go
@@ -149,7 +149,7 @@
 
 	DescribeTable("decides alone on its fraction when its calls do not reach the broker",
 		func(d relay.Direction) {
-			c := newCluster([]string{"a", "b", "c"}, clusterOptions{slots: "6"})
+			c := newCluster([]string{"a", "b", "c"}, clusterOptions{slots: "6", patient: true})
 			ranked := c.ranked()
 			c.mesh.Cut(ranked[2].id, ranked[0].address, d)
 			for range 2 {
--- a/internal/broker/cluster_test.go
+++ b/internal/broker/cluster_test.go
@@ -143,6 +143,8 @@
 	slots string
 	store platform.Store
 	loads routing.LoadReader
+	// patient suspects nobody within a spec, also on a machine that stalls for a second.
+	patient bool
 	// defaults leaves the timings as they are shipped.
 	defaults bool
 	// direct makes calls without relays, so that those to a killed node are refused.
@@ -179,6 +181,9 @@
 		Factory: n.factory, Config: configOf(opts.slots), Store: opts.store, LoadReader: opts.loads,
 		CautiousFor: 500 * time.Millisecond, ExpireAfter: 500 * time.Millisecond, VMInterval: 50 * time.Millisecond, LoadInterval: 50 * time.Millisecond,
 	}
+	if opts.patient {
+		memberOptions.SuspectAfter = bound
+	}
 	if opts.defaults {
 		clientOptions.SilenceTimeout = 0
 		memberOptions.Interval, memberOptions.SuspectAfter = 0, 0
@@ -202,10 +207,15 @@
 	return n
 }
 
-// settled reports whether every node sees every other one live.
+// settled reports whether every node sees every other one live, and has the same node
+// for the pool's broker: routes follow the view a round later.
 func (c *cluster) settled() bool {
 	for _, n := range c.nodes {
-		if len(membership.Rank(pool, n.members.Members())) != len(c.nodes) {
+		ranked := membership.Rank(pool, n.members.Members())
+		if len(ranked) != len(c.nodes) {
+			return false
+		}
+		if id, here := n.broker.BrokerOf(pool); id != ranked[0].ID || here != (id == n.id) {
 			return false
 		}
 	}
--- a/internal/broker/exchange.go
+++ b/internal/broker/exchange.go
@@ -1,6 +1,8 @@
 package broker
 
 import (
+	"time"
+
 	"github.com/samber/lo"
 
 	"github.com/primrosewell/primrosewell/internal/membership"
@@ -26,6 +28,23 @@
 	}()
 }
 
+// lookForBrokers calls the brokers that were not found before. Those who wait on this
+// daemon's own decisions ask the broker again once it answers, also when no new ask comes.
+func (b *Broker) lookForBrokers(now time.Time) {
+	b.mu.RLock()
+	lost := lo.PickBy(b.paths, func(_ string, p *path) bool { return p.takeProbe(now) })
+	b.mu.RUnlock()
+	for pool, p := range lost {
+		r, _ := p.now()
+		go func() {
+			err := b.opts.Peers.Progress(b.ctx, r.member.PeerAddress, b.self().ID, pool, b.ledger.running(b.now(), pool))
+			if err == nil {
+				p.found()
+			}
+		}()
+	}
+}
+
 func (r *rounds) startRestating(pool string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/broker/rounds.go
+++ b/internal/broker/rounds.go
@@ -76,6 +76,7 @@
 	}
 	b.expireMembers(now, members)
 	b.dropIdleLocals(now)
+	b.lookForBrokers(now)
 	for _, q := range b.decidedHere() {
 		if lapsed && !q.local {
 			q.beCautious(now, now.Add(b.opts.CautiousFor))
--- a/internal/broker/route.go
+++ b/internal/broker/route.go
@@ -55,7 +55,7 @@
 	mu      sync.Mutex
 	route   route
 	changed chan struct{}
-	// alone is set while no broker was found; one ask at a time looks for it again.
+	// alone is set while no broker was found; it is looked for again at nextProbe.
 	alone     bool
 	nextProbe time.Time
 }
@@ -111,17 +111,21 @@
 	}
 }
 
-// decidesAlone reports whether an ask goes to the local queue at once. It is false
-// for one ask each probeInterval, which looks for the broker.
-func (p *path) decidesAlone(now time.Time) bool {
+// decidesAlone reports whether asks go to the local queue at once.
+func (p *path) decidesAlone() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.alone {
-		return p.route.kind == routeAlone
-	}
-	if now.Before(p.nextProbe) {
-		return true
+	return p.alone || p.route.kind == routeAlone
+}
+
+// takeProbe reports whether the broker that was not found is to be looked for now, at
+// most once each probeInterval.
+func (p *path) takeProbe(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.alone || p.route.kind != routePeer || now.Before(p.nextProbe) {
+		return false
 	}
 	p.nextProbe = now.Add(probeInterval)
-	return false
+	return true
 }
