gossip, balance: a large fleet shares its counts in time, and does not act on them as a herd

Callers of the most urgent kind left after 2.4 s without a first event: the placement lines show them on 8 to 13 of 90 endpoints, with scores that showed no load. A message over 1,400 bytes dropped all loads, which begins at 30 endpoints with work (measured: 20 endpoints 1,111 bytes, 30 endpoints none); a daemon that doesn't follow the platform told each of 67 peers once in 1.2 s. So the express lane was sized too small, and filled. Ruled out: slow or hanging endpoints (one, elsewhere); the slot penalty (never reached). Change: (1) loads are sent as arrays under a 32-bit key, the most work first; (2) in fleets above the fanout of 12 the daemons that follow the platform sum up the work of all and tell everybody each 200 ms; (3) fleets of 13 or more weigh two endpoints drawn in each lane besides the home and the holders of parts; (4) the sums are passed on each 10 ms at most.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -335,12 +335,12 @@
 
 	It("counts the work of other daemons", func() {
 		p := newPool(3)
-		p.SetElsewhere(map[string]balance.Load{"e0": {Running: 20}, "e1": {Running: 20}})
+		p.SetElsewhere(map[balance.Key]balance.Load{balance.KeyOf("e0"): {Running: 20}, balance.KeyOf("e1"): {Running: 20}}, 2)
 		counts := make(map[string]int)
 		for range 10 {
 			counts[p.Pick(now, balance.Ask{}).ID]++
 		}
 		Expect(counts).To(Equal(map[string]int{"e2": 10}))
-		Expect(p.Own()).To(Equal(map[string]balance.Load{"e2": {Running: 10}}))
+		Expect(p.Own()).To(Equal(map[balance.Key]balance.Load{balance.KeyOf("e2"): {Running: 10}}))
 	})
 })
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -40,6 +40,8 @@
 	random     *rand.Rand
 	endpoints  map[string]*endpoint
 	order      []*endpoint
+	// daemons is the number of daemons that choose among the endpoints, this one included.
+	daemons int
 	// prompts is set once a request has declared a prompt: the pool is one of engines.
 	prompts bool
 	lane    lane
@@ -56,8 +58,9 @@
 // endpoint is what is known of one endpoint.
 type endpoint struct {
 	routetable.Endpoint
-	// hash is the hash of the endpoint's id.
+	// hash is the hash of the endpoint's id, and key what daemons call it among themselves.
 	hash uint64
+	key  Key
 	// coldUntil is when the endpoint reaches its full speed.
 	coldUntil time.Time
 	// running counts this daemon's requests there; reading is what they have yet to read, in tokens.
@@ -75,6 +78,13 @@
 	evidence evidence
 }
 
+// Key is a short name of an endpoint for messages between daemons. Two endpoints of a
+// thousand share one about once in ten thousand deployments; each then counts the other's load.
+type Key uint32
+
+// KeyOf returns the key of an endpoint's id.
+func KeyOf(id string) Key { return Key(xxhash.Sum64String(id)) }
+
 // Load is the work at one endpoint.
 type Load struct {
 	Running int
@@ -96,7 +106,7 @@
 	for _, l := range listed {
 		e := p.endpoints[l.ID]
 		if e == nil || e.Born != l.Born || e.Address != l.Address {
-			e = &endpoint{cache: newPartCache(), hash: xxhash.Sum64String(l.ID)}
+			e = &endpoint{cache: newPartCache(), hash: xxhash.Sum64String(l.ID), key: KeyOf(l.ID)}
 		}
 		if e.ColdFor != l.ColdFor {
 			e.coldUntil = now.Add(l.ColdFor)
@@ -126,22 +136,24 @@
 }
 
 // SetElsewhere sets the work of other daemons at the endpoints; those not named have none.
-func (p *Pool) SetElsewhere(loads map[string]Load) {
+// daemons is the number of all daemons, this one included.
+func (p *Pool) SetElsewhere(loads map[Key]Load, daemons int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.daemons = daemons
 	for _, e := range p.order {
-		e.elsewhere = loads[e.ID]
+		e.elsewhere = loads[e.key]
 	}
 }
 
 // Own returns this daemon's work at each endpoint that has any.
-func (p *Pool) Own() map[string]Load {
+func (p *Pool) Own() map[Key]Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	loads := make(map[string]Load)
+	loads := make(map[Key]Load)
 	for _, e := range p.order {
 		if e.running > 0 {
-			loads[e.ID] = Load{Running: e.running, Reading: e.reading}
+			loads[e.key] = Load{Running: e.running, Reading: e.reading}
 		}
 	}
 	return loads
--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -54,8 +54,12 @@
 	}
 	holder, holds := p.holder(now, candidates, home, sharedTokens)
 	long := ask.PromptTokens > shortPrompt
+	drawn := newSample(candidates, p.daemons)
 	var best scored
 	for i, e := range candidates {
+		if !drawn.draw(e, p.random.Float64) && e != home && p.held[i] == 0 {
+			continue
+		}
 		s := scored{e: e, reading: ask.PromptTokens, reason: "load"}
 		if held := p.held[i]; held > 0 {
 			s.reading, s.reason = max(0, ask.PromptTokens-held), "cached"
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -12,6 +13,10 @@
 	"github.com/primrosewell/primrosewell/internal/quarantine"
 )
 
+// elsewhereEvery is the least time between two sums of the other daemons' work. In a
+// large fleet a message comes each few milliseconds, and a sum costs as much as 60 of them.
+const elsewhereEvery = 10 * time.Millisecond
+
 func (g *Gateway) startPeers(ctx context.Context) error {
 	address, err := netip.ParseAddr(g.settings.Peers.Address)
 	if err != nil {
@@ -19,13 +24,17 @@
 	}
 	news := do.MustInvoke[*peerNews](g.parts)
 	budget := do.MustInvoke[budgetSharer](g.parts)
+	summed := &pace{every: elsewhereEvery}
 	exchange, err := gossip.Listen(gossip.Options{
 		Node: g.settings.VM.ID, Address: address, Port: g.settings.Peers.GossipPort, Members: g.members,
 		Table: g.holder.Version, Listing: g.listing.Number, Loads: g.pools.Own, Log: g.log,
 		Following: g.follows, Blind: g.listing.Away, Leaving: g.draining.Load,
 		Register: do.MustInvoke[*quarantine.Register](g.parts),
 		OnHeard: func(now time.Time) {
-			g.pools.SetElsewhere(g.members.Elsewhere(now))
+			if summed.Due(now) {
+				live, _ := g.members.Live(now)
+				g.pools.SetElsewhere(g.members.Others(now), live+1)
+			}
 			budget.SetDaemons(g.members.Counted(now))
 			news.Check(ctx)
 		},
@@ -44,3 +53,15 @@
 
 // budgetSharer is told how many daemons share the retry budget.
 type budgetSharer interface{ SetDaemons(n int) }
+
+// pace lets something happen at most once in a span of time. It is safe for concurrent use.
+type pace struct {
+	every time.Duration
+	last  atomic.Int64
+}
+
+// Due reports whether the span has passed since it last reported so.
+func (p *pace) Due(now time.Time) bool {
+	last := p.last.Load()
+	return now.UnixNano()-last >= int64(p.every) && p.last.CompareAndSwap(last, now.UnixNano())
+}
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -53,23 +53,23 @@
 	}
 }
 
-// SetElsewhere passes on the work of other daemons.
-func (p *pools) SetElsewhere(loads map[string]balance.Load) {
+// SetElsewhere passes on the work of other daemons, and how many daemons there are.
+func (p *pools) SetElsewhere(loads map[balance.Key]balance.Load, daemons int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, pool := range p.byService {
-		pool.SetElsewhere(loads)
+		pool.SetElsewhere(loads, daemons)
 	}
 }
 
 // Own returns this daemon's work at all endpoints.
-func (p *pools) Own() map[string]balance.Load {
+func (p *pools) Own() map[balance.Key]balance.Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	loads := make(map[string]balance.Load)
+	loads := make(map[balance.Key]balance.Load)
 	for _, pool := range p.byService {
-		for id, load := range pool.Own() {
-			loads[id] = load
+		for key, load := range pool.Own() {
+			loads[key] = load
 		}
 	}
 	return loads
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -22,6 +23,8 @@
 	fanout = 12
 	// crashesSent bounds the digests passed on in a message.
 	crashesSent = 6
+	// sumsSent bounds the endpoints in a datagram of sums; an entry takes up to 13 bytes.
+	sumsSent = 90
 	// knownSent bounds the addresses passed on in a message.
 	knownSent = 24
 )
@@ -40,7 +43,7 @@
 	// Following, Blind and Leaving tell the own state; see Message.
 	Following, Blind, Leaving func() bool
 	// Loads returns the own work at each endpoint.
-	Loads func() map[string]balance.Load
+	Loads func() map[balance.Key]balance.Load
 	// Register holds the evidence against requests that crash endpoints; it is shared.
 	Register *quarantine.Register
 	// OnHeard is called after each message and at each interval.
@@ -55,6 +58,8 @@
 	incarnation int64
 	// turn is the index of the next peer to tell.
 	turn int
+	// sent is the own work as of the last message.
+	sent map[balance.Key]balance.Load
 }
 
 // Listen opens the socket.
@@ -73,7 +78,7 @@
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		g.tell()
+		g.tell(now)
 		for _, change := range g.Members.Expire(now) {
 			g.logChange(change)
 		}
@@ -88,21 +93,48 @@
 }
 
 // tell sends the daemon's state to the peers, or to some of them if there are many.
-func (g *Gossip) tell() {
+func (g *Gossip) tell(now time.Time) {
 	addresses := g.Members.Addresses()
 	following := g.Following()
+	g.sent = g.Loads()
+	g.Members.SetSent(g.sent)
 	data, err := encode(Message{
 		Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Table: g.Table(), Listing: g.Listing(),
 		Following: following, Blind: g.Blind(), Leaving: g.Leaving(),
-		Crashes: g.crashes(), Loads: g.Loads(), Known: someOf(addresses, knownSent),
+		Crashes: g.crashes(), Loads: entriesOf(g.sent), Known: someOf(addresses, knownSent),
 	})
 	if err != nil {
 		g.Log.WithFields(logrus.Fields{"event": "gossip_failed", "error": err}).Error("a message could not be encoded")
 		return
 	}
 	if !following {
-		addresses = g.nextPeers(addresses)
+		g.send(data, g.nextPeers(addresses))
+		return
+	}
+	g.send(data, addresses)
+	if len(addresses) > fanout {
+		g.tellSums(now, addresses)
+	}
+}
+
+// tellSums sends the work of all daemons. In a large fleet the others hear of each other
+// once in a round only, which is too late to share an endpoint's slots in a burst.
+func (g *Gossip) tellSums(now time.Time, addresses []string) {
+	sums := g.Members.Elsewhere(now)
+	addLoads(sums, g.sent)
+	for part := range slices.Chunk(entriesOf(sums), sumsSent) {
+		data, err := encode(Message{
+			Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Sums: part,
+		})
+		if err != nil {
+			g.Log.WithFields(logrus.Fields{"event": "gossip_failed", "error": err}).Error("a message could not be encoded")
+			return
+		}
+		g.send(data, addresses)
 	}
+}
+
+func (g *Gossip) send(data []byte, addresses []string) {
 	for _, address := range addresses {
 		to, err := netip.ParseAddr(address)
 		if err != nil {
@@ -113,17 +145,23 @@
 	}
 }
 
-// nextPeers returns the peers whose turn it is, so that all hear within a round.
+// nextPeers returns the peers to tell now: those that follow the platform, which sum up
+// the work of all, and others in turn, so that all hear within a round.
 func (g *Gossip) nextPeers(addresses []string) []string {
 	if len(addresses) <= fanout {
 		return addresses
 	}
-	turn := make([]string, 0, fanout)
-	for i := range fanout {
-		turn = append(turn, addresses[(g.turn+i)%len(addresses)])
+	told := g.Members.Following(fanout / 2)
+	for range len(addresses) {
+		if len(told) == fanout {
+			break
+		}
+		if next := addresses[g.turn%len(addresses)]; !slices.Contains(told, next) {
+			told = append(told, next)
+		}
+		g.turn++
 	}
-	g.turn = (g.turn + fanout) % len(addresses)
-	return turn
+	return told
 }
 
 // someOf returns up to n of the addresses, other ones each time.
@@ -160,6 +198,11 @@
 			continue
 		}
 		now := time.Now()
+		if len(message.Sums) > 0 {
+			g.Members.HeardSums(now, message.Sums)
+			g.OnHeard(now)
+			continue
+		}
 		if change, changed := g.Members.Heard(now, message); changed {
 			g.logChange(change)
 		}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -20,6 +20,8 @@
 	forgetAfter = 60 * time.Second
 	// loadsFresh is how long a peer's loads are used.
 	loadsFresh = time.Second
+	// sumsFresh is how long sums are used: a few of those that send them may be lost at once.
+	sumsFresh = 3 * Interval
 	// countedFor is how long a lost peer still counts as a holder of its part of shared
 	// budgets; it may only be cut off from here.
 	countedFor = 15 * time.Second
@@ -38,7 +40,7 @@
 	heard       time.Time
 	since       time.Time
 	lost        bool
-	loads       map[string]balance.Load
+	loads       map[balance.Key]balance.Load
 }
 
 // Change is a peer that was found, lost or replaced.
@@ -54,11 +56,21 @@
 	mu    sync.Mutex
 	self  string
 	peers map[string]*peer
+	// sums is the work of all daemons at each endpoint, as those that follow the platform
+	// in a large fleet tell it, and sent this daemon's part of it.
+	sums map[balance.Key]summed
+	sent map[balance.Key]balance.Load
+}
+
+// summed is the work of all daemons at one endpoint, and when it was heard.
+type summed struct {
+	load balance.Load
+	at   time.Time
 }
 
 // NewMembers returns the members known from settings; self is the own address.
 func NewMembers(now time.Time, self string, seeds []string) *Members {
-	m := &Members{self: self, peers: make(map[string]*peer)}
+	m := &Members{self: self, peers: make(map[string]*peer), sums: make(map[balance.Key]summed)}
 	for _, seed := range seeds {
 		m.add(now, seed)
 	}
@@ -107,7 +119,7 @@
 	p.node, p.incarnation = message.Node, message.Incarnation
 	p.following, p.blind, p.leaving = message.Following, message.Blind, message.Leaving
 	p.table, p.listing = message.Table, message.Listing
-	p.heard, p.lost, p.loads = now, false, message.Loads
+	p.heard, p.lost, p.loads = now, false, loadsOf(message.Loads)
 	return change, change.What != ""
 }
 
@@ -202,21 +214,69 @@
 	return version, address
 }
 
-// Elsewhere sums the work of the other daemons at each endpoint.
-func (m *Members) Elsewhere(now time.Time) map[string]balance.Load {
+// Following returns up to n peers that follow the platform for all.
+func (m *Members) Following(n int) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var addresses []string
+	for address, p := range m.peers {
+		if !p.lost && p.following {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses[:min(n, len(addresses))]
+}
+
+// SetSent notes the own work that peers were told of.
+func (m *Members) SetSent(loads map[balance.Key]balance.Load) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sent = loads
+}
+
+// HeardSums takes the work of all daemons, this one included, at some endpoints.
+func (m *Members) HeardSums(now time.Time, sums []LoadEntry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, e := range sums {
+		m.sums[e.Endpoint] = summed{load: balance.Load{Running: e.Running, Reading: e.Reading}, at: now}
+	}
+}
+
+// Others is the work of the other daemons at each endpoint: from the sums that were heard
+// within sumsFresh, else from what each daemon told last.
+func (m *Members) Others(now time.Time) map[balance.Key]balance.Load {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	total := make(map[string]balance.Load)
+	others := make(map[balance.Key]balance.Load, len(m.sums))
+	for key, s := range m.sums {
+		if now.Sub(s.at) > sumsFresh {
+			delete(m.sums, key)
+			continue
+		}
+		others[key] = without(s.load, m.sent[key])
+	}
+	if len(others) == 0 {
+		return m.elsewhere(now)
+	}
+	return others
+}
+
+// Elsewhere sums what the other daemons told of their work at each endpoint.
+func (m *Members) Elsewhere(now time.Time) map[balance.Key]balance.Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.elsewhere(now)
+}
+
+func (m *Members) elsewhere(now time.Time) map[balance.Key]balance.Load {
+	total := make(map[balance.Key]balance.Load)
 	for _, p := range m.peers {
 		if now.Sub(p.heard) > max(loadsFresh, 2*m.round()) {
 			continue
 		}
-		for id, load := range p.loads {
-			sum := total[id]
-			sum.Running += load.Running
-			sum.Reading += load.Reading
-			total[id] = sum
-		}
+		addLoads(total, p.loads)
 	}
 	return total
 }
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -52,15 +52,41 @@
 	})
 
 	It("uses loads only while they are fresh, and sums them", func() {
+		e := balance.KeyOf("e")
 		for _, address := range []string{"2", "3"} {
 			loaded := message(address, 5)
-			loaded.Loads = map[string]balance.Load{"e": {Running: 2, Reading: 10}}
+			loaded.Loads = []gossip.LoadEntry{{Endpoint: e, Running: 2, Reading: 10}}
 			m.Heard(now, loaded)
 		}
-		Expect(m.Elsewhere(now)).To(HaveKeyWithValue("e", balance.Load{Running: 4, Reading: 20}))
+		Expect(m.Elsewhere(now)).To(HaveKeyWithValue(e, balance.Load{Running: 4, Reading: 20}))
 		Expect(m.Elsewhere(now.Add(2 * time.Second))).To(BeEmpty())
 	})
 
+	// Load pattern: a burst over 68 daemons, which tell each other directly once in 1.2 s.
+	It("takes the sums of those that follow the platform, without its own part, while they are fresh", func() {
+		e, f := balance.KeyOf("e"), balance.KeyOf("f")
+		stale := message("2", 5)
+		stale.Loads = []gossip.LoadEntry{{Endpoint: e, Running: 2, Reading: 10}}
+		m.Heard(now, stale)
+		m.SetSent(map[balance.Key]balance.Load{e: {Running: 3, Reading: 40}, f: {Running: 9}})
+		m.HeardSums(now, []gossip.LoadEntry{{Endpoint: e, Running: 50, Reading: 700}, {Endpoint: f, Running: 4}})
+		Expect(m.Others(now)).To(HaveKeyWithValue(e, balance.Load{Running: 47, Reading: 660}))
+		Expect(m.Others(now)).To(HaveKeyWithValue(f, balance.Load{}), "a sum older than the own part is not below zero")
+		Expect(m.Others(now.Add(700 * time.Millisecond))).To(Equal(map[balance.Key]balance.Load{e: {Running: 2, Reading: 10}}))
+	})
+
+	It("names the live peers that follow the platform", func() {
+		for _, address := range []string{"2", "3", "4"} {
+			told := message(address, 5)
+			told.Following = address != "3"
+			m.Heard(now, told)
+		}
+		Expect(m.Following(6)).To(Equal([]string{"2", "4"}))
+		Expect(m.Following(1)).To(Equal([]string{"2"}))
+		m.Expire(now.Add(10 * time.Second))
+		Expect(m.Following(6)).To(BeEmpty())
+	})
+
 	It("counts a peer that was just lost among the holders of shared budgets", func() {
 		Expect(m.Counted(now)).To(Equal(2), "a seed that was not heard of may be there")
 		m.Heard(now, message("2", 5))
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,7 +7,6 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
-	"github.com/primrosewell/primrosewell/internal/balance"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
 )
 
@@ -15,7 +14,7 @@
 const maxDatagram = 1400
 
 // protocolVersion changes when older daemons can't read a message.
-const protocolVersion = 1
+const protocolVersion = 2
 
 // Message is what one daemon tells another.
 type Message struct {
@@ -35,8 +34,11 @@
 	Blind bool `cbor:"12,keyasint,omitempty"`
 	// Leaving is set while the sender shuts down.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
-	// Loads is the sender's own work at each endpoint.
-	Loads map[string]balance.Load `cbor:"7,keyasint,omitempty"`
+	// Loads is the sender's own work at each endpoint, the most work first.
+	Loads []LoadEntry `cbor:"7,keyasint,omitempty"`
+	// Sums is set in a datagram of its own that daemons which follow the platform send in
+	// a large fleet: the work of all daemons that the sender heard lately, its own included.
+	Sums []LoadEntry `cbor:"13,keyasint,omitempty"`
 	// Crashes is the evidence against requests that crash endpoints.
 	Crashes []quarantine.Entry `cbor:"10,keyasint,omitempty"`
 	// Known are the IP numbers of some daemons that the sender heard of lately.
@@ -45,14 +47,10 @@
 
 func encode(m Message) ([]byte, error) {
 	m.Protocol = protocolVersion
-	data, err := cbor.Marshal(m)
+	data, err := cutLoads(m, func(m Message) ([]byte, error) { return cbor.Marshal(m) })
 	if err != nil {
 		return nil, oops.Wrapf(err, "gossip message")
 	}
-	if len(data) > maxDatagram {
-		m.Loads = nil // Loads are the only part that grows; a peer does without for once.
-		return cbor.Marshal(m)
-	}
 	return data, nil
 }
 
