gateway: ages of peers and of the list of endpoints; slow bodies have a limit of their own

Ruled out: nothing. Change: metrics gateway_peer_age_seconds (by peer) and gateway_listing_age_seconds; endpoints_version is the platform's version; limits.body_timeout (default 10 s as before). Before: no such metric, no such setting.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -54,7 +54,7 @@
 	// Table returns the route table in force, or nil before the first.
 	Table func() *routetable.Table
 	Pools Pools
-	// Listing returns the number of the list of endpoints in use.
+	// Listing returns the version of the list of endpoints in use.
 	Listing func() int64
 	Dialer  *httpio.Dialer
 	Budget  *retry.Shared
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -175,7 +175,7 @@
 	w.server = httpio.NewServer(httpio.Options{
 		Handler: f.Handle,
 		Limits: func() httpio.Limits {
-			return httpio.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+			return httpio.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderTimeout: time.Second, BodyTimeout: 10 * time.Second, IdleTimeout: 5 * time.Second}
 		},
 		OnReject: func(net.Addr, int, httpio.RejectReason) {},
 	})
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -26,6 +26,8 @@
 
 	mu     sync.Mutex
 	number int64
+	// confirmed is when the platform, or a peer that follows it, last told of nothing newer.
+	confirmed time.Time
 	// away is set while the platform can't be read, and before it first was.
 	away bool
 	// idle is set while others follow the platform for this gateway.
@@ -39,6 +41,28 @@
 	return l.number
 }
 
+// Version returns the platform's version of the list, or 0 before the first.
+func (l *listing) Version() int64 { return l.Number() >> dropBits }
+
+// Age returns the time since the list was last known to be the newest, or 0 before the first.
+func (l *listing) Age(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.confirmed.IsZero() {
+		return 0
+	}
+	return now.Sub(l.confirmed)
+}
+
+// Confirm notes that the newest list of any live peer has this number.
+func (l *listing) Confirm(now time.Time, number int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if number > 0 && number <= l.number {
+		l.confirmed = now
+	}
+}
+
 // Away reports whether the platform can't be read.
 func (l *listing) Away() bool {
 	l.mu.Lock()
@@ -60,6 +84,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.number = max(l.number, number)
+	l.confirmed = time.Now()
 }
 
 // Expire drops entries that did not return after an outage.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,11 +15,15 @@
 	scope.Gauge("in_flight").Update(float64(g.server.Active()))
 	scope.Gauge("table_version").Update(float64(g.holder.Version()))
 	scope.Gauge("table_age_seconds").Update(g.holder.Age(now).Seconds())
-	scope.Gauge("listing_version").Update(float64(g.listing.Number() >> dropBits))
+	scope.Gauge("listing_version").Update(float64(g.listing.Version()))
+	scope.Gauge("listing_age_seconds").Update(g.listing.Age(now).Seconds())
 	scope.Gauge("platform_away").Update(asNumber(g.listing.Away()))
 	live, oldest := g.members.Live(now)
 	scope.Gauge("peers_live").Update(float64(live))
 	scope.Gauge("peers_oldest_seconds").Update(oldest.Seconds())
+	for peer, age := range g.members.Ages(now) {
+		scope.Tagged(map[string]string{"peer": peer}).Gauge("peer_age_seconds").Update(age.Seconds())
+	}
 	for service, pool := range g.pools.All() {
 		tagged := scope.Tagged(map[string]string{"service": service})
 		state := pool.State(now)
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -67,7 +67,7 @@
 		MakeRequestIDs: g.options.Adapter.MakeRequestIDs,
 		Table:          g.holder.Table,
 		Pools:          g.pools.Pool,
-		Listing:        g.listing.Number,
+		Listing:        g.listing.Version,
 		Dialer:         do.MustInvoke[*httpio.Dialer](i),
 		Budget:         do.MustInvoke[*retry.Shared](i),
 
@@ -99,6 +99,6 @@
 	}
 	return httpio.Limits{
 		HeaderBytes: limits.HeaderBytes, BodyBytes: limits.BodyBytes,
-		HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout,
+		HeaderTimeout: limits.HeaderTimeout, BodyTimeout: limits.BodyTimeout, IdleTimeout: limits.IdleTimeout,
 	}
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -52,6 +52,7 @@
 	version, address := p.members.Newest()
 	if version <= p.holder.Version() {
 		version, address = p.members.NewestListing()
+		p.listing.Confirm(time.Now(), version)
 		if !p.listing.Behind(version) {
 			return
 		}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -180,6 +180,19 @@
 	return n, oldest
 }
 
+// Ages returns the time since each peer was heard last, by its name.
+func (m *Members) Ages(now time.Time) map[string]time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ages := make(map[string]time.Duration, len(m.peers))
+	for _, p := range m.peers {
+		if !p.heard.IsZero() {
+			ages[p.node] = now.Sub(p.heard)
+		}
+	}
+	return ages
+}
+
 // Counted is the number of daemons, this one included, that may use shared budgets.
 func (m *Members) Counted(now time.Time) int {
 	m.mu.Lock()
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -87,6 +87,12 @@
 		Expect(m.Following(6)).To(BeEmpty())
 	})
 
+	It("tells how long ago each peer was heard", func() {
+		m.Heard(now, message("2", 5))
+		m.Heard(now.Add(time.Second), message("3", 5))
+		Expect(m.Ages(now.Add(3 * time.Second))).To(Equal(map[string]time.Duration{"n2": 3 * time.Second, "n3": 2 * time.Second}))
+	})
+
 	It("counts a peer that was just lost among the holders of shared budgets", func() {
 		Expect(m.Counted(now)).To(Equal(2), "a seed that was not heard of may be there")
 		m.Heard(now, message("2", 5))
--- a/internal/httpio/server.go
+++ b/internal/httpio/server.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// bodyTimeout bounds the time in which a caller sends a body.
-	bodyTimeout = 10 * time.Second
 	// lingerTimeout bounds the wait for a caller to read an answer sent before its
 	// whole request was read; closing at once would reset the connection.
 	lingerTimeout = 500 * time.Millisecond
@@ -33,6 +31,7 @@
 	HeaderBytes   int
 	BodyBytes     int
 	HeaderTimeout time.Duration
+	BodyTimeout   time.Duration
 	IdleTimeout   time.Duration
 }
 
@@ -218,7 +217,7 @@
 			return false // The caller has left.
 		}
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = c.conn.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
 	err := request.ContinueReadBody(c.reader, limits.BodyBytes, false)
 	switch {
 	case err == nil:
--- a/internal/httpio/server_test.go
+++ b/internal/httpio/server_test.go
@@ -39,7 +39,7 @@
 				Expect(w.Whole(200, nil, append([]byte(r.Target+" "), r.Body...))).To(Succeed())
 			},
 			Limits: func() httpio.Limits {
-				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 400 * time.Millisecond}
+				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: 200 * time.Millisecond, BodyTimeout: 300 * time.Millisecond, IdleTimeout: 400 * time.Millisecond}
 			},
 			OnReject: func(net.Addr, int, httpio.RejectReason) {},
 		})
@@ -82,6 +82,8 @@
 		Entry("a body that is too large", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\nsecret", 413),
 		Entry("a chunked body that is too large", "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n"+strings.Repeat("x", 4096)+"\r\n0\r\n\r\n", 413),
 		Entry("a header that does not end", "GET /x HTTP/1.1\r\nHost: h\r\nKey: secret", 408),
+		Entry("a body that does not end", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nsecret", 408),
+		Entry("a chunked body that does not end", "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nsecret\r\n", 408),
 	)
 
 	It("answers requests of one connection in order, also when they come together", func() {
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -72,6 +72,7 @@
 	HeaderBytes   int           `json:"header_bytes"`
 	BodyBytes     int           `json:"body_bytes"`
 	HeaderTimeout time.Duration `json:"header_timeout"`
+	BodyTimeout   time.Duration `json:"body_timeout"`
 	IdleTimeout   time.Duration `json:"idle_timeout"`
 }
 
@@ -80,6 +81,7 @@
 	DefaultHeaderBytes   = 16 << 10
 	DefaultBodyBytes     = 4 << 20
 	DefaultHeaderTimeout = 3 * time.Second
+	DefaultBodyTimeout   = 10 * time.Second
 	DefaultIdleTimeout   = 15 * time.Second
 )
 
@@ -94,6 +96,9 @@
 	if l.HeaderTimeout <= 0 {
 		l.HeaderTimeout = DefaultHeaderTimeout
 	}
+	if l.BodyTimeout <= 0 {
+		l.BodyTimeout = DefaultBodyTimeout
+	}
 	if l.IdleTimeout <= 0 {
 		l.IdleTimeout = DefaultIdleTimeout
 	}
