soak: random series of faults against gateways as processes, with a checker of the promises

Of a grace of 3 s the gateway took new requests for 2.1 s, until its exit, and cut what had just begun. The sites' grace is 8 s, where 2.6 s were for the balancer and the rest for requests. Change: internal/soak (plan of faults; checker with the bounds of the platform), test/e2e runs it with real gateways, relays and the stand-in platform; relays delay, reset and refuse. New connections are taken for half of a grace at most, and the margin for the exit is an eighth of it at most (8 s: as before).

--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -13,8 +13,13 @@
 	// readiness check began to fail: two missed checks, a second apart, and their way.
 	rotationTime = 2600 * time.Millisecond
 	// exitMargin is the part of the grace time that is left for ending the process; the
-	// platform kills what is still there at its end.
+	// platform kills what is still there at its end. It is exitShare of a short grace at
+	// most, so that requests have nearly all of it.
 	exitMargin = 900 * time.Millisecond
+	exitShare  = 1.0 / 8
+	// acceptShare is the part of a short grace in which new connections are taken; those
+	// that came last have the rest to end.
+	acceptShare = 1.0 / 2
 	// drainPoll is the time between two looks at the requests in progress.
 	drainPoll = 50 * time.Millisecond
 )
@@ -31,12 +36,20 @@
 	}
 }
 
+// drainTimes returns how long after the signal new connections are taken, and when the
+// requests still in progress are given up.
+func drainTimes(grace time.Duration) (accept, limit time.Duration) {
+	share := func(of float64) time.Duration { return time.Duration(of * float64(grace)) }
+	return min(rotationTime, share(acceptShare)), grace - min(exitMargin, share(exitShare))
+}
+
 // finish waits for the balancer to look elsewhere and for the requests in progress.
 func (g *Gateway) finish(ctx context.Context, listener net.Listener) {
 	started := time.Now()
-	limit := started.Add(g.settings.Drain.Grace - exitMargin)
+	accept, last := drainTimes(g.settings.Drain.Grace)
+	limit := started.Add(last)
 	g.log.WithFields(logrus.Fields{"event": "drain", "in_flight": g.server.Active(), "grace": g.settings.Drain.Grace}).Info("draining")
-	sleep(ctx, min(rotationTime, time.Until(limit)))
+	sleep(ctx, accept)
 	if err := listener.Close(); err != nil {
 		g.log.WithFields(logrus.Fields{"event": "listener_failed", "listener": "callers", "error": err}).Warn("the callers' listener did not close")
 	}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/primrosewell/primrosewell/internal/failure"
 )
@@ -37,6 +38,9 @@
 	mu      sync.Mutex
 	cut     Direction
 	changed chan struct{}
+	// delay holds back each piece for some time, and refuses resets new connections.
+	delay   time.Duration
+	refuses bool
 	conns   map[net.Conn]struct{}
 	closed  bool
 	// passed counts the bytes let through, both directions together.
@@ -70,6 +74,37 @@
 // Restore ends the cut.
 func (r *Relay) Restore() { r.Cut(None) }
 
+// Delay holds back what is read from now on for a time; zero ends that.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Refuse says whether new connections are reset, as those to a process that is gone.
+func (r *Relay) Refuse(refuse bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refuses = refuse
+}
+
+// Reset resets the open connections, both to clients and to the server.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		reset(c)
+	}
+}
+
+// reset closes a connection so that the other side sees a reset instead of an end.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Passed returns the bytes let through so far, both directions together.
 func (r *Relay) Passed() int64 {
 	r.mu.Lock()
@@ -103,6 +138,10 @@
 }
 
 func (r *Relay) forward(client net.Conn) {
+	if r.refusing() {
+		reset(client)
+		return
+	}
 	defer r.drop(client)
 	if !r.keep(client) {
 		return
@@ -121,6 +160,12 @@
 	<-ended
 }
 
+func (r *Relay) refusing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.refuses
+}
+
 func (r *Relay) keep(c net.Conn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -153,7 +198,7 @@
 func (r *Relay) wait(d Direction, n int) bool {
 	for {
 		r.mu.Lock()
-		cut, changed, closed := r.cut&d != 0, r.changed, r.closed
+		cut, changed, closed, delay := r.cut&d != 0, r.changed, r.closed, r.delay
 		if !cut {
 			r.passed += int64(n)
 		}
@@ -162,6 +207,7 @@
 			return false
 		}
 		if !cut {
+			time.Sleep(delay)
 			return true
 		}
 		<-changed
--- a/test/e2e/gateway_test.go
+++ b/test/e2e/gateway_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,23 +30,33 @@
 type gatewayProcess struct {
 	*process
 	ip, file, settings string
+	// striking is held while a fault strikes the process.
+	striking sync.Mutex
 }
 
 // gatewayFleet is gateways before a stand-in platform and two endpoints.
 type gatewayFleet struct {
-	store    platform.Store
-	platform *process
+	store           platform.Store
+	platform        *process
+	platformAddress string
+	// grace is the gateways' time to shut down.
+	grace    string
 	ports    [4]int
 	gateways []*gatewayProcess
 }
 
 var gatewayNames = headers.Default()
 
-func startGateways(n int) *gatewayFleet {
-	f := &gatewayFleet{}
-	var address string
-	f.platform, address = standin("platform", "-token", platformToken)
-	f.store = platform.NewClient(platform.ClientOptions{BaseURL: "http://" + address, Token: platformToken})
+// probeID begins the ids of the requests that get sends.
+const probeID = "probe-"
+
+var probes atomic.Int64
+
+// newGatewayFleet starts a stand-in platform and chooses ports.
+func newGatewayFleet(grace string) *gatewayFleet {
+	f := &gatewayFleet{grace: grace}
+	f.platform, f.platformAddress = standin("platform", "-token", platformToken)
+	f.store = platform.NewClient(platform.ClientOptions{BaseURL: "http://" + f.platformAddress, Token: platformToken})
 	var held []net.Listener // All at once, so that the ports differ.
 	for i := range f.ports {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -56,6 +67,11 @@
 	for _, l := range held {
 		Expect(l.Close()).To(Succeed())
 	}
+	return f
+}
+
+func startGateways(n int) *gatewayFleet {
+	f := newGatewayFleet("20s")
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	for _, id := range []string{"a", "b"} {
@@ -66,7 +82,7 @@
 	}
 	f.putTable(1, "key")
 	for i := range n {
-		f.add(fmt.Sprintf("127.0.0.%d", i+1), "http://"+address)
+		f.add(fmt.Sprintf("127.0.0.%d", i+1), "http://"+f.platformAddress)
 	}
 	return f
 }
@@ -96,15 +112,21 @@
 	})
 }
 
+// add starts a gateway and waits until it serves the route /x/.
 func (f *gatewayFleet) add(ip, platformURL string) {
+	g := f.start(ip, platformURL)
+	Eventually(func() int { return f.get(g, "/x/1", "key").status }, startTimeout).Should(Equal(200))
+}
+
+func (f *gatewayFleet) start(ip, platformURL string) *gatewayProcess {
 	g := &gatewayProcess{ip: ip, file: filepath.Join(GinkgoT().TempDir(), "gateway.json")}
 	g.settings = fmt.Sprintf(`{"vm":{"id":%q,"data_centre":"dc-1"},"callers":{"listen":"%s:%d"},"readiness":{"listen":"%s:%d"},
-"peers":{"address":%q,"gossip_port":%d,"fetch_port":%d,"seeds":["127.0.0.1"]},"platform":{"url":%q,"token":%q},"drain":{"grace":"20s"}}`,
-		"vm-"+ip, ip, f.ports[0], ip, f.ports[1], ip, f.ports[2], f.ports[3], platformURL, platformToken)
+"peers":{"address":%q,"gossip_port":%d,"fetch_port":%d,"seeds":["127.0.0.1"]},"platform":{"url":%q,"token":%q},"drain":{"grace":%q}}`,
+		"vm-"+ip, ip, f.ports[0], ip, f.ports[1], ip, f.ports[2], f.ports[3], platformURL, platformToken, f.grace)
 	Expect(os.WriteFile(g.file, []byte(g.settings), 0o600)).To(Succeed())
 	g.process = launch("gateway", "-settings", g.file)
 	f.gateways = append(f.gateways, g)
-	Eventually(func() int { return f.get(g, "/x/1", "key").status }, startTimeout).Should(Equal(200))
+	return g
 }
 
 type gatewayAnswer struct {
@@ -121,6 +143,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	r.Host = "h"
 	r.Header.Set(gatewayNames.Key, key)
+	r.Header.Set(gatewayNames.RequestID, fmt.Sprint(probeID, probes.Add(1)))
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(r)
 	if err != nil {
 		return gatewayAnswer{}
--- /dev/null
+++ b/test/e2e/soak_test.go
@@ -0,0 +1,576 @@
+package e2e_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+	"github.com/primrosewell/primrosewell/internal/soak"
+	"github.com/primrosewell/primrosewell/internal/standin/opaque"
+	platformstandin "github.com/primrosewell/primrosewell/internal/standin/platform"
+	"github.com/primrosewell/primrosewell/internal/standin/relay"
+)
+
+// Environment of the soak: SOAK_SEEDS is a range such as "1-50", SOAK_LENGTH the time with
+// faults in each run. Without them CI's short run is played.
+const (
+	seedsVariable  = "SOAK_SEEDS"
+	lengthVariable = "SOAK_LENGTH"
+	shortLength    = 6 * time.Second
+)
+
+// soakCase is one run.
+type soakCase struct {
+	seed   uint64
+	length time.Duration
+}
+
+// regressionCases failed once; each has a line on the cause.
+var regressionCases = []soakCase{
+	// A grace of 3 s was used up by taking new requests, which were then cut off.
+	{3, 8 * time.Second},
+	{10, 8 * time.Second},
+}
+
+// shortSeeds are played in CI besides.
+var shortSeeds = []uint64{1, 2}
+
+const (
+	soakGrace = 3 * time.Second
+	// soakDeadline is the time that callers give a request.
+	soakDeadline = 4 * time.Second
+	// callerPatience is how much longer they wait for its end.
+	callerPatience = 3 * time.Second
+	// recoverWithin is the time after the last fault in which all is served again.
+	recoverWithin = 15 * time.Second
+	// callerPause is the time between two requests of a caller.
+	callerPause = 20 * time.Millisecond
+	// stallOver is the gap between two turns of a ticker that shows a stalled machine.
+	stallOver, stallTick = 200 * time.Millisecond, 20 * time.Millisecond
+	steadyKey            = "key"
+)
+
+var soakFleet = soak.Fleet{Gateways: 3, Endpoints: 3}
+
+// soakCases are those that the environment asks for, or CI's.
+func soakCases() (cases []soakCase) {
+	length, err := time.ParseDuration(os.Getenv(lengthVariable))
+	if err != nil {
+		length = shortLength
+	}
+	given := os.Getenv(seedsVariable)
+	if given == "" {
+		for _, seed := range shortSeeds {
+			cases = append(cases, soakCase{seed, length})
+		}
+		return append(cases, regressionCases...)
+	}
+	var from, to uint64
+	if n, _ := fmt.Sscanf(given, "%d-%d", &from, &to); n == 1 {
+		to = from
+	}
+	for seed := from; seed <= to; seed++ {
+		cases = append(cases, soakCase{seed, length})
+	}
+	return cases
+}
+
+var _ = Describe("Soak of gateways as processes", Label("soak"), func() {
+	for _, c := range soakCases() {
+		It(fmt.Sprintf("keeps the promises under seed %d for %s", c.seed, c.length), func() {
+			s := newSoakRun(c.seed)
+			s.play(soak.Plan(c.seed, soakFleet, c.length), c.length)
+			sent, served := s.history.Counts()
+			AddReportEntry(fmt.Sprintf("seed %d: %d sent, %d served", c.seed, sent, served))
+			broken := s.history.Violations()
+			if len(broken) > 0 {
+				AddReportEntry("faults", s.describe())
+			}
+			Expect(broken).To(BeEmpty())
+			Expect(s.faults.list()).To(BeEmpty())
+			Expect(served).To(BeNumerically(">", 0))
+		})
+	}
+})
+
+// soakRun is a fleet with callers, and what they saw.
+type soakRun struct {
+	*gatewayFleet
+	control string
+	relays  []*relay.Relay
+	history *soak.History
+	started time.Time
+	faults  notes
+
+	// tables is held while the table changes, so that changes keep their order.
+	tables sync.Mutex
+
+	mu      sync.Mutex
+	version int64
+	// key is the API key that the table has besides the steady one.
+	key   string
+	spans []soak.Span
+	// ctx ends the callers; the endpoints run until the spec's end.
+	ctx    context.Context
+	stop   context.CancelFunc
+	random *rand.Rand
+}
+
+// notes collects what went wrong beside the history.
+type notes struct {
+	mu   sync.Mutex
+	text []string
+}
+
+func (n *notes) add(format string, args ...any) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.text = append(n.text, fmt.Sprintf(format, args...))
+}
+
+func (n *notes) list() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.text
+}
+
+func newSoakRun(seed uint64) *soakRun {
+	s := &soakRun{
+		gatewayFleet: newGatewayFleet("3s"), history: &soak.History{SteadyKey: steadyKey, Workspace: "acme"},
+		random: rand.New(rand.NewPCG(seed, 5)),
+	}
+	s.control = "http://" + s.platformAddress + platformstandin.FaultsPath
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	DeferCleanup(s.stop)
+	for i := range soakFleet.Endpoints {
+		s.addEndpoint(i)
+	}
+	Expect(s.putSoakTable(1, "key-1")).To(Succeed())
+	s.version, s.key = 1, "key-1"
+	for i := range soakFleet.Gateways {
+		g := s.start(fmt.Sprintf("127.0.0.%d", i+1), "http://"+s.platformAddress)
+		Eventually(func() int { return s.get(g, "/i/1", steadyKey).status }, startTimeout).Should(Equal(200))
+	}
+	return s
+}
+
+func endpointName(i int) string { return fmt.Sprint("e", i) }
+
+func (s *soakRun) addEndpoint(i int) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	endpoint := opaque.Endpoint{ID: endpointName(i), Names: gatewayNames, OnRun: func(id, workspace string) {
+		if strings.HasPrefix(id, probeID) {
+			return
+		}
+		s.history.Run(soak.Run{ID: id, Endpoint: i, Workspace: workspace, At: time.Now()})
+	}}
+	ctx, end := context.WithCancel(context.Background())
+	DeferCleanup(end)
+	go func() { _ = endpoint.Serve(ctx, l) }()
+	r, err := relay.New(ctx, l.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(r.Close)
+	s.relays = append(s.relays, r)
+	Expect(s.putEndpoint(i, false)).To(Succeed())
+}
+
+func (s *soakRun) putEndpoint(i int, draining bool) error {
+	return s.tryPut("endpoints", endpointName(i), map[string]any{
+		"service": "svc", "address": s.relays[i].Address(), "data_centre": "dc-1", "slots": 8, "born": 1, "draining": draining,
+	})
+}
+
+// soakRoutes are one route of each kind.
+var soakRoutes = []routetable.Route{
+	{Name: "i", PathPrefix: "/i/", Kind: routetable.Idempotent, MaxAttempts: 2},
+	{Name: "o", PathPrefix: "/o/", Kind: routetable.NonIdempotent, MaxAttempts: 1},
+	{Name: "s", PathPrefix: "/s/", Kind: routetable.Streaming, MaxAttempts: 1},
+	{Name: "t", PathPrefix: "/t/", Kind: routetable.Streaming, MaxAttempts: 2, Resumable: true},
+}
+
+func (s *soakRun) putSoakTable(version int64, key string) error {
+	spec := routetable.Spec{
+		Version: version, KeysRequired: true,
+		Workspaces: []routetable.Workspace{{Name: "acme", Keys: []string{steadyKey, key}}},
+	}
+	for _, r := range soakRoutes {
+		r.Host, r.Timeout = "h", soakDeadline
+		r.Backends = []routetable.Backend{{Service: "svc", Weight: 1}}
+		spec.Routes = append(spec.Routes, r)
+	}
+	return s.tryPut("routes", "table", spec)
+}
+
+// play runs callers through the faults, and until all is served again.
+func (s *soakRun) play(plan []soak.Fault, length time.Duration) {
+	s.started = time.Now()
+	var callers, faults sync.WaitGroup
+	go s.watchStalls()
+	for g := range s.gateways {
+		for _, route := range soakRoutes {
+			callers.Add(1)
+			random := rand.New(rand.NewPCG(s.random.Uint64(), uint64(g)))
+			go func() {
+				defer callers.Done()
+				s.call(g, route, random)
+			}()
+		}
+	}
+	for _, f := range plan {
+		faults.Add(1)
+		go func() {
+			defer faults.Done()
+			time.Sleep(time.Until(s.started.Add(f.From)))
+			s.strike(f)
+		}()
+	}
+	time.Sleep(time.Until(s.started.Add(length)))
+	faults.Wait()
+	for g, p := range s.gateways {
+		for _, route := range soakRoutes {
+			path := route.PathPrefix + "1"
+			Eventually(func() int { return s.get(p, path, steadyKey).status }, recoverWithin).Should(Equal(200), "gateway %d serves again", g)
+		}
+	}
+	s.stop()
+	callers.Wait()
+	for g, p := range s.gateways {
+		if p.session.ExitCode() >= 0 {
+			s.faults.add("gateway %d ended by itself: %s", g, tail(p.log.Contents(), 500))
+		}
+	}
+	// What was refused may still be on its way to an endpoint.
+	time.Sleep(time.Second)
+}
+
+// watchStalls notes the times in which this process did not run.
+func (s *soakRun) watchStalls() {
+	ticker := time.NewTicker(stallTick)
+	defer ticker.Stop()
+	for last := time.Now(); s.ctx.Err() == nil; {
+		<-ticker.C
+		now := time.Now()
+		if now.Sub(last) > stallOver {
+			s.history.Stall(last, now)
+		}
+		last = now
+	}
+}
+
+// unread keeps the HTTP client from sending a body, and so a request, a second time.
+type unread struct{ io.Reader }
+
+// call sends requests on kept connections until the run ends.
+func (s *soakRun) call(g int, route routetable.Route, random *rand.Rand) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1}
+	defer transport.CloseIdleConnections()
+	stream := route.Kind == routetable.Streaming
+	for n := 0; s.ctx.Err() == nil; n++ {
+		a := soak.Attempt{
+			ID: fmt.Sprintf("%s-%d-%d", route.Name, g, n), Gateway: g, Kind: route.Kind, Repeatable: route.Repeatable(),
+			Key: s.drawKey(random), Deadline: soakDeadline,
+		}
+		path := route.PathPrefix + "1"
+		if stream {
+			path = route.PathPrefix + "stream"
+		}
+		s.send(transport, &a, path, stream)
+		s.history.Attempt(a)
+		time.Sleep(callerPause)
+		if a.Status == 0 {
+			time.Sleep(5 * callerPause)
+		}
+	}
+}
+
+// drawKey is mostly the steady key, else the latest one or the one before, which is revoked.
+func (s *soakRun) drawKey(random *rand.Rand) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch random.IntN(6) {
+	case 0:
+		return s.key
+	case 1:
+		return "key-" + strconv.FormatInt(max(1, s.version-1), 10)
+	}
+	return steadyKey
+}
+
+func (s *soakRun) send(transport *http.Transport, a *soak.Attempt, path string, stream bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline+callerPatience)
+	defer cancel()
+	const body = "{}"
+	method, reader := http.MethodPost, io.Reader(unread{strings.NewReader(body)})
+	if a.Kind == routetable.Idempotent {
+		method, reader = http.MethodGet, nil
+	}
+	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", s.gateways[a.Gateway].ip, s.ports[0], path), reader)
+	if err != nil {
+		s.faults.add("request: %s", err)
+		return
+	}
+	if reader != nil {
+		r.ContentLength = int64(len(body))
+	}
+	r.Host = "h"
+	r.Header.Set(gatewayNames.Key, a.Key)
+	r.Header.Set(gatewayNames.RequestID, a.ID)
+	r.Header.Set(gatewayNames.Deadline, strconv.FormatInt(a.Deadline.Milliseconds(), 10))
+	a.Sent = time.Now()
+	defer func() { a.Ended = time.Now() }()
+	response, err := transport.RoundTrip(r)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	a.Status, a.Whole = response.StatusCode, err == nil
+	if a.Status == http.StatusOK && a.Whole {
+		a.Wrong = wrongContent(a.ID, string(data), stream)
+	}
+}
+
+// wrongContent says what is wrong with a whole success, if anything.
+func wrongContent(id, body string, stream bool) string {
+	events := 1
+	if stream {
+		events = opaque.Events
+	}
+	if strings.Count(body, " as "+id+"\n") != events {
+		return "not the answer to this request, or not all of it: " + strconv.Quote(body)
+	}
+	if !stream {
+		return ""
+	}
+	next := 1
+	for line := range strings.Lines(body) {
+		number, ok := strings.CutPrefix(line, "id: ")
+		if !ok {
+			continue
+		}
+		if strings.TrimSpace(number) != strconv.Itoa(next) {
+			return fmt.Sprintf("event %s where %d was due", strings.TrimSpace(number), next)
+		}
+		next++
+	}
+	return ""
+}
+
+// strike lets a fault happen, and notes when it did.
+func (s *soakRun) strike(f soak.Fault) {
+	span := soak.Span{Fault: f, Started: time.Now()}
+	until := func() { time.Sleep(time.Until(s.started.Add(f.To))) }
+	switch f.Kind {
+	case soak.KillGateway, soak.DrainGateway, soak.FreezeGateway, soak.ReloadGateway:
+		s.strikeGateway(f, until)
+	case soak.DelayEndpoint, soak.ResetEndpoint, soak.CutEndpoint, soak.CrashEndpoint:
+		s.strikeEndpoint(f, until)
+	case soak.RefusePlatform, soak.HangPlatform, soak.StalePlatform:
+		s.strikePlatform(f, until)
+	case soak.ChangeTable:
+		s.changeTable()
+	case soak.DrainEndpoint:
+		s.drainEndpoint(f, until)
+	}
+	span.Ended = time.Now()
+	s.history.Span(span)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.spans = append(s.spans, span)
+}
+
+func (s *soakRun) strikeGateway(f soak.Fault, until func()) {
+	g := s.gateways[f.Index]
+	g.striking.Lock() // A drain may take longer than its plan.
+	defer g.striking.Unlock()
+	switch f.Kind {
+	case soak.FreezeGateway:
+		g.signal(syscall.SIGSTOP)
+		until()
+		g.signal(syscall.SIGCONT)
+		return
+	case soak.ReloadGateway:
+		s.reload(g, f.Variant%2 == 0)
+		return
+	case soak.KillGateway:
+		g.signal(syscall.SIGKILL)
+		<-g.session.Exited
+	default:
+		began := time.Now()
+		g.signal(syscall.SIGTERM)
+		select {
+		case <-g.session.Exited:
+		case <-time.After(2 * soakGrace):
+			s.faults.add("gateway %d did not end within its grace", f.Index)
+			g.signal(syscall.SIGKILL)
+			<-g.session.Exited
+		}
+		if code, took := g.session.ExitCode(), time.Since(began); code != 0 || took > soakGrace+time.Second {
+			s.faults.add("gateway %d ended with %d after %s of a grace of %s", f.Index, code, took, soakGrace)
+		}
+	}
+	until()
+	g.process = launch("gateway", "-settings", g.file)
+	for s.ctx.Err() == nil && !accepts(fmt.Sprintf("%s:%d", g.ip, s.ports[0])) {
+		time.Sleep(callerPause)
+	}
+}
+
+func accepts(address string) bool {
+	conn, err := net.DialTimeout("tcp4", address, time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// reload writes the settings again, after broken ones if asked for.
+func (s *soakRun) reload(g *gatewayProcess, broken bool) {
+	contents := []string{g.settings}
+	if broken {
+		contents = []string{`{"vm":`, g.settings}
+	}
+	for _, content := range contents {
+		if err := os.WriteFile(g.file, []byte(content), 0o600); err != nil {
+			s.faults.add("settings: %s", err)
+		}
+		g.signal(syscall.SIGHUP)
+		time.Sleep(5 * callerPause)
+	}
+}
+
+func (s *soakRun) strikeEndpoint(f soak.Fault, until func()) {
+	r := s.relays[f.Index]
+	switch f.Kind {
+	case soak.DelayEndpoint:
+		r.Delay(time.Duration(20+f.Variant%400) * time.Millisecond)
+		until()
+		r.Delay(0)
+	case soak.CutEndpoint:
+		r.Cut(relay.Direction(1 + f.Variant%3))
+		until()
+		r.Restore()
+	case soak.CrashEndpoint:
+		r.Refuse(true)
+		r.Reset()
+		until()
+		r.Refuse(false)
+	default:
+		r.Reset()
+	}
+}
+
+func (s *soakRun) strikePlatform(f soak.Fault, until func()) {
+	faults := platformstandin.Faults{Outage: platformstandin.OutageRefuse}
+	switch f.Kind {
+	case soak.HangPlatform:
+		faults.Outage = platformstandin.OutageHang
+	case soak.StalePlatform:
+		faults = platformstandin.Faults{StaleMS: 200 + f.Variant%1500, CutWatches: true}
+	}
+	s.setFaults(faults)
+	until()
+	s.setFaults(platformstandin.Faults{})
+}
+
+func (s *soakRun) setFaults(faults platformstandin.Faults) {
+	data, err := json.Marshal(faults)
+	if err != nil {
+		s.faults.add("faults: %s", err)
+		return
+	}
+	response, err := http.Post(s.control, "application/json", bytes.NewReader(data))
+	if err != nil {
+		s.faults.add("faults: %s", err)
+		return
+	}
+	_ = response.Body.Close()
+}
+
+// changeTable adds a key and revokes the one before.
+func (s *soakRun) changeTable() {
+	s.tables.Lock()
+	defer s.tables.Unlock()
+	s.mu.Lock()
+	s.version++
+	version, revoked := s.version, s.key
+	s.key = "key-" + strconv.FormatInt(version, 10)
+	added := s.key
+	s.mu.Unlock()
+	if s.untilDone(func() error { return s.putSoakTable(version, added) }) {
+		s.history.Change(soak.Change{At: time.Now(), Added: added, Revoked: revoked, Endpoint: -1})
+	}
+}
+
+func (s *soakRun) drainEndpoint(f soak.Fault, until func()) {
+	if !s.untilDone(func() error { return s.putEndpoint(f.Index, true) }) {
+		return
+	}
+	change := soak.Change{At: time.Now(), Endpoint: f.Index}
+	until()
+	change.Back = time.Now()
+	s.untilDone(func() error { return s.putEndpoint(f.Index, false) })
+	s.history.Change(change)
+}
+
+// untilDone tries a write until the platform takes it.
+func (s *soakRun) untilDone(write func() error) bool {
+	for s.ctx.Err() == nil {
+		if write() == nil {
+			return true
+		}
+		time.Sleep(5 * callerPause)
+	}
+	return false
+}
+
+// tryPut creates or replaces an object.
+func (f *gatewayFleet) tryPut(collection, name string, content any) error {
+	data, err := json.Marshal(content)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline)
+	defer cancel()
+	o := platform.Object{Collection: collection, Name: name, Data: data}
+	old, err := f.store.Get(ctx, collection, name)
+	var failed *platform.Error
+	switch {
+	case err == nil:
+		o.Version = old.Version
+		_, err = f.store.Update(ctx, o)
+	case errors.As(err, &failed) && failed.Reason == platform.NotFound:
+		_, err = f.store.Create(ctx, o)
+	}
+	return err
+}
+
+// describe lists the faults as they happened.
+func (s *soakRun) describe() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var text strings.Builder
+	for _, span := range s.spans {
+		fmt.Fprintf(&text, "%s to %s %s %d (%d)\n", span.Started.Format("15:04:05.000"), span.Ended.Format("15:04:05.000"), span.Kind, span.Index, span.Variant)
+	}
+	return text.String()
+}
