gateway: takes no request on kept connections late in a drain

Change: once new connections are no more taken, requests on open ones get 503 with 'Retry-After: 0.050' and are not run. Before: the new spec fails 3 of 3 times (200).

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -39,6 +39,9 @@
 	maxSends = 4
 	// defaultTime is how long a request may take if neither caller nor route says.
 	defaultTime = 60 * time.Second
+	// closingComeBack is when a caller may come back that reached a daemon which shuts
+	// down: at once, as others serve.
+	closingComeBack = 50 * time.Millisecond
 	// minLeft is the time below which an attempt is not worth starting.
 	minLeft = 5 * time.Millisecond
 )
@@ -54,6 +57,8 @@
 	// Table returns the route table in force, or nil before the first.
 	Table func() *routetable.Table
 	Pools Pools
+	// Closing reports whether the daemon takes no more requests, as it shuts down.
+	Closing func() bool
 	// Listing returns the version of the list of endpoints in use.
 	Listing func() int64
 	Dialer  *httpio.Dialer
@@ -132,6 +137,9 @@
 
 // admit finds the route and the workspace.
 func (j *job) admit() *failure.Failure {
+	if j.f.Closing() {
+		return failure.New(failure.Draining, "the gateway shuts down").WithRetryAfter(closingComeBack)
+	}
 	j.table = j.f.Table()
 	if j.table == nil {
 		return failure.New(failure.PlatformUnavailable, "no configuration yet").WithRetryAfter(j.comeBackAfter(&j.f.unready))
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -69,6 +69,16 @@
 		Expect(r.Header.Get("Retry-After")).NotTo(BeEmpty())
 	})
 
+	It("runs nothing that comes when the daemon takes no more requests, and sends callers elsewhere at once", func() {
+		e := newEndpoint(ok("fine"))
+		w := newWorld(spec(), e)
+		w.closing.Store(true)
+		r := w.call("/unsafe/x")
+		Expect(r.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		Expect(r.Header.Get("Retry-After")).To(Equal("0.050"))
+		Expect(e.seen()).To(BeEmpty())
+	})
+
 	Describe("work that may not be repeated", func() {
 		It("is not sent again once it was sent, and is not called not run", func() {
 			first, second := newEndpoint(hangUp), newEndpoint(hangUp)
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -148,6 +149,7 @@
 	pool    *balance.Pool
 	table   *routetable.Table
 	server  *httpio.Server
+	closing atomic.Bool
 }
 
 func newWorld(spec routetable.Spec, endpoints ...*fakeEndpoint) *world {
@@ -165,6 +167,7 @@
 		Table:   func() *routetable.Table { return w.table },
 		Pools:   func(string) *balance.Pool { return w.pool },
 		Listing: func() int64 { return 1 },
+		Closing: w.closing.Load,
 		Dialer:  httpio.NewDialer(),
 		Budget:  retry.NewShared(retry.SharedConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50, Margin: 1}, 1),
 
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -50,6 +50,7 @@
 	limit := started.Add(last)
 	g.log.WithFields(logrus.Fields{"event": "drain", "in_flight": g.server.Active(), "grace": g.settings.Drain.Grace}).Info("draining")
 	sleep(ctx, accept)
+	g.closing.Store(true)
 	if err := listener.Close(); err != nil {
 		g.log.WithFields(logrus.Fields{"event": "listener_failed", "listener": "callers", "error": err}).Warn("the callers' listener did not close")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,7 +51,9 @@
 	members   *gossip.Members
 	server    *httpio.Server
 	draining  atomic.Bool
-	drain     chan struct{}
+	// closing is set once a draining gateway takes no more requests.
+	closing atomic.Bool
+	drain   chan struct{}
 }
 
 // New wires a gateway; it listens to nothing yet.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -200,6 +201,48 @@
 		Eventually(status("k2"), patience).Should(Equal(503))
 	})
 
+	// Load pattern: a stream whose header was sent before the signal keeps its connection, and
+	// the caller sends the next request on it when there is no more time to end that one.
+	It("takes no request on a kept connection late in a drain", func() {
+		s, p := newSite(), freePorts()
+		s.putTable(5, "k")
+		s.putEndpoint("e", false)
+		d := start(p, "127.0.0.1", s.url)
+		Eventually(func() int {
+			code, _ := d.get(p.callers, "/x/1", "k")
+			return code
+		}, patience).Should(Equal(200))
+		conn, err := net.Dial("tcp4", fmt.Sprintf("127.0.0.1:%d", p.callers))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(conn.Close)
+		send := func(path string) error {
+			_, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\n%s: id\r\n%s: k\r\n\r\n", path, names.RequestID, names.Key)
+			return err
+		}
+		reader := bufio.NewReader(conn)
+		Expect(send("/x/slow")).To(Succeed())
+		answer, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		d.Drain()
+		Eventually(func() error {
+			fresh, err := net.Dial("tcp4", fmt.Sprintf("127.0.0.1:%d", p.callers))
+			if err == nil {
+				_ = fresh.Close()
+			}
+			return err
+		}, patience).Should(HaveOccurred(), "new connections are taken for a while only")
+		close(s.release)
+		_, err = io.Copy(io.Discard, answer.Body)
+		Expect(err).NotTo(HaveOccurred())
+		_ = send("/x/1") // The connection may be closed already.
+		if late, err := http.ReadResponse(reader, nil); err == nil {
+			Expect(late.StatusCode).To(Equal(http.StatusServiceUnavailable))
+			Expect(late.Body.Close()).To(Succeed())
+		}
+		Eventually(d.done, patience).Should(Receive(BeNil()))
+		d.done <- nil
+	})
+
 	It("drains without cutting a stream in progress", func() {
 		s, p := newSite(), freePorts()
 		s.putTable(5, "k")
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -68,6 +68,7 @@
 		Table:          g.holder.Table,
 		Pools:          g.pools.Pool,
 		Listing:        g.listing.Version,
+		Closing:        g.closing.Load,
 		Dialer:         do.MustInvoke[*httpio.Dialer](i),
 		Budget:         do.MustInvoke[*retry.Shared](i),
 
