directory: a peer's list says what is gone, also to a gateway that can't read the platform

Four gateways that followed the platform were cut off from it at 17.6 s and back at 25.6 s. Meanwhile the others saw workers drain and go (23.61 s, version 123). The four took the peers' newer lists, but while the platform is away the directory takes each missing row for one that only lapsed; so on their return they waited for these workers for another 2.3 s, and told everybody (version 155: 118 endpoints instead of 109), whose lists they outranked. Ruled out: slow news (67 gateways had version 124 within 0.2 s); late watches of followers. Change: a peer's list replaces the own one for good (Adopt), and it says which entries the peer itself only waits for: those stay where they are known and come back nowhere else.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build dev gateway test lint fmt generate bench bench-decisions soak
+.PHONY: build dev gateway test lint fmt generate bench bench-decisions soak repeat
 
 build: ## Build the one binary into bin/.
 	CGO_ENABLED=1 go build -o bin/primrosewell ./cmd/primrosewell
@@ -26,7 +26,13 @@
 	mkdir -p bench-out
 	./bin/primrosewell bench decisions -plot bench-out/decisions.png
 
-soak: ## The failure tests, ten times over.
+SEEDS ?= 1-50
+LENGTH ?= 12s
+
+soak: ## Random faults against gateways as processes: make soak SEEDS=1-50 LENGTH=12s.
+	SOAK_SEEDS=$(SEEDS) SOAK_LENGTH=$(LENGTH) CGO_ENABLED=1 go test -count=1 -timeout 120m ./test/e2e -ginkgo.focus "^Soak" -ginkgo.v | grep -aE "sent,|FAIL|^ok"
+
+repeat: ## The failure tests, ten times over.
 	for i in 1 2 3 4 5 6 7 8 9 10; do CGO_ENABLED=1 go test -count=1 -timeout 30m ./test/e2e || exit 1; done
 
 generate: ## Regenerate the inner protocol; needs protoc. The output is committed.
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -109,6 +109,32 @@
 	}
 }
 
+// Adopt notes a whole list that a peer knows. The peer has waited for entries to return
+// already: what it does not list is gone. Those that it only waits for, by id in lapsed,
+// stay in use where they are known; where they are not, they may have been removed since.
+func (d *Directory) Adopt(rows []routetable.Endpoint, lapsed []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	waitedFor := make(map[string]bool, len(lapsed))
+	for _, id := range lapsed {
+		waitedFor[id] = true
+	}
+	first := len(d.entries) == 0
+	listed := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		listed[row.ID] = true
+		if !waitedFor[row.ID] || first {
+			d.put(row)
+		}
+	}
+	for id := range d.entries {
+		if !listed[id] {
+			delete(d.entries, id)
+			d.version++
+		}
+	}
+}
+
 // Expire drops entries still missing when the grace after an outage has ended.
 func (d *Directory) Expire(now time.Time) (dropped []string) {
 	d.mu.Lock()
@@ -144,6 +170,19 @@
 	return rows
 }
 
+// Lapsed returns the ids of the entries that are missing and may still return.
+func (d *Directory) Lapsed() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ids []string
+	for id, e := range d.entries {
+		if !e.missingSince.IsZero() {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Usable returns the endpoints that may get new work, by service. Of several rows
 // with one address the latest born is used: addresses are reused.
 func (d *Directory) Usable() map[string][]routetable.Endpoint {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -57,6 +57,32 @@
 		Expect(usable()).To(ConsistOf("a"))
 	})
 
+	It("takes a peer's word that an entry is gone, also while the store is away", func() {
+		d.StoreAway()
+		d.Adopt([]routetable.Endpoint{row("b")}, nil)
+		Expect(usable()).To(ConsistOf("b"))
+	})
+
+	It("keeps what a peer still waits for where it is known, and as it is known", func() {
+		draining := row("a")
+		draining.Draining = true
+		d.Put(draining)
+		d.Adopt([]routetable.Endpoint{row("a"), row("b"), row("c")}, []string{"a", "b", "c"})
+		Expect(usable()).To(ConsistOf("b"), "a drains, and c may have been removed since")
+		Expect(d.Lapsed()).To(BeEmpty())
+		empty := directory.New()
+		empty.Adopt([]routetable.Endpoint{row("c")}, []string{"c"})
+		Expect(empty.Usable()["s"]).To(HaveLen(1), "a daemon that knows nothing takes what there is")
+	})
+
+	It("tells which entries it waits for", func() {
+		d.StoreAway()
+		d.StoreBack(now)
+		d.Replace(now, []routetable.Endpoint{row("a")})
+		Expect(d.Lapsed()).To(ConsistOf("b"))
+		Expect(d.Rows()).To(HaveLen(2))
+	})
+
 	It("does not bring an endpoint back that drained and then vanished during an outage", func() {
 		draining := row("a")
 		draining.Draining = true
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -122,11 +122,12 @@
 }
 
 // TakeFromPeer takes a peer's list if it is newer and this gateway has no better one.
-func (l *listing) TakeFromPeer(now time.Time, number int64, rows []routetable.Endpoint, peer string) {
+// lapsed are the ids of the rows that the peer only waits for.
+func (l *listing) TakeFromPeer(number int64, rows []routetable.Endpoint, lapsed []string, peer string) {
 	if !l.Behind(number) {
 		return
 	}
-	l.directory.Replace(now, rows)
+	l.directory.Adopt(rows, lapsed)
 	l.raise(number)
 	l.log.WithFields(logrus.Fields{"event": "endpoints", "from": "peer " + peer, "version": number >> dropBits, "endpoints": len(rows)}).Info("a peer's list of endpoints is in use")
 	l.changed()
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -19,6 +19,9 @@
 	// Listing is the number of Endpoints; see listing.
 	Listing   int64                 `json:"listing"`
 	Endpoints []routetable.Endpoint `json:"endpoints"`
+	// Lapsed are the ids of the Endpoints that the platform does not list any more and
+	// that may still return after an outage.
+	Lapsed []string `json:"lapsed,omitempty"`
 }
 
 // encodeSnapshot returns the gateway's own snapshot, or nil before there is one.
@@ -27,7 +30,10 @@
 	if table == nil {
 		return nil
 	}
-	data, err := json.Marshal(snapshot{Table: table, Listing: g.listing.Number(), Endpoints: g.directory.Rows()})
+	// In this order a change meanwhile is at worst in the rows and not in the number.
+	s := snapshot{Table: table, Listing: g.listing.Number(), Lapsed: g.directory.Lapsed()}
+	s.Endpoints = g.directory.Rows()
+	data, err := json.Marshal(s)
 	if err != nil {
 		g.log.WithFields(logrus.Fields{"event": "snapshot_failed", "error": err}).Error("the snapshot for peers could not be encoded")
 		return nil
@@ -80,6 +86,6 @@
 	if s.Table != nil {
 		p.holder.Install(s.Table, "peer "+address)
 	}
-	p.listing.TakeFromPeer(time.Now(), s.Listing, s.Endpoints, address)
+	p.listing.TakeFromPeer(s.Listing, s.Endpoints, s.Lapsed, address)
 	return nil
 }
