soak: gateways cut from the platform, and endpoints taken off its list

Change: a relay between each gateway and the platform; drained endpoints are taken off the list in half of the cases and come back as born again; plans keep a generation, so that the seeds of earlier finds keep their plans.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // Kind names a fault.
@@ -23,6 +25,8 @@
 	DrainGateway Kind = "drain_gateway"
 	// ReloadGateway writes the settings again, sometimes broken ones, and sends SIGHUP.
 	ReloadGateway Kind = "reload_gateway"
+	// CutFromPlatform holds back what passes between a gateway and the platform.
+	CutFromPlatform Kind = "cut_from_platform"
 	// DelayEndpoint delays what passes between gateways and an endpoint.
 	DelayEndpoint Kind = "delay_endpoint"
 	// ResetEndpoint resets an endpoint's open connections, once.
@@ -39,7 +43,8 @@
 	StalePlatform Kind = "stale_platform"
 	// ChangeTable adds an API key and revokes the one before.
 	ChangeTable Kind = "change_table"
-	// DrainEndpoint marks an endpoint as draining until the fault ends.
+	// DrainEndpoint marks an endpoint as draining until the fault ends, and in some variants
+	// takes it off the list meanwhile.
 	DrainEndpoint Kind = "drain_endpoint"
 )
 
@@ -61,22 +66,25 @@
 	weight int
 	// longest is the longest duration; zero for faults of a moment.
 	longest time.Duration
+	// since is the generation of plans that first had the kind.
+	since int
 }
 
 var kinds = []traits{
-	{KillGateway, Gateway, 4, 2 * time.Second},
-	{FreezeGateway, Gateway, 4, 4 * time.Second},
-	{DrainGateway, Gateway, 4, 4 * time.Second},
-	{ReloadGateway, Gateway, 3, 0},
-	{DelayEndpoint, Endpoint, 2, 3 * time.Second},
-	{ResetEndpoint, Endpoint, 3, 0},
-	{CutEndpoint, Endpoint, 3, 3 * time.Second},
-	{CrashEndpoint, Endpoint, 3, 3 * time.Second},
-	{RefusePlatform, Platform, 2, 5 * time.Second},
-	{HangPlatform, Platform, 2, 5 * time.Second},
-	{StalePlatform, Platform, 1, 3 * time.Second},
-	{ChangeTable, Platform, 4, 0},
-	{DrainEndpoint, Endpoint, 3, 5 * time.Second},
+	{KillGateway, Gateway, 4, 2 * time.Second, 1},
+	{FreezeGateway, Gateway, 4, 4 * time.Second, 1},
+	{DrainGateway, Gateway, 4, 4 * time.Second, 1},
+	{ReloadGateway, Gateway, 3, 0, 1},
+	{CutFromPlatform, Gateway, 4, 6 * time.Second, 2},
+	{DelayEndpoint, Endpoint, 2, 3 * time.Second, 1},
+	{ResetEndpoint, Endpoint, 3, 0, 1},
+	{CutEndpoint, Endpoint, 3, 3 * time.Second, 1},
+	{CrashEndpoint, Endpoint, 3, 3 * time.Second, 1},
+	{RefusePlatform, Platform, 2, 5 * time.Second, 1},
+	{HangPlatform, Platform, 2, 5 * time.Second, 1},
+	{StalePlatform, Platform, 1, 3 * time.Second, 1},
+	{ChangeTable, Platform, 4, 0, 1},
+	{DrainEndpoint, Endpoint, 3, 5 * time.Second, 1},
 }
 
 func traitsOf(k Kind) traits {
@@ -107,13 +115,18 @@
 	variants = 1 << 16
 )
 
+// Generation counts the changes of what plans are made of. A run that failed keeps its
+// generation, so that its plan stays as it was.
+const Generation = 2
+
 // Plan draws the faults of a run. They come in series and overlap; one target has one
 // fault of its own kind at a time. All have ended after length.
-func Plan(seed uint64, fleet Fleet, length time.Duration) []Fault {
+func Plan(generation int, seed uint64, fleet Fleet, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 3))
+	kinds := lo.Filter(kinds, func(t traits, _ int) bool { return t.since <= generation })
 	var plan []Fault
 	for at := draw(random, meanGap); at < length; at += draw(random, 2*meanGap) {
-		t := drawKind(random)
+		t := drawKind(random, kinds)
 		from := at
 		for range 1 + random.IntN(seriesMost) {
 			f := Fault{Kind: t.kind, Index: drawIndex(random, t.target, fleet), From: from, Variant: random.IntN(variants)}
@@ -133,7 +146,7 @@
 	return time.Duration(random.Int64N(int64(most) + 1))
 }
 
-func drawKind(random *rand.Rand) traits {
+func drawKind(random *rand.Rand, kinds []traits) traits {
 	total := 0
 	for _, t := range kinds {
 		total += t.weight
@@ -177,7 +190,7 @@
 		return "relay"
 	case RefusePlatform, HangPlatform, StalePlatform:
 		return "platform"
-	case ChangeTable, DrainEndpoint:
+	case ChangeTable, DrainEndpoint, CutFromPlatform:
 		return string(k)
 	}
 	return string(k)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -17,8 +17,8 @@
 			seed := rapid.Uint64().Draw(t, "seed")
 			length := time.Duration(rapid.IntRange(1, 60).Draw(t, "seconds")) * time.Second
 			fleet := soak.Fleet{Gateways: rapid.IntRange(1, 6).Draw(t, "gateways"), Endpoints: rapid.IntRange(1, 6).Draw(t, "endpoints")}
-			plan := soak.Plan(seed, fleet, length)
-			if len(plan) != len(soak.Plan(seed, fleet, length)) {
+			plan := soak.Plan(soak.Generation, seed, fleet, length)
+			if len(plan) != len(soak.Plan(soak.Generation, seed, fleet, length)) {
 				t.Fatal("another plan for the same seed")
 			}
 			for i, f := range plan {
@@ -37,7 +37,7 @@
 	It("draws every kind, in series, and lets them overlap", func() {
 		seen, overlaps := map[soak.Kind]int{}, 0
 		for seed := range uint64(40) {
-			plan := soak.Plan(seed, soak.Fleet{Gateways: 3, Endpoints: 3}, 20*time.Second)
+			plan := soak.Plan(soak.Generation, seed, soak.Fleet{Gateways: 3, Endpoints: 3}, 20*time.Second)
 			for i, f := range plan {
 				seen[f.Kind]++
 				if i > 0 && f.From < plan[i-1].To {
@@ -45,7 +45,7 @@
 				}
 			}
 		}
-		Expect(seen).To(HaveLen(13))
+		Expect(seen).To(HaveLen(14))
 		Expect(overlaps).To(BeNumerically(">", 40))
 	})
 })
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,15 +39,16 @@
 
 // soakCase is one run.
 type soakCase struct {
-	seed   uint64
-	length time.Duration
+	generation int
+	seed       uint64
+	length     time.Duration
 }
 
 // regressionCases failed once; each has a line on the cause.
 var regressionCases = []soakCase{
 	// A grace of 3 s was used up by taking new requests, which were then cut off.
-	{3, 8 * time.Second},
-	{10, 8 * time.Second},
+	{1, 3, 8 * time.Second},
+	{1, 10, 8 * time.Second},
 }
 
 // shortSeeds are played in CI besides.
@@ -78,7 +80,7 @@
 	given := os.Getenv(seedsVariable)
 	if given == "" {
 		for _, seed := range shortSeeds {
-			cases = append(cases, soakCase{seed, length})
+			cases = append(cases, soakCase{soak.Generation, seed, length})
 		}
 		return append(cases, regressionCases...)
 	}
@@ -87,7 +89,7 @@
 		to = from
 	}
 	for seed := from; seed <= to; seed++ {
-		cases = append(cases, soakCase{seed, length})
+		cases = append(cases, soakCase{soak.Generation, seed, length})
 	}
 	return cases
 }
@@ -96,7 +98,7 @@
 	for _, c := range soakCases() {
 		It(fmt.Sprintf("keeps the promises under seed %d for %s", c.seed, c.length), func() {
 			s := newSoakRun(c.seed)
-			s.play(soak.Plan(c.seed, soakFleet, c.length), c.length)
+			s.play(soak.Plan(c.generation, c.seed, soakFleet, c.length), c.length)
 			sent, served := s.history.Counts()
 			AddReportEntry(fmt.Sprintf("seed %d: %d sent, %d served", c.seed, sent, served))
 			broken := s.history.Violations()
@@ -114,7 +116,10 @@
 type soakRun struct {
 	*gatewayFleet
 	control string
-	relays  []*relay.Relay
+	// relays stand before the endpoints, and links between each gateway and the platform.
+	relays, links []*relay.Relay
+	// born tells the registrations of an endpoint apart.
+	born    atomic.Int64
 	history *soak.History
 	started time.Time
 	faults  notes
@@ -165,7 +170,11 @@
 	Expect(s.putSoakTable(1, "key-1")).To(Succeed())
 	s.version, s.key = 1, "key-1"
 	for i := range soakFleet.Gateways {
-		g := s.start(fmt.Sprintf("127.0.0.%d", i+1), "http://"+s.platformAddress)
+		link, err := relay.New(context.Background(), s.platformAddress)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(link.Close)
+		s.links = append(s.links, link)
+		g := s.start(fmt.Sprintf("127.0.0.%d", i+1), "http://"+link.Address())
 		Eventually(func() int { return s.get(g, "/i/1", steadyKey).status }, startTimeout).Should(Equal(200))
 	}
 	return s
@@ -194,7 +203,7 @@
 
 func (s *soakRun) putEndpoint(i int, draining bool) error {
 	return s.tryPut("endpoints", endpointName(i), map[string]any{
-		"service": "svc", "address": s.relays[i].Address(), "data_centre": "dc-1", "slots": 8, "born": 1, "draining": draining,
+		"service": "svc", "address": s.relays[i].Address(), "data_centre": "dc-1", "slots": 8, "born": s.born.Load(), "draining": draining,
 	})
 }
 
@@ -381,6 +390,10 @@
 	switch f.Kind {
 	case soak.KillGateway, soak.DrainGateway, soak.FreezeGateway, soak.ReloadGateway:
 		s.strikeGateway(f, until)
+	case soak.CutFromPlatform:
+		s.links[f.Index].Cut(relay.Direction(1 + f.Variant%3))
+		until()
+		s.links[f.Index].Restore()
 	case soak.DelayEndpoint, soak.ResetEndpoint, soak.CutEndpoint, soak.CrashEndpoint:
 		s.strikeEndpoint(f, until)
 	case soak.RefusePlatform, soak.HangPlatform, soak.StalePlatform:
@@ -526,12 +539,27 @@
 		return
 	}
 	change := soak.Change{At: time.Now(), Endpoint: f.Index}
+	if f.Variant%2 == 0 {
+		s.untilDone(func() error { return s.unlist(f.Index) })
+	}
 	until()
+	s.born.Add(1)
 	change.Back = time.Now()
 	s.untilDone(func() error { return s.putEndpoint(f.Index, false) })
 	s.history.Change(change)
 }
 
+// unlist takes an endpoint off the platform's list.
+func (s *soakRun) unlist(i int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline)
+	defer cancel()
+	o, err := s.store.Get(ctx, "endpoints", endpointName(i))
+	if err != nil {
+		return err
+	}
+	return s.store.Delete(ctx, "endpoints", endpointName(i), o.Version)
+}
+
 // untilDone tries a write until the platform takes it.
 func (s *soakRun) untilDone(write func() error) bool {
 	for s.ctx.Err() == nil {
