--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -69,7 +69,14 @@
 	steadyKey            = "key"
 )
 
-var soakFleet = soak.Fleet{Gateways: 3, Endpoints: 3}
+// fleetOf is the fleet of a generation of plans. Six gateways are more than follow the
+// platform for all, so that some take what they know from peers.
+func fleetOf(generation int) soak.Fleet {
+	if generation == 1 {
+		return soak.Fleet{Gateways: 3, Endpoints: 3}
+	}
+	return soak.Fleet{Gateways: 6, Endpoints: 3}
+}
 
 // soakCases are those that the environment asks for, or CI's.
 func soakCases() (cases []soakCase) {
@@ -97,8 +104,9 @@
 var _ = Describe("Soak of gateways as processes", Label("soak"), func() {
 	for _, c := range soakCases() {
 		It(fmt.Sprintf("keeps the promises under seed %d for %s", c.seed, c.length), func() {
-			s := newSoakRun(c.seed)
-			s.play(soak.Plan(c.generation, c.seed, soakFleet, c.length), c.length)
+			fleet := fleetOf(c.generation)
+			s := newSoakRun(c.seed, fleet)
+			s.play(soak.Plan(c.generation, c.seed, fleet, c.length), c.length)
 			sent, served := s.history.Counts()
 			AddReportEntry(fmt.Sprintf("seed %d: %d sent, %d served", c.seed, sent, served))
 			broken := s.history.Violations()
@@ -156,7 +164,7 @@
 	return n.text
 }
 
-func newSoakRun(seed uint64) *soakRun {
+func newSoakRun(seed uint64, fleet soak.Fleet) *soakRun {
 	s := &soakRun{
 		gatewayFleet: newGatewayFleet("3s"), history: &soak.History{SteadyKey: steadyKey, Workspace: "acme"},
 		random: rand.New(rand.NewPCG(seed, 5)),
@@ -164,12 +172,12 @@
 	s.control = "http://" + s.platformAddress + platformstandin.FaultsPath
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	DeferCleanup(s.stop)
-	for i := range soakFleet.Endpoints {
+	for i := range fleet.Endpoints {
 		s.addEndpoint(i)
 	}
 	Expect(s.putSoakTable(1, "key-1")).To(Succeed())
 	s.version, s.key = 1, "key-1"
-	for i := range soakFleet.Gateways {
+	for i := range fleet.Gateways {
 		link, err := relay.New(context.Background(), s.platformAddress)
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(link.Close)
