--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -166,6 +166,7 @@
 		return random.IntN(fleet.Gateways)
 	case Endpoint:
 		return random.IntN(fleet.Endpoints)
+	case Platform:
 	}
 	return 0
 }
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -502,10 +502,10 @@
 
 func (s *soakRun) strikePlatform(f soak.Fault, until func()) {
 	faults := platformstandin.Faults{Outage: platformstandin.OutageRefuse}
-	switch f.Kind {
-	case soak.HangPlatform:
+	if f.Kind == soak.HangPlatform {
 		faults.Outage = platformstandin.OutageHang
-	case soak.StalePlatform:
+	}
+	if f.Kind == soak.StalePlatform {
 		faults = platformstandin.Faults{StaleMS: 200 + f.Variant%1500, CutWatches: true}
 	}
 	s.setFaults(faults)
