gossip, tests: read as a newcomer

Cause: a function that was passed its own encoder, two ways to put an object, one spec's set-up written twice, a test file of 600 lines.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -135,6 +135,19 @@
 	return d
 }
 
+// startServing starts a gateway and waits until it serves.
+func startServing() (*site, ports, *daemon) {
+	s, p := newSite(), freePorts()
+	s.putTable(5, "k")
+	s.putEndpoint("e", false)
+	d := start(p, "127.0.0.1", s.url)
+	Eventually(func() int {
+		code, _ := d.get(p.callers, "/x/1", "k")
+		return code
+	}, patience).Should(Equal(200))
+	return s, p, d
+}
+
 func (d *daemon) get(port int, path, key string) (status int, body string) {
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, fmt.Sprintf("http://%s:%d%s", d.ip, port, path), nil)
 	Expect(err).NotTo(HaveOccurred())
@@ -204,14 +217,7 @@
 	// Load pattern: a stream whose header was sent before the signal keeps its connection, and
 	// the caller sends the next request on it when there is no more time to end that one.
 	It("takes no request on a kept connection late in a drain", func() {
-		s, p := newSite(), freePorts()
-		s.putTable(5, "k")
-		s.putEndpoint("e", false)
-		d := start(p, "127.0.0.1", s.url)
-		Eventually(func() int {
-			code, _ := d.get(p.callers, "/x/1", "k")
-			return code
-		}, patience).Should(Equal(200))
+		s, p, d := startServing()
 		conn, err := net.Dial("tcp4", fmt.Sprintf("127.0.0.1:%d", p.callers))
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(conn.Close)
@@ -244,14 +250,7 @@
 	})
 
 	It("drains without cutting a stream in progress", func() {
-		s, p := newSite(), freePorts()
-		s.putTable(5, "k")
-		s.putEndpoint("e", false)
-		d := start(p, "127.0.0.1", s.url)
-		Eventually(func() int {
-			code, _ := d.get(p.callers, "/x/1", "k")
-			return code
-		}, patience).Should(Equal(200))
+		s, p, d := startServing()
 		answers := make(chan string, 1)
 		go func() {
 			defer GinkgoRecover()
--- a/internal/gossip/loads.go
+++ b/internal/gossip/loads.go
@@ -50,15 +50,3 @@
 func without(sum, own balance.Load) balance.Load {
 	return balance.Load{Running: max(0, sum.Running-own.Running), Reading: max(0, sum.Reading-own.Reading)}
 }
-
-// cutLoads drops the smallest loads until the message fits a datagram. Peers take an
-// endpoint that is not named for one without work.
-func cutLoads(m Message, encodeAll func(Message) ([]byte, error)) ([]byte, error) {
-	for {
-		data, err := encodeAll(m)
-		if err != nil || len(data) <= maxDatagram || len(m.Loads) == 0 {
-			return data, err
-		}
-		m.Loads = m.Loads[:len(m.Loads)*7/8]
-	}
-}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -45,13 +45,20 @@
 	Known []string `cbor:"8,keyasint,omitempty"`
 }
 
+// encode drops the smallest loads until the message fits a datagram. Peers take an
+// endpoint that is not named for one without work.
 func encode(m Message) ([]byte, error) {
 	m.Protocol = protocolVersion
-	data, err := cutLoads(m, func(m Message) ([]byte, error) { return cbor.Marshal(m) })
-	if err != nil {
-		return nil, oops.Wrapf(err, "gossip message")
+	for {
+		data, err := cbor.Marshal(m)
+		if err != nil {
+			return nil, oops.Wrapf(err, "gossip message")
+		}
+		if len(data) <= maxDatagram || len(m.Loads) == 0 {
+			return data, nil
+		}
+		m.Loads = m.Loads[:len(m.Loads)*7/8]
 	}
-	return data, nil
 }
 
 func decode(data []byte) (Message, error) {
--- a/test/e2e/gateway_test.go
+++ b/test/e2e/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -88,17 +89,29 @@
 }
 
 func (f *gatewayFleet) put(collection, name string, content any) {
+	GinkgoHelper()
+	Expect(f.tryPut(collection, name, content)).To(Succeed())
+}
+
+// tryPut creates or replaces an object.
+func (f *gatewayFleet) tryPut(collection, name string, content any) error {
 	data, err := json.Marshal(content)
-	Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
 	o := platform.Object{Collection: collection, Name: name, Data: data}
-	if old, err := f.store.Get(context.Background(), collection, name); err == nil {
+	old, err := f.store.Get(ctx, collection, name)
+	var failed *platform.Error
+	switch {
+	case err == nil:
 		o.Version = old.Version
-		_, err = f.store.Update(context.Background(), o)
-		Expect(err).NotTo(HaveOccurred())
-		return
+		_, err = f.store.Update(ctx, o)
+	case errors.As(err, &failed) && failed.Reason == platform.NotFound:
+		_, err = f.store.Create(ctx, o)
 	}
-	_, err = f.store.Create(context.Background(), o)
-	Expect(err).NotTo(HaveOccurred())
+	return err
 }
 
 func (f *gatewayFleet) putTable(version int64, key string) {
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -1,10 +1,7 @@
 package e2e_test
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,13 +12,11 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 	"github.com/primrosewell/primrosewell/internal/soak"
 	"github.com/primrosewell/primrosewell/internal/standin/opaque"
@@ -391,215 +386,6 @@
 	return ""
 }
 
-// strike lets a fault happen, and notes when it did.
-func (s *soakRun) strike(f soak.Fault) {
-	span := soak.Span{Fault: f, Started: time.Now()}
-	until := func() { time.Sleep(time.Until(s.started.Add(f.To))) }
-	switch f.Kind {
-	case soak.KillGateway, soak.DrainGateway, soak.FreezeGateway, soak.ReloadGateway:
-		s.strikeGateway(f, until)
-	case soak.CutFromPlatform:
-		s.links[f.Index].Cut(relay.Direction(1 + f.Variant%3))
-		until()
-		s.links[f.Index].Restore()
-	case soak.DelayEndpoint, soak.ResetEndpoint, soak.CutEndpoint, soak.CrashEndpoint:
-		s.strikeEndpoint(f, until)
-	case soak.RefusePlatform, soak.HangPlatform, soak.StalePlatform:
-		s.strikePlatform(f, until)
-	case soak.ChangeTable:
-		s.changeTable()
-	case soak.DrainEndpoint:
-		s.drainEndpoint(f, until)
-	}
-	span.Ended = time.Now()
-	s.history.Span(span)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.spans = append(s.spans, span)
-}
-
-func (s *soakRun) strikeGateway(f soak.Fault, until func()) {
-	g := s.gateways[f.Index]
-	g.striking.Lock() // A drain may take longer than its plan.
-	defer g.striking.Unlock()
-	switch f.Kind {
-	case soak.FreezeGateway:
-		g.signal(syscall.SIGSTOP)
-		until()
-		g.signal(syscall.SIGCONT)
-		return
-	case soak.ReloadGateway:
-		s.reload(g, f.Variant%2 == 0)
-		return
-	case soak.KillGateway:
-		g.signal(syscall.SIGKILL)
-		<-g.session.Exited
-	default:
-		began := time.Now()
-		g.signal(syscall.SIGTERM)
-		select {
-		case <-g.session.Exited:
-		case <-time.After(2 * soakGrace):
-			s.faults.add("gateway %d did not end within its grace", f.Index)
-			g.signal(syscall.SIGKILL)
-			<-g.session.Exited
-		}
-		if code, took := g.session.ExitCode(), time.Since(began); code != 0 || took > soakGrace+time.Second {
-			s.faults.add("gateway %d ended with %d after %s of a grace of %s", f.Index, code, took, soakGrace)
-		}
-	}
-	until()
-	g.process = launch("gateway", "-settings", g.file)
-	for s.ctx.Err() == nil && !accepts(fmt.Sprintf("%s:%d", g.ip, s.ports[0])) {
-		time.Sleep(callerPause)
-	}
-}
-
-func accepts(address string) bool {
-	conn, err := net.DialTimeout("tcp4", address, time.Second)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
-// reload writes the settings again, after broken ones if asked for.
-func (s *soakRun) reload(g *gatewayProcess, broken bool) {
-	contents := []string{g.settings}
-	if broken {
-		contents = []string{`{"vm":`, g.settings}
-	}
-	for _, content := range contents {
-		if err := os.WriteFile(g.file, []byte(content), 0o600); err != nil {
-			s.faults.add("settings: %s", err)
-		}
-		g.signal(syscall.SIGHUP)
-		time.Sleep(5 * callerPause)
-	}
-}
-
-func (s *soakRun) strikeEndpoint(f soak.Fault, until func()) {
-	r := s.relays[f.Index]
-	switch f.Kind {
-	case soak.DelayEndpoint:
-		r.Delay(time.Duration(20+f.Variant%400) * time.Millisecond)
-		until()
-		r.Delay(0)
-	case soak.CutEndpoint:
-		r.Cut(relay.Direction(1 + f.Variant%3))
-		until()
-		r.Restore()
-	case soak.CrashEndpoint:
-		r.Refuse(true)
-		r.Reset()
-		until()
-		r.Refuse(false)
-	default:
-		r.Reset()
-	}
-}
-
-func (s *soakRun) strikePlatform(f soak.Fault, until func()) {
-	faults := platformstandin.Faults{Outage: platformstandin.OutageRefuse}
-	if f.Kind == soak.HangPlatform {
-		faults.Outage = platformstandin.OutageHang
-	}
-	if f.Kind == soak.StalePlatform {
-		faults = platformstandin.Faults{StaleMS: 200 + f.Variant%1500, CutWatches: true}
-	}
-	s.setFaults(faults)
-	until()
-	s.setFaults(platformstandin.Faults{})
-}
-
-func (s *soakRun) setFaults(faults platformstandin.Faults) {
-	data, err := json.Marshal(faults)
-	if err != nil {
-		s.faults.add("faults: %s", err)
-		return
-	}
-	response, err := http.Post(s.control, "application/json", bytes.NewReader(data))
-	if err != nil {
-		s.faults.add("faults: %s", err)
-		return
-	}
-	_ = response.Body.Close()
-}
-
-// changeTable adds a key and revokes the one before.
-func (s *soakRun) changeTable() {
-	s.tables.Lock()
-	defer s.tables.Unlock()
-	s.mu.Lock()
-	s.version++
-	version, revoked := s.version, s.key
-	s.key = "key-" + strconv.FormatInt(version, 10)
-	added := s.key
-	s.mu.Unlock()
-	if s.untilDone(func() error { return s.putSoakTable(version, added) }) {
-		s.history.Change(soak.Change{At: time.Now(), Added: added, Revoked: revoked, Endpoint: -1})
-	}
-}
-
-func (s *soakRun) drainEndpoint(f soak.Fault, until func()) {
-	if !s.untilDone(func() error { return s.putEndpoint(f.Index, true) }) {
-		return
-	}
-	change := soak.Change{At: time.Now(), Endpoint: f.Index}
-	if f.Variant%2 == 0 {
-		s.untilDone(func() error { return s.unlist(f.Index) })
-	}
-	until()
-	s.born.Add(1)
-	change.Back = time.Now()
-	s.untilDone(func() error { return s.putEndpoint(f.Index, false) })
-	s.history.Change(change)
-}
-
-// unlist takes an endpoint off the platform's list.
-func (s *soakRun) unlist(i int) error {
-	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline)
-	defer cancel()
-	o, err := s.store.Get(ctx, "endpoints", endpointName(i))
-	if err != nil {
-		return err
-	}
-	return s.store.Delete(ctx, "endpoints", endpointName(i), o.Version)
-}
-
-// untilDone tries a write until the platform takes it.
-func (s *soakRun) untilDone(write func() error) bool {
-	for s.ctx.Err() == nil {
-		if write() == nil {
-			return true
-		}
-		time.Sleep(5 * callerPause)
-	}
-	return false
-}
-
-// tryPut creates or replaces an object.
-func (f *gatewayFleet) tryPut(collection, name string, content any) error {
-	data, err := json.Marshal(content)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline)
-	defer cancel()
-	o := platform.Object{Collection: collection, Name: name, Data: data}
-	old, err := f.store.Get(ctx, collection, name)
-	var failed *platform.Error
-	switch {
-	case err == nil:
-		o.Version = old.Version
-		_, err = f.store.Update(ctx, o)
-	case errors.As(err, &failed) && failed.Reason == platform.NotFound:
-		_, err = f.store.Create(ctx, o)
-	}
-	return err
-}
-
 // describe lists the faults as they happened.
 func (s *soakRun) describe() string {
 	s.mu.Lock()
