make soak, make bench: choose specs by label, fail when none runs

Cause: the focus "^Soak" is matched against the suite's name and the spec's text ("end to end Soak of ..."), so `make soak` and `make bench` ran no spec and printed "ok". Change: labels soak and bench, -ginkgo.fail-on-empty, and -v so that the counts of a seed are printed on a pass.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	go tool gofumpt -w $$(git ls-files '*.go' | grep -v -E '\.(pb|connect)\.go$$')
 
 bench: build ## Measure speed beside direct calls; prints figures, asserts none.
-	CGO_ENABLED=1 go test -tags bench -count=1 -timeout 60m ./test/e2e -ginkgo.focus "^Bench" -v | grep -vE "^(=== |--- )"
+	CGO_ENABLED=1 go test -tags bench -count=1 -timeout 60m ./test/e2e -ginkgo.label-filter bench -ginkgo.fail-on-empty -v | grep -vE "^(=== |--- )"
 
 bench-decisions: build ## The decision bench: tables, and a plot in bench-out/.
 	mkdir -p bench-out
@@ -30,7 +30,7 @@
 LENGTH ?= 12s
 
 soak: ## Random faults against gateways as processes: make soak SEEDS=1-50 LENGTH=12s.
-	SOAK_SEEDS=$(SEEDS) SOAK_LENGTH=$(LENGTH) CGO_ENABLED=1 go test -count=1 -timeout 120m ./test/e2e -ginkgo.focus "^Soak" -ginkgo.v | grep -aE "sent,|FAIL|^ok"
+	SOAK_SEEDS=$(SEEDS) SOAK_LENGTH=$(LENGTH) CGO_ENABLED=1 go test -count=1 -timeout 120m ./test/e2e -ginkgo.label-filter soak -ginkgo.fail-on-empty -v -ginkgo.v | grep -aE "sent,|FAIL|^ok"
 
 repeat: ## The failure tests, ten times over.
 	for i in 1 2 3 4 5 6 7 8 9 10; do CGO_ENABLED=1 go test -count=1 -timeout 30m ./test/e2e || exit 1; done
--- a/test/e2e/bench_test.go
+++ b/test/e2e/bench_test.go
@@ -178,7 +178,7 @@
 
 func millis(micros int64) float64 { return float64(micros) / 1000 }
 
-var _ = Describe("Bench", Ordered, func() {
+var _ = Describe("Bench", Label("bench"), Ordered, func() {
 	var c *cluster
 	var d *daemonProcess
 
--- a/test/e2e/control_bench_test.go
+++ b/test/e2e/control_bench_test.go
@@ -14,7 +14,7 @@
 
 const controlWindow = 15 * time.Second
 
-var _ = Describe("Bench of control", func() {
+var _ = Describe("Bench of control", Label("bench"), func() {
 	for _, n := range []int{2, 8, 16, 32} {
 		It(fmt.Sprintf("costs of an idle daemon among %d", n), func() {
 			c := &cluster{}
