httpio: no id is sent twice over one connection

If the second came after the look at the idle connection, and the next request had the same id, it was taken as that request's answer. With ids of their own the answers were told apart already. The spec depended on which came first. Ruled out: load; the order can be forced, and then fails on each of 3 runs ("again" instead of "fine"). Change: a connection remembers the last 8 ids it carried and is not taken for a request of the same id. The old spec now lets the late bytes come, with an id each, before the next request; a new one forces the other order; one in httpio counts connections. The specs of httpio give each exchange an id of its own (they used one id and expected reuse).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -47,7 +47,7 @@
 
 // attempt offers the request to one endpoint.
 func (j *job) attempt(choice *balance.Choice) verdict {
-	conn, err := j.f.Dialer.Get(j.ctx, choice.Address, min(dialTimeout, time.Until(j.limit)))
+	conn, err := j.f.Dialer.Get(j.ctx, choice.Address, j.id, min(dialTimeout, time.Until(j.limit)))
 	if err != nil {
 		if j.ctx.Err() != nil {
 			return j.callerGone(false)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -206,18 +207,43 @@
 	})
 
 	It("does not reuse a connection on which bytes came after an answer", func() {
+		var late sync.WaitGroup
 		e := newEndpoint(func(r *http.Request, _ string, conn net.Conn) bool {
 			ok("fine")(r, "", conn)
-			return ok("again")(r, "", conn)
+			late.Go(func() { ok("again")(r, "", conn) })
+			return true
 		})
 		w := newWorld(spec(), e)
-		for range 3 {
-			body, _ := text(w.call("/unsafe/x"))
+		for i := range 3 {
+			body, _ := text(w.call("/unsafe/x", idField, fmt.Sprint("id-", i)))
 			Expect(body).To(Equal("fine"))
+			late.Wait()
 		}
 		Expect(e.acceptedConns()).To(Equal(3), "one request to a connection")
 	})
 
+	// The bytes come only when the connection has been taken for the next request: a caller
+	// that sends an id again must not be given a second answer to its first request.
+	It("does not send one id twice over a connection", func() {
+		var mu sync.Mutex
+		before := make(map[net.Conn]*http.Request)
+		e := newEndpoint(func(r *http.Request, _ string, conn net.Conn) bool {
+			mu.Lock()
+			earlier := before[conn]
+			before[conn] = r
+			mu.Unlock()
+			if earlier != nil {
+				ok("again")(earlier, "", conn)
+			}
+			return ok("fine")(r, "", conn)
+		})
+		w := newWorld(spec(), e)
+		for _, id := range []string{"id-1", "id-1", "id-2"} {
+			body, _ := text(w.call("/unsafe/x", idField, id))
+			Expect(body).To(Equal("fine"))
+		}
+	})
+
 	Describe("streams", func() {
 		whole := event(1) + event(2) + event(3)
 
--- a/internal/httpio/dial.go
+++ b/internal/httpio/dial.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/samber/lo"
 	"golang.org/x/sys/unix"
 )
 
@@ -28,6 +30,9 @@
 	defaultIdle = 20 * time.Second
 	// maxIdlePerEndpoint bounds the idle connections to one endpoint.
 	maxIdlePerEndpoint = 32
+	// carriedIDs is how many request ids a connection remembers. Callers repeat a request
+	// soon, and a second answer comes soon after the first.
+	carriedIDs = 8
 )
 
 // Conn is a connection to an endpoint. It carries one request at a time.
@@ -36,6 +41,15 @@
 	reader    *bufio.Reader
 	idleSince time.Time
 	keepFor   time.Duration
+	// carried are the last ids sent, of which an endpoint may yet send a second answer.
+	carried [carriedIDs]string
+	sends   int
+}
+
+// carry notes that a request of that id is sent.
+func (c *Conn) carry(id string) {
+	c.carried[c.sends%carriedIDs] = id
+	c.sends++
 }
 
 // Dialer opens connections to endpoints and keeps idle ones. It is safe for concurrent use.
@@ -67,10 +81,11 @@
 	return failed
 }
 
-// Get returns an idle connection to address that is certainly open, or dials within timeout.
-func (d *Dialer) Get(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
+// Get returns an idle connection to address that is certainly open and has not carried a
+// request of that id lately, or dials within timeout.
+func (d *Dialer) Get(ctx context.Context, address, id string, timeout time.Duration) (*Conn, error) {
 	for {
-		c := d.pop(address)
+		c := d.pop(address, id)
 		if c == nil {
 			break
 		}
@@ -93,15 +108,17 @@
 	return &Conn{Conn: conn, reader: bufio.NewReaderSize(conn, readBuffer), keepFor: defaultIdle}, nil
 }
 
-func (d *Dialer) pop(address string) *Conn {
+// pop takes the connection that was used last among those that have not carried id.
+func (d *Dialer) pop(address, id string) *Conn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	conns := d.idle[address]
-	if len(conns) == 0 {
+	_, i, found := lo.FindLastIndexOf(conns, func(c *Conn) bool { return !slices.Contains(c.carried[:], id) })
+	if !found {
 		return nil
 	}
-	c := conns[len(conns)-1]
-	d.idle[address] = conns[:len(conns)-1]
+	c := conns[i]
+	d.idle[address] = slices.Delete(conns, i, i+1)
 	return c
 }
 
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -51,6 +51,7 @@
 // request; the caller closes the connection.
 func (c *Conn) Exchange(head, body []byte, idField, id string) (*Answer, error) {
 	a := &Answer{conn: c, bodiless: bytes.HasPrefix(head, []byte("HEAD "))}
+	c.carry(id)
 	if len(body) <= inlineBody {
 		if _, err := c.Write(append(head, body...)); err != nil {
 			return nil, err
--- a/internal/httpio/exchange_test.go
+++ b/internal/httpio/exchange_test.go
@@ -36,20 +36,24 @@
 		}()
 		return listener.Addr().String(), accepted
 	}
-	exchange := func(d *httpio.Dialer, address string, body []byte) *httpio.Answer {
-		conn, err := d.Get(context.Background(), address, time.Second)
+	exchangeAs := func(d *httpio.Dialer, address, name string, body []byte) *httpio.Answer {
+		conn, err := d.Get(context.Background(), address, name, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
-		head := fmt.Appendf(nil, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", len(body))
-		answer, err := conn.Exchange(head, body, id, "1")
+		head := fmt.Appendf(nil, "POST /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", id, name, len(body))
+		answer, err := conn.Exchange(head, body, id, name)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = io.Copy(io.Discard, answer.Body)
 		Expect(err).NotTo(HaveOccurred())
 		answer.Release(d, address)
 		return answer
 	}
-	reply := func(conn net.Conn, fields string) {
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n%sContent-Length: 2\r\n\r\nok", fields)
+	var sent atomic.Int32
+	exchange := func(d *httpio.Dialer, address string, body []byte) *httpio.Answer {
+		return exchangeAs(d, address, fmt.Sprint(sent.Add(1)), body)
+	}
+	reply := func(conn net.Conn, r *http.Request, fields string) {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Length: 2\r\n\r\nok", id, r.Header.Get(id), fields)
 	}
 	serveAll := func(fields string) func(net.Conn, *bufio.Reader) {
 		return func(conn net.Conn, reader *bufio.Reader) {
@@ -59,7 +63,7 @@
 					return
 				}
 				_, _ = io.Copy(io.Discard, r.Body)
-				reply(conn, fields)
+				reply(conn, r, fields)
 			}
 		}
 	}
@@ -73,12 +77,21 @@
 		Expect(accepted.Load()).To(Equal(int32(1)))
 	})
 
+	It("does not, for an id that the connection has carried", func() {
+		address, accepted := endpoint(serveAll(""))
+		d := httpio.NewDialer()
+		for _, name := range []string{"a", "b", "a", "b", "c"} {
+			exchangeAs(d, address, name, nil)
+		}
+		Expect(accepted.Load()).To(Equal(int32(2)))
+	})
+
 	It("does not, after an answer that came before the whole body was sent", func() {
 		done := make(chan struct{})
 		DeferCleanup(func() { close(done) })
 		address, accepted := endpoint(func(conn net.Conn, reader *bufio.Reader) {
-			if _, err := http.ReadRequest(reader); err == nil {
-				reply(conn, "") // The rest of the body is left unread for now.
+			if r, err := http.ReadRequest(reader); err == nil {
+				reply(conn, r, "") // The rest of the body is left unread for now.
 			}
 			<-done
 		})
@@ -103,8 +116,8 @@
 
 	It("notices a connection that the endpoint closed while it was idle", func() {
 		address, accepted := endpoint(func(conn net.Conn, reader *bufio.Reader) {
-			if _, err := http.ReadRequest(reader); err == nil {
-				reply(conn, "")
+			if r, err := http.ReadRequest(reader); err == nil {
+				reply(conn, r, "")
 			}
 			_ = conn.Close()
 		})
