quarantine: content that completed lately is tried again after a block

Endpoints that crashed for another reason, three within 0.4 s, left three open crashes against it, the block stood for a minute, and no answer could lift it, since none was let through. Ruled out: inflated counters by gossip (seen grows by one crash at a time, and forgiven with it; TestMergeIsASemilattice); a crash counted twice (only after a whole answer in between). Change: the register remembers what completed in the last half minute; of such content one request a second may run while it is blocked, a whole answer lifts the block, three more crashes let it stand. Content that never completed is held back as before. Retry-After of suspended content is the time to the next trial, or to the end of the block, plus up to a second. The harness of forward runs with trials on, so that "holds content back" covers them too.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -29,9 +29,8 @@
 	// a batch of an engine turns over in about that time.
 	retryWhenFull       = 150 * time.Millisecond
 	retryWhenFullSpread = 250 * time.Millisecond
-	// retryWhenSuspended is when to come back with content that crashed endpoints; by
-	// then the evidence has faded.
-	retryWhenSuspended = 60 * time.Second
+	// suspendedSpread spreads those who come back with content that crashed endpoints.
+	suspendedSpread = time.Second
 	// waitShare is how many latency targets a request may wait for the prompts ahead of it.
 	waitShare = 1.0
 	// maxSends bounds the endpoints that one request is offered to, refusals and
@@ -208,8 +207,13 @@
 		return failure.New(failure.NoEndpoint, "the service has no endpoint").WithRetryAfter(j.comeBackAfter(&j.f.empty))
 	}
 	content := j.digest()
-	if j.f.Register.State(time.Now(), content) == quarantine.Blocked {
-		return failure.New(failure.Suspended, "endpoints crashed under this content; it is refused for a while").WithRetryAfter(retryWhenSuspended)
+	decision := j.f.Register.Admit(time.Now(), content)
+	if !decision.Admitted {
+		wait := decision.RetryAfter + time.Duration(rand.Float64()*float64(suspendedSpread))
+		return failure.New(failure.Suspended, "endpoints crashed under this content; it is refused for a while").WithRetryAfter(wait)
+	}
+	if decision.Trial {
+		j.f.Log.WithFields(logrus.Fields{"event": "trial", "request_id": j.id, "route": j.route.Name, "content": content}).Info("content under which endpoints crashed is tried again, since it completed before")
 	}
 	j.f.Budget.Started(time.Now(), j.service)
 	for {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -421,6 +422,30 @@
 		Expect(w.call("/unsafe/other").StatusCode).To(Equal(http.StatusOK))
 	})
 
+	// Load pattern: endpoints crash for a reason of their own under content that everybody sends.
+	It("serves content again that completed before endpoints crashed under it", func() {
+		var crashes atomic.Int32
+		var ends []*fakeEndpoint
+		for range 6 {
+			var e *fakeEndpoint
+			e = newEndpoint(func(r *http.Request, _ string, conn net.Conn) bool {
+				if crashes.Add(-1) < 0 {
+					return ok("fine")(r, "", conn)
+				}
+				_ = e.listener.Close()
+				return false
+			})
+			ends = append(ends, e)
+		}
+		w := newWorld(spec(), ends...)
+		Expect(w.call("/unsafe/shared").StatusCode).To(Equal(http.StatusOK))
+		crashes.Store(3)
+		status := func() int { return w.call("/unsafe/shared").StatusCode }
+		Eventually(status, 20*time.Second).Should(Equal(http.StatusServiceUnavailable))
+		Eventually(status, 20*time.Second).Should(Equal(http.StatusOK))
+		Expect(status()).To(Equal(http.StatusOK), "the answer lifted the block")
+	})
+
 	It("does not take lost answers for crashes", func() {
 		e := newEndpoint(hangUp)
 		w := newWorld(spec(), e)
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -171,7 +171,7 @@
 		Dialer:  httpio.NewDialer(),
 		Budget:  retry.NewShared(retry.SharedConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50, Margin: 1}, 1),
 
-		Register: quarantine.New(quarantine.Config{BlockAt: 3}),
+		Register: quarantine.New(quarantine.Config{BlockAt: 3, ProvenFor: 30 * time.Second, ProbeEvery: time.Second, MaxProbes: 3}),
 		Log:      telemetry.SilentLogger(),
 		Scope:    tally.NoopScope,
 	})
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -19,7 +19,12 @@
 
 // quarantineConfig holds content back after its third crash, and only for a while: an
 // endpoint's other requests break with it, and content that repeats may be one of them.
-var quarantineConfig = quarantine.Config{SuspectFor: 60 * time.Second, BlockFor: 60 * time.Second, BlockAt: 3}
+// Content that completed in the last half minute is tried again each second: a crashed
+// endpoint is back, or left out, within a few. Three crashes more are the end of that.
+var quarantineConfig = quarantine.Config{
+	SuspectFor: 60 * time.Second, BlockFor: 60 * time.Second, BlockAt: 3,
+	ProvenFor: 30 * time.Second, ProbeEvery: time.Second, MaxProbes: 3,
+}
 
 // provide registers how the parts of a gateway are made.
 func provide(g *Gateway) {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -42,6 +42,8 @@
 	version   uint64
 	// blockAt is the number of unforgiven crashes at which the digest is blocked.
 	blockAt uint32
+	// trial is set while blocked content may be tried again; each daemon has its own.
+	trial *trial
 }
 
 func (e *evidence) state() State {
--- a/internal/quarantine/property_test.go
+++ b/internal/quarantine/property_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -93,3 +94,45 @@
 		}
 	})
 }
+
+// TestTrialsAreBounded sends content that completed, and from some time on crashes each
+// endpoint, again and again to generated daemons: each may let MaxProbes more through.
+// Content that never completed gets no trial.
+func TestTrialsAreBounded(t *testing.T) {
+	cfg := quarantine.Config{BlockAt: 3, BlockFor: time.Minute, SuspectFor: time.Minute, ProvenFor: 30 * time.Second, ProbeEvery: time.Second, MaxProbes: 3}
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := make([]*quarantine.Register, rapid.IntRange(1, 6).Draw(t, "daemons"))
+		for i := range daemons {
+			daemons[i] = quarantine.New(cfg)
+		}
+		completed := rapid.Bool().Draw(t, "completed")
+		if completed {
+			for _, d := range daemons {
+				d.Cleared(start, poison)
+			}
+		}
+		now, falls := start, 0
+		for range 200 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 1000).Draw(t, "wait")) * time.Millisecond)
+			if now.Sub(start) > cfg.BlockFor {
+				break
+			}
+			at := daemons[rapid.IntRange(0, len(daemons)-1).Draw(t, "daemon")]
+			if !at.Admit(now, poison).Admitted {
+				continue
+			}
+			falls++
+			at.Crashed(now, fmt.Sprint("e", falls), []string{poison})
+			for _, d := range daemons {
+				d.Merge(now, at.Entries(now))
+			}
+		}
+		most := cfg.BlockAt
+		if completed {
+			most += len(daemons) * cfg.MaxProbes
+		}
+		if falls > most {
+			t.Fatalf("%d endpoints fell, at most %d may", falls, most)
+		}
+	})
+}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -58,6 +58,13 @@
 	MaxEntries int
 	// BlockAt is the number of unforgiven crashes at which a digest is blocked.
 	BlockAt int
+	// ProvenFor is how long a completion speaks for its content: blocked content that
+	// completed here within that time before the block is tried again. 0: never.
+	ProvenFor time.Duration
+	// ProbeEvery is the time between two requests of such content that may run.
+	ProbeEvery time.Duration
+	// MaxProbes is the number of them that may crash an endpoint before the block stands.
+	MaxProbes int
 }
 
 // Defaults of Config.
@@ -124,7 +131,8 @@
 }
 
 // Cleared records that a request of that digest completed whole: it does not
-// crash each endpoint that runs it. A block stands until it expires.
+// crash each endpoint that runs it. A block stands until it expires, unless its
+// content is being tried again.
 func (r *Register) Cleared(now time.Time, digest string) {
 	r.shard(digest).cleared(now, digest, r.version.next)
 }
@@ -134,6 +142,12 @@
 	return r.shard(digest).state(now, digest)
 }
 
+// Admit decides whether a request of that digest may run now. Suspects may; of blocked
+// content that completed before its block, one request may run now and then.
+func (r *Register) Admit(now time.Time, digest string) Decision {
+	return r.shard(digest).admit(now, digest)
+}
+
 // Entries returns all that has not expired, sorted by digest. Forgiven entries
 // are included, so that late evidence does not bring a suspicion back.
 func (r *Register) Entries(now time.Time) []Entry {
--- a/internal/quarantine/shard.go
+++ b/internal/quarantine/shard.go
@@ -11,12 +11,14 @@
 	cfg     Config
 	limit   int
 	entries map[string]*evidence
+	proven  completions
 }
 
 func (s *shard) init(cfg Config) {
 	s.cfg = cfg
 	s.limit = max(1, cfg.MaxEntries/shardCount)
 	s.entries = map[string]*evidence{}
+	s.proven = completions{span: cfg.ProvenFor, limit: s.limit}
 }
 
 // live returns the evidence on digest, or nil if there is none or it has expired.
@@ -87,10 +89,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.liveOrNew(now, digest)
+	before := e.state()
+	e.trial.crashed()
 	if !e.crashed(now, endpoint, s.cfg.SameCrash) {
 		return
 	}
 	e.extend(now.Add(s.keepFor(e)))
+	s.follow(now, digest, e, before)
 	e.version = version()
 }
 
@@ -110,14 +115,53 @@
 func (s *shard) cleared(now time.Time, digest string, version func() uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.proven.add(now, digest)
 	e := s.live(now, digest)
-	if e == nil || e.state() != Suspect {
+	if e == nil {
 		return
 	}
+	switch e.state() {
+	case Clear:
+		return
+	case Blocked:
+		if !e.trial.open(s.cfg.MaxProbes) {
+			return
+		}
+	case Suspect:
+	}
 	e.forgive()
+	e.trial = nil
 	e.version = version()
 }
 
+// follow begins a trial when content that completed lately is blocked, and ends it when
+// the block is lifted.
+func (s *shard) follow(now time.Time, digest string, e *evidence, before State) {
+	state := e.state()
+	switch {
+	case state != Blocked:
+		e.trial = nil
+	case before != Blocked && s.proven.has(now, digest):
+		e.trial = &trial{due: now.Add(s.cfg.ProbeEvery)}
+	}
+}
+
+func (s *shard) admit(now time.Time, digest string) Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.live(now, digest)
+	switch {
+	case e == nil || e.state() != Blocked:
+		return Decision{Admitted: true}
+	case !e.trial.open(s.cfg.MaxProbes):
+		return Decision{RetryAfter: e.expires.Sub(now)}
+	case now.Before(e.trial.due):
+		return Decision{RetryAfter: e.trial.due.Sub(now)}
+	}
+	e.trial.due, e.trial.running = now.Add(s.cfg.ProbeEvery), true
+	return Decision{Admitted: true, Trial: true}
+}
+
 func (s *shard) state(now time.Time, digest string) State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -145,12 +189,14 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.liveOrNew(now, other.Digest)
+	before := e.state()
 	grew := e.join(now, other.Crashes)
 	e.extend(now.Add(min(other.ExpiresIn, s.cfg.BlockFor)))
 	if grew && e.state() == Blocked && other.State != Blocked {
 		e.extend(now.Add(s.cfg.BlockFor))
 	}
 	if grew {
+		s.follow(now, other.Digest, e, before)
 		e.version = version()
 	}
 }
