gateway: peers are told what changed in the list of endpoints

Change: the number grows with a change only. A gateway says what it has and is told the rows that changed since, those that are gone, and a digest of the whole; where the changes do not lead to it (two followers may drop different lapsed entries), it asks for the whole. Gossip protocol 3, since older daemons would take changes for the whole.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -31,10 +31,11 @@
 	// returned is when the store last came back after an outage.
 	returned time.Time
 	version  uint64
+	changes  changes
 }
 
 // New returns an empty directory.
-func New() *Directory { return &Directory{entries: make(map[string]*entry)} }
+func New() *Directory { return &Directory{entries: make(map[string]*entry), changes: newChanges()} }
 
 // StoreAway notes that the store can't be read.
 func (d *Directory) StoreAway() {
@@ -64,7 +65,20 @@
 	if old != nil && old.missingSince.IsZero() && old.endpoint == e {
 		return
 	}
-	d.entries[e.ID] = &entry{endpoint: e}
+	d.set(e.ID, &entry{endpoint: e})
+}
+
+// set replaces an entry, or drops it if e is nil; d.mu is held.
+func (d *Directory) set(id string, e *entry) {
+	if old := d.entries[id]; old != nil {
+		d.changes.digest ^= hashOf(old.endpoint)
+	}
+	delete(d.entries, id)
+	if e != nil {
+		d.entries[id] = e
+		d.changes.digest ^= hashOf(e.endpoint)
+	}
+	d.changes.note(id)
 	d.version++
 }
 
@@ -81,12 +95,13 @@
 	if old == nil || !old.missingSince.IsZero() {
 		return
 	}
-	d.version++
 	if !old.endpoint.Draining && (d.away || d.inGrace(now)) {
 		old.missingSince = now
+		d.changes.note(id)
+		d.version++
 		return
 	}
-	delete(d.entries, id)
+	d.set(id, nil)
 }
 
 func (d *Directory) inGrace(now time.Time) bool {
@@ -109,32 +124,6 @@
 	}
 }
 
-// Adopt notes a whole list that a peer knows. The peer has waited for entries to return
-// already: what it does not list is gone. Those that it only waits for, by id in lapsed,
-// stay in use where they are known; where they are not, they may have been removed since.
-func (d *Directory) Adopt(rows []routetable.Endpoint, lapsed []string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	waitedFor := make(map[string]bool, len(lapsed))
-	for _, id := range lapsed {
-		waitedFor[id] = true
-	}
-	first := len(d.entries) == 0
-	listed := make(map[string]bool, len(rows))
-	for _, row := range rows {
-		listed[row.ID] = true
-		if !waitedFor[row.ID] || first {
-			d.put(row)
-		}
-	}
-	for id := range d.entries {
-		if !listed[id] {
-			delete(d.entries, id)
-			d.version++
-		}
-	}
-}
-
 // Expire drops entries still missing when the grace after an outage has ended.
 func (d *Directory) Expire(now time.Time) (dropped []string) {
 	d.mu.Lock()
@@ -144,8 +133,7 @@
 	}
 	for id, e := range d.entries {
 		if !e.missingSince.IsZero() {
-			delete(d.entries, id)
-			d.version++
+			d.set(id, nil)
 			dropped = append(dropped, id)
 		}
 	}
@@ -170,19 +158,6 @@
 	return rows
 }
 
-// Lapsed returns the ids of the entries that are missing and may still return.
-func (d *Directory) Lapsed() []string {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var ids []string
-	for id, e := range d.entries {
-		if !e.missingSince.IsZero() {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 // Usable returns the endpoints that may get new work, by service. Of several rows
 // with one address the latest born is used: addresses are reused.
 func (d *Directory) Usable() map[string][]routetable.Endpoint {
--- /dev/null
+++ b/internal/directory/news_test.go
@@ -0,0 +1,132 @@
+package directory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/primrosewell/primrosewell/internal/directory"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+)
+
+var _ = Describe("News", func() {
+	row := func(id string) routetable.Endpoint {
+		return routetable.Endpoint{ID: id, Service: "s", Address: id + ":1", Slots: 1}
+	}
+	var d *directory.Directory
+	BeforeEach(func() {
+		d = directory.New()
+		d.Replace(time.Unix(1000, 0), []routetable.Endpoint{row("a"), row("b")})
+		Expect(d.Seal(10)).To(BeTrue())
+	})
+
+	It("are the whole list for who has none, or one of before the first", func() {
+		for _, since := range []int64{0, 9} {
+			news := d.NewsSince(since)
+			Expect(news.Whole).To(BeTrue())
+			Expect(news.Endpoints).To(Equal([]routetable.Endpoint{row("a"), row("b")}))
+		}
+	})
+
+	It("are the rows that changed, those without a number included", func() {
+		Expect(d.Seal(11)).To(BeFalse(), "nothing changed")
+		d.Put(row("c"))
+		d.Seal(12)
+		d.Put(row("d"))
+		d.Remove(time.Unix(1000, 0), "a")
+		news := d.NewsSince(10)
+		Expect(news.Whole).To(BeFalse())
+		Expect(news.Endpoints).To(Equal([]routetable.Endpoint{row("c"), row("d")}))
+		Expect(news.Gone).To(Equal([]string{"a"}))
+		Expect(d.NewsSince(12).Endpoints).To(Equal([]routetable.Endpoint{row("d")}))
+	})
+
+	It("are the whole list for who is further behind than removed rows are remembered", func() {
+		for i := range 4100 {
+			id := fmt.Sprint("x", i)
+			d.Put(row(id))
+			d.Seal(int64(100 + 2*i))
+			d.Remove(time.Unix(1000, 0), id)
+			d.Seal(int64(101 + 2*i))
+		}
+		Expect(d.NewsSince(10).Whole).To(BeTrue())
+		late := d.NewsSince(100 + 2*4000)
+		Expect(late.Whole).To(BeFalse())
+		Expect(late.Gone).To(HaveLen(100))
+	})
+})
+
+// TestNewsLeadToTheSameList lets one directory change at random, and others take its news
+// now and then: of changes, or of the whole if that is asked for.
+func TestNewsLeadToTheSameList(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, now, number := directory.New(), time.Unix(1000, 0), int64(1)
+		takers := make([]*directory.Directory, 3)
+		has := make([]int64, len(takers))
+		for i := range takers {
+			takers[i] = directory.New()
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "id")
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0, 1:
+				source.Put(routetable.Endpoint{ID: id, Service: "s", Address: id, Draining: rapid.Bool().Draw(t, "draining")})
+			case 2:
+				source.Remove(now, id)
+			case 3:
+				source.StoreAway()
+			case 4:
+				source.StoreBack(now)
+			case 5:
+				now = now.Add(directory.ReturnGrace / 2)
+				source.Expire(now)
+			default:
+				i := rapid.IntRange(0, len(takers)-1).Draw(t, "taker")
+				news := source.NewsSince(has[i])
+				if !takers[i].Adopt(news) {
+					if news.Whole {
+						t.Fatalf("the whole list does not lead to itself: %+v", news)
+					}
+					takers[i].Adopt(source.NewsSince(0))
+				}
+				takers[i].Seal(number)
+				has[i] = number
+				requireSameRows(t, source, takers[i])
+				continue
+			}
+			number++
+			source.Seal(number)
+		}
+	})
+}
+
+// requireSameRows compares the rows that are certain: those that the source waits for may
+// be unknown to the taker, or known as they were.
+func requireSameRows(t *rapid.T, source, taker *directory.Directory) {
+	lapsed := make(map[string]bool)
+	for _, id := range source.Lapsed() {
+		lapsed[id] = true
+	}
+	rows := func(d *directory.Directory) map[string]routetable.Endpoint {
+		certain := make(map[string]routetable.Endpoint)
+		for _, e := range d.Rows() {
+			if !lapsed[e.ID] {
+				certain[e.ID] = e
+			}
+		}
+		return certain
+	}
+	a, b := rows(source), rows(taker)
+	if len(a) != len(b) {
+		t.Fatalf("%v and %v", a, b)
+	}
+	for id, e := range a {
+		if b[id] != e {
+			t.Fatalf("%v and %v", e, b[id])
+		}
+	}
+}
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosewell/primrosewell/internal/directory"
-	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
 // dropBits is the part of a listing's number that counts entries dropped since the
@@ -77,13 +76,17 @@
 	return (l.away || l.idle) && number > l.number
 }
 
-// Reached notes that the platform told of everything up to version.
+// Reached notes that the platform told of everything up to version. The number grows
+// only with a change of the list, so that peers fetch nothing else.
 func (l *listing) Reached(version int64) { l.raise(version << dropBits) }
 
 func (l *listing) raise(number int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.number = max(l.number, number)
+	number = max(l.number, number)
+	if l.directory.Seal(number) || l.number == 0 {
+		l.number = number
+	}
 	l.confirmed = time.Now()
 }
 
@@ -95,6 +98,7 @@
 	}
 	l.mu.Lock()
 	l.number++
+	l.directory.Seal(l.number)
 	l.mu.Unlock()
 	l.log.WithFields(logrus.Fields{"event": "endpoints_gone", "endpoints": gone}).Info("entries did not return after the outage")
 	l.changed()
@@ -121,14 +125,25 @@
 	l.away, l.idle = away, idle
 }
 
-// TakeFromPeer takes a peer's list if it is newer and this gateway has no better one.
-// lapsed are the ids of the rows that the peer only waits for.
-func (l *listing) TakeFromPeer(number int64, rows []routetable.Endpoint, lapsed []string, peer string) {
+// TakeFromPeer takes a peer's news if its list, of that number, is newer and this gateway
+// has no better one. It reports false if the whole list must be asked for.
+func (l *listing) TakeFromPeer(number int64, news directory.News, peer string) bool {
 	if !l.Behind(number) {
-		return
+		return true
+	}
+	same := l.directory.Adopt(news)
+	if !same && !news.Whole {
+		l.log.WithFields(logrus.Fields{"event": "endpoints_differ", "from": "peer " + peer, "version": number >> dropBits}).Warn("a peer's changes do not lead to its list; the whole is asked for")
+		l.changed()
+		return false
 	}
-	l.directory.Adopt(rows, lapsed)
-	l.raise(number)
-	l.log.WithFields(logrus.Fields{"event": "endpoints", "from": "peer " + peer, "version": number >> dropBits, "endpoints": len(rows)}).Info("a peer's list of endpoints is in use")
+	l.mu.Lock()
+	l.directory.Seal(number)
+	l.number, l.confirmed = max(l.number, number), time.Now()
+	l.mu.Unlock()
+	l.log.WithFields(logrus.Fields{
+		"event": "endpoints", "from": "peer " + peer, "version": number >> dropBits, "whole": news.Whole, "changed": len(news.Endpoints), "gone": len(news.Gone),
+	}).Info("a peer's list of endpoints is in use")
 	l.changed()
+	return true
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return failure.Wrap(err, failure.InvalidObject, "peers.address")
 	}
-	news := do.MustInvoke[*peerNews](g.parts)
+	fetched := do.MustInvoke[*peerNews](g.parts)
 	budget := do.MustInvoke[budgetSharer](g.parts)
 	summed := &pace{every: elsewhereEvery}
 	exchange, err := gossip.Listen(gossip.Options{
@@ -36,7 +36,7 @@
 				g.pools.SetElsewhere(g.members.Others(now), live+1)
 			}
 			budget.SetDaemons(g.members.Counted(now))
-			news.Check(ctx)
+			fetched.Check(ctx)
 		},
 	})
 	if err != nil {
@@ -47,7 +47,8 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "peers' listener")
 	}
-	g.serveHTTP(gossip.NewFetchServer(g.encodeSnapshot), listener, "peers")
+	news := &teller{holder: g.holder, listing: g.listing, log: g.log}
+	g.serveHTTP(gossip.NewFetchServer(news.Tell), listener, "peers")
 	return nil
 }
 
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -1,46 +1,134 @@
 package gateway
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
+	"io"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/primrosewell/primrosewell/internal/directory"
 	"github.com/primrosewell/primrosewell/internal/gossip"
-	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
+// zippedOver is the size from which a snapshot is compressed; a whole one is, once for all
+// that ask for it.
+const zippedOver = 16 << 10
+
+// maxUnzipped bounds a snapshot that was compressed.
+const maxUnzipped = 32 << 20
+
+// known is what a gateway that asks for news has already.
+type known struct {
+	Table int64 `json:"table"`
+	// Listing is the number of its list of endpoints, or 0 to ask for the whole.
+	Listing int64 `json:"listing"`
+}
+
 // snapshot is what a gateway tells a peer that the platform does not serve.
 type snapshot struct {
-	// Table is the platform's object that the table in force was made of.
+	// Table is the platform's object that the table in force was made of, if it is newer
+	// than the peer's.
 	Table json.RawMessage `json:"table,omitempty"`
-	// Listing is the number of Endpoints; see listing.
-	Listing   int64                 `json:"listing"`
-	Endpoints []routetable.Endpoint `json:"endpoints"`
-	// Lapsed are the ids of the Endpoints that the platform does not list any more and
-	// that may still return after an outage.
-	Lapsed []string `json:"lapsed,omitempty"`
+	// Listing is the number of the list that the news lead to; see listing.
+	Listing int64 `json:"listing"`
+	directory.News
+}
+
+// teller encodes snapshots for peers. It is safe for concurrent use.
+type teller struct {
+	holder  *tableHolder
+	listing *listing
+	log     *logrus.Logger
+
+	mu sync.Mutex
+	// whole is the last snapshot that held all, made of that table and list.
+	whole   []byte
+	madeOf  known
+	changes uint64
 }
 
-// encodeSnapshot returns the gateway's own snapshot, or nil before there is one.
-func (g *Gateway) encodeSnapshot() []byte {
-	table := g.holder.Data()
+// Tell returns the gateway's news for a peer that has asked, or nil before there are any.
+func (t *teller) Tell(asked []byte) []byte {
+	table := t.holder.Data()
 	if table == nil {
 		return nil
 	}
-	// In this order a change meanwhile is at worst in the rows and not in the number.
-	s := snapshot{Table: table, Listing: g.listing.Number(), Lapsed: g.directory.Lapsed()}
-	s.Endpoints = g.directory.Rows()
+	var has known
+	if len(asked) > 0 {
+		if err := json.Unmarshal(asked, &has); err != nil {
+			t.log.WithFields(logrus.Fields{"event": "snapshot_failed", "error": err}).Warn("a peer's question could not be read; it is told all")
+		}
+	}
+	if has == (known{}) {
+		return t.tellAll(table)
+	}
+	// In this order a change meanwhile is at worst in the news and not in the number.
+	s := snapshot{Listing: t.listing.Number()}
+	s.News = t.listing.directory.NewsSince(has.Listing)
+	if t.holder.Version() > has.Table {
+		s.Table = table
+	}
+	return t.encode(s)
+}
+
+// tellAll returns the whole, which is encoded once for all peers that ask: many do at
+// once when a fleet starts.
+func (t *teller) tellAll(table []byte) []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	madeOf, changes := known{Table: t.holder.Version(), Listing: t.listing.Number()}, t.listing.directory.Version()
+	if t.whole != nil && madeOf == t.madeOf && changes == t.changes {
+		return t.whole
+	}
+	t.whole = t.encode(snapshot{Table: table, Listing: madeOf.Listing, News: t.listing.directory.NewsSince(0)})
+	t.madeOf, t.changes = madeOf, changes
+	return t.whole
+}
+
+func (t *teller) encode(s snapshot) []byte {
 	data, err := json.Marshal(s)
+	if err == nil && len(data) > zippedOver {
+		data, err = zipped(data)
+	}
 	if err != nil {
-		g.log.WithFields(logrus.Fields{"event": "snapshot_failed", "error": err}).Error("the snapshot for peers could not be encoded")
+		t.log.WithFields(logrus.Fields{"event": "snapshot_failed", "error": err}).Error("the snapshot for peers could not be encoded")
 		return nil
 	}
 	return data
 }
 
+// zipped and unzipped tell compressed data by its first bytes, which no JSON has.
+func zipped(data []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(data); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func unzipped(data []byte) ([]byte, error) {
+	if len(data) < 2 || data[0] != 0x1f || data[1] != 0x8b {
+		return data, nil
+	}
+	r, err := gzip.NewReader(bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(r, maxUnzipped))
+}
+
 // peerNews fetches what a peer knows and this gateway does not: it may be cut off from
 // the platform, or its watch may have missed a change.
 type peerNews struct {
@@ -51,6 +139,8 @@
 	port    int
 	log     *logrus.Logger
 	busy    sync.Mutex
+	// whole is set while the whole list must be asked for; the fetch that runs has it.
+	whole bool
 }
 
 // Check starts a fetch if a peer knows more and no fetch is running.
@@ -75,10 +165,21 @@
 }
 
 func (p *peerNews) fetch(ctx context.Context, address string) error {
-	data, err := p.fetcher.Fetch(ctx, joinPort(address, p.port))
+	has := known{Table: p.holder.Version(), Listing: p.listing.Number()}
+	if p.whole {
+		has.Listing = 0
+	}
+	asked, err := json.Marshal(has)
 	if err != nil {
 		return err
 	}
+	data, err := p.fetcher.Fetch(ctx, joinPort(address, p.port), asked)
+	if err != nil {
+		return err
+	}
+	if data, err = unzipped(data); err != nil {
+		return err
+	}
 	var s snapshot
 	if err := json.Unmarshal(data, &s); err != nil {
 		return err
@@ -86,6 +187,6 @@
 	if s.Table != nil {
 		p.holder.Install(s.Table, "peer "+address)
 	}
-	p.listing.TakeFromPeer(s.Listing, s.Endpoints, s.Lapsed, address)
+	p.whole = !p.listing.TakeFromPeer(s.Listing, s.News, address)
 	return nil
 }
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"connectrpc.com/connect"
-	"google.golang.org/protobuf/types/known/emptypb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"github.com/primrosewell/primrosewell/internal/failure"
@@ -25,18 +24,18 @@
 	headerTimeout = 2 * time.Second
 )
 
-// NewFetchServer returns a server of the snapshot that content returns; nil means that
-// there is none yet.
-func NewFetchServer(content func() []byte) *http.Server {
+// NewFetchServer returns a server of the snapshot that content returns for what a peer
+// says that it has; nil means that there is none yet.
+func NewFetchServer(content func(asked []byte) []byte) *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(fetchProcedure, connect.NewUnaryHandler(fetchProcedure,
-		func(context.Context, *connect.Request[emptypb.Empty]) (*connect.Response[wrapperspb.BytesValue], error) {
-			data := content()
+		func(_ context.Context, request *connect.Request[wrapperspb.BytesValue]) (*connect.Response[wrapperspb.BytesValue], error) {
+			data := content(request.Msg.GetValue())
 			if data == nil {
 				return nil, connect.NewError(connect.CodeUnavailable, failure.New(failure.PlatformUnavailable, "no configuration yet"))
 			}
 			return connect.NewResponse(wrapperspb.Bytes(data)), nil
-		}))
+		}, connect.WithCompressMinBytes(maxFetched))) // A large snapshot is compressed already, once for all.
 	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 }
 
@@ -54,10 +53,11 @@
 	}}
 }
 
-// Fetch reads the snapshot of the peer at address, an IP number and port.
-func (f *Fetcher) Fetch(ctx context.Context, address string) ([]byte, error) {
-	client := connect.NewClient[emptypb.Empty, wrapperspb.BytesValue](f.client, "http://"+address+fetchProcedure, connect.WithReadMaxBytes(maxFetched))
-	reply, err := client.CallUnary(ctx, connect.NewRequest(&emptypb.Empty{}))
+// Fetch reads the snapshot of the peer at address, an IP number and port, and says what
+// is known already.
+func (f *Fetcher) Fetch(ctx context.Context, address string, known []byte) ([]byte, error) {
+	client := connect.NewClient[wrapperspb.BytesValue, wrapperspb.BytesValue](f.client, "http://"+address+fetchProcedure, connect.WithReadMaxBytes(maxFetched))
+	reply, err := client.CallUnary(ctx, connect.NewRequest(wrapperspb.Bytes(known)))
 	if err != nil {
 		return nil, failure.Wrap(err, failure.PeerUnreachable, "fetching the snapshot of "+address)
 	}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -14,7 +14,7 @@
 const maxDatagram = 1400
 
 // protocolVersion changes when older daemons can't read a message.
-const protocolVersion = 2
+const protocolVersion = 3
 
 // Message is what one daemon tells another.
 type Message struct {
