gossip: news and sums are spread by way of relays, in large fleets

Those that follow the platform still told each of n peers themselves, several datagrams five times a second, and all fetched every change from the one that told first. Change: a datagram names up to 36 peers to whom its receiver passes it on; relays are drawn anew each time. Who follows the platform tells what changed in the last 0.6 s in datagrams, before the versions; what did not come is fetched after 50 to 250 ms. A change is told 20 ms after it came. In fleets over 200 the others tell those that follow less often. A daemon that was just found is greeted at once.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,18 +54,20 @@
 	// closing is set once a draining gateway takes no more requests.
 	closing atomic.Bool
 	drain   chan struct{}
+	// changed makes this gateway tell its peers at once.
+	changed chan struct{}
 }
 
 // New wires a gateway; it listens to nothing yet.
 func New(settings Settings, options Options) (*Gateway, error) {
 	g := &Gateway{
-		settings: settings, options: options, log: options.Log, drain: make(chan struct{}),
-		holder:    &tableHolder{source: options.Adapter.Source, log: options.Log},
+		settings: settings, options: options, log: options.Log, drain: make(chan struct{}), changed: make(chan struct{}, 1),
 		directory: directory.New(),
 		members:   gossip.NewMembers(time.Now(), settings.Peers.Address, settings.Peers.seedAddresses()),
 	}
+	g.holder = &tableHolder{source: options.Adapter.Source, log: options.Log, installed: g.tellPeers}
 	g.pools = newPools(settings.VM.DataCentre, g.directory)
-	g.listing = &listing{directory: g.directory, changed: g.pools.Refresh, log: options.Log, away: true}
+	g.listing = &listing{directory: g.directory, changed: g.pools.Refresh, renumbered: g.tellPeers, log: options.Log, away: true}
 	g.parts = do.New()
 	provide(g)
 	server, err := do.Invoke[*httpio.Server](g.parts)
@@ -125,6 +127,14 @@
 	return g.listing.Away() || g.holder.Table() == nil || g.members.Follows()
 }
 
+// tellPeers makes the next message to peers go out at once.
+func (g *Gateway) tellPeers() {
+	select {
+	case g.changed <- struct{}{}:
+	default: // It goes out already.
+	}
+}
+
 // sweep drops what has lapsed.
 func (g *Gateway) sweep(ctx context.Context) {
 	dialer := do.MustInvoke[*httpio.Dialer](g.parts)
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -19,9 +19,10 @@
 // safe for concurrent use.
 type listing struct {
 	directory *directory.Directory
-	// changed is called after each change of the directory.
-	changed func()
-	log     *logrus.Logger
+	// changed is called after each change of the directory, and renumbered after each change
+	// of the number that the platform caused.
+	changed, renumbered func()
+	log                 *logrus.Logger
 
 	mu     sync.Mutex
 	number int64
@@ -78,16 +79,24 @@
 
 // Reached notes that the platform told of everything up to version. The number grows
 // only with a change of the list, so that peers fetch nothing else.
-func (l *listing) Reached(version int64) { l.raise(version << dropBits) }
+func (l *listing) Reached(version int64) {
+	if l.raise(version << dropBits) {
+		l.renumbered()
+	}
+}
 
-func (l *listing) raise(number int64) {
+// raise reports whether the number grew.
+func (l *listing) raise(number int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.confirmed = time.Now()
 	number = max(l.number, number)
-	if l.directory.Seal(number) || l.number == 0 {
-		l.number = number
+	if !l.directory.Seal(number) && l.number > 0 {
+		return false
 	}
-	l.confirmed = time.Now()
+	grew := number > l.number
+	l.number = number
+	return grew
 }
 
 // Expire drops entries that did not return after an outage.
--- a/internal/gateway/listing_test.go
+++ b/internal/gateway/listing_test.go
@@ -21,7 +21,7 @@
 func TestListing(t *testing.T) {
 	g := NewWithT(t)
 	newListing := func() *listing {
-		return &listing{directory: directory.New(), changed: func() {}, log: telemetry.SilentLogger(), away: true}
+		return &listing{directory: directory.New(), changed: func() {}, renumbered: func() {}, log: telemetry.SilentLogger(), away: true}
 	}
 	row := func(id string) routetable.Endpoint {
 		return routetable.Endpoint{ID: id, Service: "s", Address: id + ":1"}
@@ -84,7 +84,7 @@
 func TestListingsThatDiffer(t *testing.T) {
 	g := NewWithT(t)
 	newListing := func() *listing {
-		return &listing{directory: directory.New(), changed: func() {}, log: telemetry.SilentLogger(), away: true}
+		return &listing{directory: directory.New(), changed: func() {}, renumbered: func() {}, log: telemetry.SilentLogger(), away: true}
 	}
 	row := func(id string) routetable.Endpoint {
 		return routetable.Endpoint{ID: id, Service: "s", Address: id + ":1"}
@@ -112,7 +112,7 @@
 func TestListingAfterOwnOutage(t *testing.T) {
 	g := NewWithT(t)
 	newListing := func() *listing {
-		return &listing{directory: directory.New(), changed: func() {}, log: telemetry.SilentLogger(), away: true}
+		return &listing{directory: directory.New(), changed: func() {}, renumbered: func() {}, log: telemetry.SilentLogger(), away: true}
 	}
 	row := func(id string) routetable.Endpoint {
 		return routetable.Endpoint{ID: id, Service: "s", Address: id + ":1"}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -24,12 +24,14 @@
 	}
 	fetched := do.MustInvoke[*peerNews](g.parts)
 	budget := do.MustInvoke[budgetSharer](g.parts)
+	news := &teller{holder: g.holder, listing: g.listing, log: g.log}
 	summed := &pace{every: elsewhereEvery}
 	exchange, err := gossip.Listen(gossip.Options{
 		Node: g.settings.VM.ID, Address: address, Port: g.settings.Peers.GossipPort, Members: g.members,
 		Table: g.holder.Version, Listing: g.listing.Number, Loads: g.pools.Own, Log: g.log,
 		Following: g.follows, Blind: g.listing.Away, Leaving: g.draining.Load,
 		Register: do.MustInvoke[*quarantine.Register](g.parts),
+		News:     func() []byte { return news.Recent(time.Now()) }, OnNews: fetched.Told, Changed: g.changed,
 		OnHeard: func(now time.Time) {
 			if summed.Due(now) {
 				live, _ := g.members.Live(now)
@@ -47,7 +49,6 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "peers' listener")
 	}
-	news := &teller{holder: g.holder, listing: g.listing, log: g.log}
 	g.serveHTTP(gossip.NewFetchServer(news.Tell), listener, "peers")
 	return nil
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -6,7 +6,9 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,6 +21,10 @@
 // that ask for it.
 const zippedOver = 16 << 10
 
+// toldOver is the size from which news that are told unasked are compressed: those that
+// fit one datagram are not.
+const toldOver = 1 << 10
+
 // maxUnzipped bounds a snapshot that was compressed.
 const maxUnzipped = 32 << 20
 
@@ -34,11 +40,21 @@
 	// Table is the platform's object that the table in force was made of, if it is newer
 	// than the peer's.
 	Table json.RawMessage `json:"table,omitempty"`
-	// Listing is the number of the list that the news lead to; see listing.
-	Listing int64 `json:"listing"`
+	// Listing is the number of the list that the news lead to; see listing. 0: no news of it.
+	Listing int64 `json:"listing,omitempty"`
+	// Since is the number of the list that the news build on, unless they are the whole.
+	Since int64 `json:"since,omitempty"`
 	directory.News
 }
 
+const (
+	// newsSpan is how far back the news go that are told unasked: a few messages may be lost.
+	newsSpan = 3 * gossip.Interval
+	// fetchAfter and fetchSpread are when a gateway of a large fleet fetches what it was not
+	// told: the news are on their way, and not all ask the same peer at once.
+	fetchAfter, fetchSpread = 50 * time.Millisecond, 200 * time.Millisecond
+)
+
 // teller encodes snapshots for peers. It is safe for concurrent use.
 type teller struct {
 	holder  *tableHolder
@@ -50,6 +66,40 @@
 	whole   []byte
 	madeOf  known
 	changes uint64
+	// past is what the gateway had, the latest last.
+	past []hadAt
+}
+
+// hadAt is what a gateway had at some time.
+type hadAt struct {
+	known
+	at time.Time
+}
+
+// Recent returns what changed within newsSpan, or nil. It is called now and then.
+func (t *teller) Recent(now time.Time) []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	has := known{Table: t.holder.Version(), Listing: t.listing.Number()}
+	t.past = append(t.past, hadAt{has, now})
+	for len(t.past) > 1 && now.Sub(t.past[1].at) >= newsSpan {
+		t.past = t.past[1:]
+	}
+	had := t.past[0]
+	if had.known == has || had.Table == 0 || now.Sub(had.at) < newsSpan {
+		return nil
+	}
+	var s snapshot
+	if has.Table > had.Table {
+		s.Table = t.holder.Data()
+	}
+	if has.Listing > had.Listing {
+		s.Listing, s.Since, s.News = has.Listing, had.Listing, t.listing.directory.NewsSince(had.Listing)
+	}
+	if s.Whole {
+		s.Listing, s.News = 0, directory.News{}
+	}
+	return t.encode(s, toldOver)
 }
 
 // Tell returns the gateway's news for a peer that has asked, or nil before there are any.
@@ -68,12 +118,12 @@
 		return t.tellAll(table)
 	}
 	// In this order a change meanwhile is at worst in the news and not in the number.
-	s := snapshot{Listing: t.listing.Number()}
+	s := snapshot{Listing: t.listing.Number(), Since: has.Listing}
 	s.News = t.listing.directory.NewsSince(has.Listing)
 	if t.holder.Version() > has.Table {
 		s.Table = table
 	}
-	return t.encode(s)
+	return t.encode(s, zippedOver)
 }
 
 // tellAll returns the whole, which is encoded once for all peers that ask: many do at
@@ -85,14 +135,14 @@
 	if t.whole != nil && madeOf == t.madeOf && changes == t.changes {
 		return t.whole
 	}
-	t.whole = t.encode(snapshot{Table: table, Listing: madeOf.Listing, News: t.listing.directory.NewsSince(0)})
+	t.whole = t.encode(snapshot{Table: table, Listing: madeOf.Listing, News: t.listing.directory.NewsSince(0)}, zippedOver)
 	t.madeOf, t.changes = madeOf, changes
 	return t.whole
 }
 
-func (t *teller) encode(s snapshot) []byte {
+func (t *teller) encode(s snapshot, zipOver int) []byte {
 	data, err := json.Marshal(s)
-	if err == nil && len(data) > zippedOver {
+	if err == nil && len(data) > zipOver {
 		data, err = zipped(data)
 	}
 	if err != nil {
@@ -139,8 +189,13 @@
 	port    int
 	log     *logrus.Logger
 	busy    sync.Mutex
-	// whole is set while the whole list must be asked for; the fetch that runs has it.
-	whole bool
+	// whole is set while the whole list must be asked for.
+	whole atomic.Bool
+
+	mu sync.Mutex
+	// noticed is the newest that peers were seen to have, and due when it may be fetched.
+	noticed known
+	due     time.Time
 }
 
 // Check starts a fetch if a peer knows more and no fetch is running.
@@ -153,7 +208,7 @@
 			return
 		}
 	}
-	if !p.busy.TryLock() {
+	if !p.patient(time.Now()) || !p.busy.TryLock() {
 		return
 	}
 	go func() {
@@ -164,20 +219,33 @@
 	}()
 }
 
-func (p *peerNews) fetch(ctx context.Context, address string) error {
-	has := known{Table: p.holder.Version(), Listing: p.listing.Number()}
-	if p.whole {
-		has.Listing = 0
+// patient reports whether what a peer knows may be fetched by now.
+func (p *peerNews) patient(now time.Time) bool {
+	if p.holder.Table() == nil || !p.members.Large() {
+		return true
 	}
-	asked, err := json.Marshal(has)
-	if err != nil {
-		return err
+	var newest known
+	newest.Table, _ = p.members.Newest()
+	newest.Listing, _ = p.members.NewestListing()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if newest != p.noticed {
+		p.noticed = newest
+		p.due = now.Add(fetchAfter + rand.N(fetchSpread))
 	}
-	data, err := p.fetcher.Fetch(ctx, joinPort(address, p.port), asked)
-	if err != nil {
-		return err
+	return !now.Before(p.due)
+}
+
+// Told takes news that a peer told unasked.
+func (p *peerNews) Told(data []byte, address string) {
+	if err := p.take(data, address); err != nil {
+		p.log.WithFields(logrus.Fields{"event": "news_dropped", "peer": address, "error": err}).Warn("a peer's news could not be read")
 	}
-	if data, err = unzipped(data); err != nil {
+}
+
+func (p *peerNews) take(data []byte, address string) error {
+	data, err := unzipped(data)
+	if err != nil {
 		return err
 	}
 	var s snapshot
@@ -187,6 +255,24 @@
 	if s.Table != nil {
 		p.holder.Install(s.Table, "peer "+address)
 	}
-	p.whole = !p.listing.TakeFromPeer(s.Listing, s.News, address)
+	if s.Listing > 0 && (s.Whole || !p.whole.Load() && s.Since <= p.listing.Number()) {
+		p.whole.Store(!p.listing.TakeFromPeer(s.Listing, s.News, address))
+	}
 	return nil
 }
+
+func (p *peerNews) fetch(ctx context.Context, address string) error {
+	has := known{Table: p.holder.Version(), Listing: p.listing.Number()}
+	if p.whole.Load() {
+		has.Listing = 0
+	}
+	asked, err := json.Marshal(has)
+	if err != nil {
+		return err
+	}
+	data, err := p.fetcher.Fetch(ctx, joinPort(address, p.port), asked)
+	if err != nil {
+		return err
+	}
+	return p.take(data, address)
+}
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -18,6 +18,8 @@
 type tableHolder struct {
 	source adapter.Source
 	log    *logrus.Logger
+	// installed is called after each change that the platform told.
+	installed func()
 
 	mu      sync.Mutex
 	table   *routetable.Table
@@ -57,12 +59,12 @@
 	return h.data
 }
 
-// Install puts a table in force unless one at least as new is.
-func (h *tableHolder) Install(data []byte, from string) {
+// Install puts a table in force unless one at least as new is. It reports whether it did.
+func (h *tableHolder) Install(data []byte, from string) bool {
 	spec, err := h.source.DecodeTable(data)
 	if err != nil {
 		h.log.WithFields(logrus.Fields{"event": "table_refused", "from": from, "error": err}).Error("a configuration could not be read; the one in force stays")
-		return
+		return false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -71,13 +73,21 @@
 		old = h.table.Version()
 	}
 	if spec.Version <= old {
-		return
+		return false
 	}
 	h.table, h.data, h.changed = routetable.New(spec), json.RawMessage(append([]byte(nil), data...)), time.Now()
 	routes, workspaces := h.table.Counts()
 	h.log.WithFields(logrus.Fields{
 		"event": "table", "version": spec.Version, "previous": old, "from": from, "routes": routes, "workspaces": workspaces,
 	}).Info("configuration in force")
+	return true
+}
+
+// installFromPlatform installs a table and lets peers know.
+func (h *tableHolder) installFromPlatform(data []byte) {
+	if h.Install(data, "platform") {
+		h.installed()
+	}
 }
 
 // followTable keeps the table as new as the platform tells.
@@ -87,13 +97,13 @@
 		listed: func(items []platform.Object) {
 			for _, item := range items {
 				if item.Name == name {
-					h.Install(item.Data, "platform")
+					h.installFromPlatform(item.Data)
 				}
 			}
 		},
 		changed: func(event platform.Event) {
 			if event.Object.Name == name && event.Type == platform.Put {
-				h.Install(event.Object.Data, "platform")
+				h.installFromPlatform(event.Object.Data)
 			}
 		},
 	})
--- /dev/null
+++ b/internal/gossip/fleet_test.go
@@ -0,0 +1,120 @@
+package gossip_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/gossip"
+	"github.com/primrosewell/primrosewell/internal/quarantine"
+	"github.com/primrosewell/primrosewell/internal/telemetry"
+)
+
+// daemon is one of a fleet on loopback addresses of its own.
+type daemon struct {
+	members *gossip.Members
+	changed chan struct{}
+	table   atomic.Int64
+	news    atomic.Pointer[[]byte]
+	mu      sync.Mutex
+	got     map[string]int
+}
+
+func (d *daemon) heard(news string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.got[news] > 0
+}
+
+// freePort finds a UDP port that is free on the first address of the fleet.
+func freePort() int {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 9, 1)})
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	return conn.LocalAddr().(*net.UDPAddr).Port
+}
+
+// startFleet starts n daemons that know the first three, as the platform names no more.
+func startFleet(n int) []*daemon {
+	port := freePort()
+	address := func(i int) string { return fmt.Sprintf("127.0.9.%d", i+1) }
+	fleet := make([]*daemon, n)
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	for i := range fleet {
+		d := &daemon{got: make(map[string]int), changed: make(chan struct{}, 1)}
+		d.table.Store(1)
+		d.members = gossip.NewMembers(time.Now(), address(i), []string{address(0), address(1), address(2)})
+		no := func() bool { return false }
+		g, err := gossip.Listen(gossip.Options{
+			Node: fmt.Sprint("n", i), Address: netip.MustParseAddr(address(i)), Port: port, Members: d.members,
+			Table: d.table.Load, Listing: func() int64 { return 1 }, Following: d.members.Follows, Blind: no, Leaving: no,
+			Loads:    func() map[balance.Key]balance.Load { return map[balance.Key]balance.Load{1: {Running: 1}} },
+			Register: quarantine.New(quarantine.Config{}), OnHeard: func(time.Time) {}, Log: telemetry.SilentLogger(), Changed: d.changed,
+			News: func() []byte {
+				if news := d.news.Load(); news != nil {
+					return *news
+				}
+				return nil
+			},
+			OnNews: func(data []byte, _ string) {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				d.got[string(data)]++
+			},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		go g.Run(ctx)
+		fleet[i] = d
+	}
+	return fleet
+}
+
+// following returns the daemons that follow the platform.
+func following(fleet []*daemon) (some []*daemon) {
+	for _, d := range fleet {
+		if d.members.Follows() {
+			some = append(some, d)
+		}
+	}
+	return some
+}
+
+var _ = Describe("A fleet of sixty that knows three of its members", func() {
+	It("finds itself, tells news to all and sums up the work of all", func() {
+		fleet := startFleet(60)
+		Eventually(func() int {
+			n := len(fleet)
+			for _, d := range fleet {
+				live, _ := d.members.Live(time.Now())
+				n = min(n, live)
+			}
+			return n
+		}, 20*time.Second, 50*time.Millisecond).Should(Equal(59), "each finds all others")
+		Eventually(func() int { return len(following(fleet)) }, 10*time.Second, 50*time.Millisecond).Should(Equal(4))
+
+		news := []byte("version two")
+		source := following(fleet)[0]
+		source.news.Store(&news)
+		source.table.Store(2)
+		source.changed <- struct{}{}
+		for i, d := range fleet {
+			if d == source {
+				continue
+			}
+			Eventually(func() bool { return d.heard("version two") }, 10*time.Second, 10*time.Millisecond).Should(BeTrue(), fmt.Sprint("news at ", i))
+			Eventually(func() int64 { v, _ := d.members.Newest(); return v }, 10*time.Second, 10*time.Millisecond).Should(Equal(int64(2)))
+		}
+		for _, d := range fleet {
+			Eventually(func() int { return d.members.Others(time.Now())[1].Running }, 10*time.Second, 10*time.Millisecond).Should(Equal(59))
+		}
+	})
+})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosewell/primrosewell/internal/balance"
@@ -24,9 +25,15 @@
 	// crashesSent bounds the digests passed on in a message.
 	crashesSent = 6
 	// sumsSent bounds the endpoints in a datagram of sums; an entry takes up to 13 bytes.
-	sumsSent = 90
-	// knownSent bounds the addresses passed on in a message.
-	knownSent = 24
+	sumsSent = 80
+	// knownSent bounds the addresses passed on in a message, and knownSpread in one that is
+	// spread by way of relays.
+	knownSent, knownSpread = 24, 6
+	// changePause is the least time between a change and the message that tells it.
+	changePause = 20 * time.Millisecond
+	// inboxPerSecond bounds the messages that a daemon which follows the platform gets from
+	// all others: in a larger fleet they tell it less often.
+	inboxPerSecond = 1000
 )
 
 // Options configure a Gossip; all fields are required.
@@ -46,6 +53,13 @@
 	Loads func() map[balance.Key]balance.Load
 	// Register holds the evidence against requests that crash endpoints; it is shared.
 	Register *quarantine.Register
+	// News returns what changed lately, for peers that were up to date a moment ago; nil if
+	// nothing did. It is asked at each interval in a large fleet, by who follows the platform.
+	News func() []byte
+	// OnNews takes the news of the peer of that address.
+	OnNews func(data []byte, address string)
+	// Changed makes the daemon tell its peers at once.
+	Changed <-chan struct{}
 	// OnHeard is called after each message and at each interval.
 	OnHeard func(now time.Time)
 	Log     *logrus.Logger
@@ -60,6 +74,12 @@
 	turn int
 	// sent is the own work as of the last message.
 	sent map[balance.Key]balance.Load
+	// told counts the intervals.
+	told int
+	// newsNumber counts the news that were told.
+	newsNumber uint32
+	// inbox is used by the receiver alone.
+	inbox inbox
 }
 
 // Listen opens the socket.
@@ -78,7 +98,7 @@
 	defer ticker.Stop()
 	for {
 		now := time.Now()
-		g.tell(now)
+		g.tell(g.state(), now)
 		for _, change := range g.Members.Expire(now) {
 			g.logChange(change)
 		}
@@ -88,75 +108,135 @@
 			_ = g.conn.Close()
 			return
 		case <-ticker.C:
+		case <-g.Changed:
+			time.Sleep(changePause) // What changes together is told together.
 		}
 	}
 }
 
-// tell sends the daemon's state to the peers, or to some of them if there are many.
-func (g *Gossip) tell(now time.Time) {
+// tell sends the daemon's state to the peers, or to some of them if there are many. Who
+// follows the platform tells all: in a large fleet by way of relays.
+func (g *Gossip) tell(message Message, now time.Time) {
 	addresses := g.Members.Addresses()
-	following := g.Following()
+	g.told++
 	g.sent = g.Loads()
 	g.Members.SetSent(g.sent)
-	data, err := encode(Message{
+	large := len(addresses) > fanout
+	message.Crashes, message.Loads, message.Known = g.crashes(), entriesOf(g.sent), someOf(addresses, knownSent)
+	following := g.Members.Following(fanout / 2)
+	switch {
+	case !large:
+		g.send(message, parseAddresses(addresses))
+	case !message.Following:
+		g.send(message, parseAddresses(g.nextPeers(addresses, following)))
+		if g.told%g.followerPace(len(addresses)) == 0 {
+			message.Known = nil // They hear of everybody.
+			g.send(message, parseAddresses(following))
+		}
+	default:
+		g.send(message, parseAddresses(following)) // They sum up the work of each other too.
+		g.spreadNews(addresses)
+		message.Brief, message.Loads, message.Known = true, nil, someOf(addresses, knownSpread)
+		g.spread(message, addresses)
+		g.spreadSums(now, addresses)
+	}
+}
+
+// state is a message of what the daemon has and does.
+func (g *Gossip) state() Message {
+	return Message{
 		Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Table: g.Table(), Listing: g.Listing(),
-		Following: following, Blind: g.Blind(), Leaving: g.Leaving(),
-		Crashes: g.crashes(), Loads: entriesOf(g.sent), Known: someOf(addresses, knownSent),
-	})
-	if err != nil {
-		g.Log.WithFields(logrus.Fields{"event": "gossip_failed", "error": err}).Error("a message could not be encoded")
-		return
+		Following: g.Following(), Blind: g.Blind(), Leaving: g.Leaving(),
 	}
-	if !following {
-		g.send(data, g.nextPeers(addresses))
+}
+
+// greet answers a daemon that was just found: it may know few others yet.
+func (g *Gossip) greet(address string) {
+	message := g.state()
+	message.Brief, message.Known = true, someOf(g.Members.Addresses(), knownSent)
+	g.send(message, parseAddresses([]string{address}))
+}
+
+// followerPace is the number of intervals between two messages of each daemon to those
+// that follow the platform.
+func (g *Gossip) followerPace(peers int) int {
+	most := inboxPerSecond * int(Interval/time.Millisecond) / int(time.Second/time.Millisecond)
+	return max(1, (peers+most-1)/most)
+}
+
+// spreadNews tells what changed lately, before the message that tells of newer versions:
+// who has the news then needs to fetch nothing.
+func (g *Gossip) spreadNews(addresses []string) {
+	data := g.News()
+	if data == nil {
 		return
 	}
-	g.send(data, addresses)
-	if len(addresses) > fanout {
-		g.tellSums(now, addresses)
+	g.newsNumber++
+	for _, part := range newsParts(g.newsNumber, data) {
+		g.spread(Message{Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), News: []NewsPart{part}}, addresses)
 	}
 }
 
-// tellSums sends the work of all daemons. In a large fleet the others hear of each other
+// spreadSums tells the work of all daemons. In a large fleet the others hear of each other
 // once in a round only, which is too late to share an endpoint's slots in a burst.
-func (g *Gossip) tellSums(now time.Time, addresses []string) {
+func (g *Gossip) spreadSums(now time.Time, addresses []string) {
 	sums := g.Members.Elsewhere(now)
 	addLoads(sums, g.sent)
 	for part := range slices.Chunk(entriesOf(sums), sumsSent) {
-		data, err := encode(Message{
-			Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Sums: part,
-		})
-		if err != nil {
-			g.Log.WithFields(logrus.Fields{"event": "gossip_failed", "error": err}).Error("a message could not be encoded")
-			return
-		}
-		g.send(data, addresses)
+		g.spread(Message{Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Sums: part}, addresses)
 	}
 }
 
-func (g *Gossip) send(data []byte, addresses []string) {
-	for _, address := range addresses {
-		to, err := netip.ParseAddr(address)
-		if err != nil {
-			continue // An address that a peer passed on; no message comes from it either.
-		}
-		// A datagram that is not sent is like one that is lost: the next one follows.
-		_, _ = g.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(to, uint16(g.Port)))
+// send tells each of the peers itself.
+func (g *Gossip) send(message Message, to []netip.Addr) {
+	g.sendLegs(message, maxMessage, lo.Map(to, func(a netip.Addr, _ int) leg { return leg{to: a} }))
+}
+
+// spread tells all, by way of relays.
+func (g *Gossip) spread(message Message, addresses []string) {
+	g.sendLegs(message, maxSpread, legs(parseAddresses(addresses), parseAddresses(g.Members.LiveAddresses()), rand.Perm))
+}
+
+func (g *Gossip) sendLegs(message Message, most int, plan []leg) {
+	body, err := encode(message, most)
+	if err != nil {
+		g.Log.WithFields(logrus.Fields{"event": "gossip_failed", "error": err}).Error("a message could not be encoded")
+		return
+	}
+	for _, l := range plan {
+		g.write(body, l)
 	}
 }
 
-// nextPeers returns the peers to tell now: those that follow the platform, which sum up
-// the work of all, and others in turn, so that all hear within a round.
-func (g *Gossip) nextPeers(addresses []string) []string {
-	if len(addresses) <= fanout {
-		return addresses
+func (g *Gossip) write(body []byte, l leg) {
+	data, err := encodeEnvelope(body, l.relay)
+	if err != nil {
+		g.Log.WithFields(logrus.Fields{"event": "gossip_failed", "error": err}).Error("an envelope could not be encoded")
+		return
+	}
+	// A datagram that is not sent is like one that is lost: the next one follows.
+	_, _ = g.conn.WriteToUDPAddrPort(data, netip.AddrPortFrom(l.to, uint16(g.Port)))
+}
+
+// pass passes a message on to those that its sender named. Only peers may ask for that.
+func (g *Gossip) pass(body []byte, from netip.Addr, relay []netip.Addr) {
+	if len(relay) == 0 || !g.Members.Has(from.String()) {
+		return
+	}
+	for _, to := range relay {
+		g.write(body, leg{to: to})
 	}
-	told := g.Members.Following(fanout / 2)
+}
+
+// nextPeers returns some peers to tell now, others each time, so that all hear within a
+// round. Those in following are told apart.
+func (g *Gossip) nextPeers(addresses, following []string) []string {
+	var told []string
 	for range len(addresses) {
-		if len(told) == fanout {
+		if len(told) == fanout-len(following) {
 			break
 		}
-		if next := addresses[g.turn%len(addresses)]; !slices.Contains(told, next) {
+		if next := addresses[g.turn%len(addresses)]; !slices.Contains(following, next) {
 			told = append(told, next)
 		}
 		g.turn++
@@ -192,23 +272,45 @@
 		if err != nil {
 			continue // An ICMP error of an earlier datagram: its peer is not there yet.
 		}
-		message, err := decode(buffer[:n])
+		body, relay, err := decodeEnvelope(buffer[:n])
 		if err != nil {
-			g.Log.WithFields(logrus.Fields{"event": "gossip_dropped", "from": from, "error": err}).Warn("a datagram could not be read")
+			g.drop(from, err)
 			continue
 		}
-		now := time.Now()
-		if len(message.Sums) > 0 {
-			g.Members.HeardSums(now, message.Sums)
-			g.OnHeard(now)
+		g.pass(body, from.Addr().Unmap(), relay)
+		message, err := decode(body)
+		if err != nil {
+			g.drop(from, err)
 			continue
 		}
+		g.take(time.Now(), message)
+	}
+}
+
+func (g *Gossip) drop(from netip.AddrPort, err error) {
+	g.Log.WithFields(logrus.Fields{"event": "gossip_dropped", "from": from, "error": err}).Warn("a datagram could not be read")
+}
+
+// take notes what a message tells.
+func (g *Gossip) take(now time.Time, message Message) {
+	switch {
+	case len(message.Sums) > 0:
+		g.Members.HeardSums(now, message.Sums)
+	case len(message.News) > 0:
+		for _, part := range message.News {
+			if data := g.inbox.add(message.Address, part); data != nil {
+				g.OnNews(data, message.Address)
+			}
+		}
+	default:
 		if change, changed := g.Members.Heard(now, message); changed {
+			g.inbox.forget(message.Address)
 			g.logChange(change)
+			g.greet(message.Address)
 		}
 		g.Register.Merge(now, message.Crashes)
-		g.OnHeard(now)
 	}
+	g.OnHeard(now)
 }
 
 func (g *Gossip) logChange(c Change) {
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -41,6 +41,8 @@
 	since       time.Time
 	lost        bool
 	loads       map[balance.Key]balance.Load
+	// loadsAt is when the loads were heard.
+	loadsAt time.Time
 }
 
 // Change is a peer that was found, lost or replaced.
@@ -119,7 +121,10 @@
 	p.node, p.incarnation = message.Node, message.Incarnation
 	p.following, p.blind, p.leaving = message.Following, message.Blind, message.Leaving
 	p.table, p.listing = message.Table, message.Listing
-	p.heard, p.lost, p.loads = now, false, loadsOf(message.Loads)
+	p.heard, p.lost = now, false
+	if !message.Brief || change.What == "restarted" {
+		p.loads, p.loadsAt = loadsOf(message.Loads), now
+	}
 	return change, change.What != ""
 }
 
@@ -167,6 +172,34 @@
 	return addresses
 }
 
+// LiveAddresses returns the addresses of the live peers.
+func (m *Members) LiveAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var addresses []string
+	for address, p := range m.peers {
+		if !p.lost {
+			addresses = append(addresses, address)
+		}
+	}
+	slices.Sort(addresses)
+	return addresses
+}
+
+// Large reports whether there are more daemons than each tells at each interval.
+func (m *Members) Large() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.peers) > fanout
+}
+
+// Has reports whether the daemon of that address is known.
+func (m *Members) Has(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peers[address] != nil
+}
+
 // Live returns the number of live peers and the longest time since one of them was heard.
 func (m *Members) Live(now time.Time) (n int, oldest time.Duration) {
 	m.mu.Lock()
@@ -286,7 +319,7 @@
 func (m *Members) elsewhere(now time.Time) map[balance.Key]balance.Load {
 	total := make(map[balance.Key]balance.Load)
 	for _, p := range m.peers {
-		if now.Sub(p.heard) > max(loadsFresh, 2*m.round()) {
+		if now.Sub(p.loadsAt) > max(loadsFresh, 2*m.round()) {
 			continue
 		}
 		addLoads(total, p.loads)
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -10,8 +10,16 @@
 	"github.com/primrosewell/primrosewell/internal/quarantine"
 )
 
-// maxDatagram bounds a message; larger ones would be cut into fragments.
-const maxDatagram = 1400
+const (
+	// maxDatagram bounds a datagram; larger ones would be cut into fragments.
+	maxDatagram = 1400
+	// envelopeBytes is what an envelope takes, and relayBytes each relay that it names.
+	envelopeBytes, relayBytes = 16, 5
+	// maxMessage bounds a message that its sender tells itself, and maxSpread one that is
+	// told by way of relays.
+	maxMessage = maxDatagram - envelopeBytes
+	maxSpread  = maxMessage - maxRelayed*relayBytes
+)
 
 // protocolVersion changes when older daemons can't read a message.
 const protocolVersion = 3
@@ -39,22 +47,26 @@
 	// Sums is set in a datagram of its own that daemons which follow the platform send in
 	// a large fleet: the work of all daemons that the sender heard lately, its own included.
 	Sums []LoadEntry `cbor:"13,keyasint,omitempty"`
+	// Brief is set in a message without Loads: what the sender told before stands.
+	Brief bool `cbor:"14,keyasint,omitempty"`
+	// News is set in a datagram of its own: a part of what changed lately.
+	News []NewsPart `cbor:"15,keyasint,omitempty"`
 	// Crashes is the evidence against requests that crash endpoints.
 	Crashes []quarantine.Entry `cbor:"10,keyasint,omitempty"`
 	// Known are the IP numbers of some daemons that the sender heard of lately.
 	Known []string `cbor:"8,keyasint,omitempty"`
 }
 
-// encode drops the smallest loads until the message fits a datagram. Peers take an
+// encode drops the smallest loads until the message fits. Peers take an
 // endpoint that is not named for one without work.
-func encode(m Message) ([]byte, error) {
+func encode(m Message, most int) ([]byte, error) {
 	m.Protocol = protocolVersion
 	for {
 		data, err := cbor.Marshal(m)
 		if err != nil {
 			return nil, oops.Wrapf(err, "gossip message")
 		}
-		if len(data) <= maxDatagram || len(m.Loads) == 0 {
+		if len(data) <= most || len(m.Loads) == 0 {
 			return data, nil
 		}
 		m.Loads = m.Loads[:len(m.Loads)*7/8]
