gossip: who follows the platform takes turns; relays stay in their data centre

Change: a daemon follows the platform if too few are heard to, in turn by hash with 20 ms between turns; one that just started asks its seeds first (20 ms) and believes how many they say follow; one that can't read the platform counts for 0.5 s more. A gateway that was told nothing for 1 to 3 s lists the platform itself. The limits of a list are on each page. A gateway answers 8 fetches at a time; the others try another peer. A relay tells its own data centre only; others are told 3 at a time (12 before), without loads; those that follow tell how many daemons they count, for the shares of the retry budget.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,10 @@
 	sweepInterval = 500 * time.Millisecond
 	// memoryShare is the part of the VM's memory at which the collector works harder.
 	memoryShare = 0.6
+	// untoldAfter and untoldSpread are when a gateway that was told nothing since its start
+	// lists the platform itself: peers tell within half a second, and not all that are cut
+	// off from them list at once.
+	untoldAfter, untoldSpread = time.Second, 2 * time.Second
 	// budgetMargin is the part of the retry budget that is used.
 	budgetMargin = 0.8
 )
@@ -54,6 +59,10 @@
 	// closing is set once a draining gateway takes no more requests.
 	closing atomic.Bool
 	drain   chan struct{}
+	started time.Time
+	// patience is how long after its start this gateway relies on peers that follow the
+	// platform, though it was told nothing yet.
+	patience time.Duration
 	// changed makes this gateway tell its peers at once.
 	changed chan struct{}
 }
@@ -62,6 +71,7 @@
 func New(settings Settings, options Options) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, options: options, log: options.Log, drain: make(chan struct{}), changed: make(chan struct{}, 1),
+		started: time.Now(), patience: untoldAfter + rand.N(untoldSpread),
 		directory: directory.New(),
 		members:   gossip.NewMembers(time.Now(), settings.Peers.Address, settings.Peers.seedAddresses()),
 	}
@@ -120,11 +130,14 @@
 	go watchFreezes(ctx, bootTime, g.log, w.Renew)
 }
 
-// follows reports whether this gateway follows the platform itself: it is one of the
-// few that do so for all, it can't read the platform and waits for its return, or it
-// knows nothing yet.
+// follows reports whether this gateway follows the platform itself: it is one of the few
+// that do so for all, or nobody has told it anything for some time after its start.
 func (g *Gateway) follows() bool {
-	return g.listing.Away() || g.holder.Table() == nil || g.members.Follows()
+	now := time.Now()
+	if g.members.Follows(now) {
+		return true
+	}
+	return (g.holder.Table() == nil || g.listing.Number() == 0) && now.Sub(g.started) > g.patience
 }
 
 // tellPeers makes the next message to peers go out at once.
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -30,6 +30,8 @@
 	confirmed time.Time
 	// away is set while the platform can't be read, and before it first was.
 	away bool
+	// blind is set while the platform was tried and can't be read.
+	blind bool
 	// idle is set while others follow the platform for this gateway.
 	idle bool
 }
@@ -63,11 +65,11 @@
 	}
 }
 
-// Away reports whether the platform can't be read.
-func (l *listing) Away() bool {
+// Blind reports whether the platform was tried and can't be read.
+func (l *listing) Blind() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.away
+	return l.blind
 }
 
 // Behind reports whether a peer's list of that number would be taken.
@@ -115,23 +117,23 @@
 
 // StoreAway notes that the platform can't be read.
 func (l *listing) StoreAway() {
-	l.set(true, false)
+	l.set(true, false, true)
 	l.directory.StoreAway()
 }
 
 // StoreBack notes that the platform answers.
 func (l *listing) StoreBack() {
-	l.set(false, false)
+	l.set(false, false, false)
 	l.directory.StoreBack(time.Now())
 }
 
 // Idle notes that others follow the platform from now on.
-func (l *listing) Idle() { l.set(false, true) }
+func (l *listing) Idle() { l.set(false, true, false) }
 
-func (l *listing) set(away, idle bool) {
+func (l *listing) set(away, idle, blind bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.away, l.idle = away, idle
+	l.away, l.idle, l.blind = away, idle, blind
 }
 
 // TakeFromPeer takes a peer's news if its list, of that number, is newer and this gateway
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -27,9 +27,9 @@
 	news := &teller{holder: g.holder, listing: g.listing, log: g.log}
 	summed := &pace{every: elsewhereEvery}
 	exchange, err := gossip.Listen(gossip.Options{
-		Node: g.settings.VM.ID, Address: address, Port: g.settings.Peers.GossipPort, Members: g.members,
+		Node: g.settings.VM.ID, DataCentre: g.settings.VM.DataCentre, Address: address, Port: g.settings.Peers.GossipPort, Members: g.members,
 		Table: g.holder.Version, Listing: g.listing.Number, Loads: g.pools.Own, Log: g.log,
-		Following: g.follows, Blind: g.listing.Away, Leaving: g.draining.Load,
+		Following: g.follows, Blind: g.listing.Blind, Leaving: g.draining.Load,
 		Register: do.MustInvoke[*quarantine.Register](g.parts),
 		News:     func() []byte { return news.Recent(time.Now()) }, OnNews: fetched.Told, Changed: g.changed,
 		OnHeard: func(now time.Time) {
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -215,14 +215,24 @@
 		defer p.busy.Unlock()
 		if err := p.fetch(ctx, address); err != nil {
 			p.log.WithFields(logrus.Fields{"event": "fetch_failed", "peer": address, "version": version, "error": err}).Warn("a peer's news could not be read")
+			p.postpone(time.Now())
 		}
 	}()
 }
 
+// postpone makes the next fetch wait: the peer may be busy with others that ask.
+func (p *peerNews) postpone(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.due = now.Add(fetchAfter + rand.N(fetchSpread))
+}
+
 // patient reports whether what a peer knows may be fetched by now.
 func (p *peerNews) patient(now time.Time) bool {
 	if p.holder.Table() == nil || !p.members.Large() {
-		return true
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return !now.Before(p.due)
 	}
 	var newest known
 	newest.Table, _ = p.members.Newest()
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -20,11 +20,12 @@
 	firstPause   = 100 * time.Millisecond
 	longestPause = 400 * time.Millisecond
 	// dutyPoll is the time between two looks at who follows the platform.
-	dutyPoll = 100 * time.Millisecond
+	dutyPoll = 20 * time.Millisecond
 )
 
-// listTimeouts bound the tries of a list, in turn. A platform that was silent and is
-// back answers the next try, so most are short; one that is slow needs a long one.
+// listTimeouts bound the calls of a try to list, in turn; a list may take many. A platform
+// that was silent and is back answers the next try, so most are short; one that is slow
+// needs a long one.
 var listTimeouts = []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second}
 
 // watcher follows collections of the platform.
@@ -142,9 +143,7 @@
 func (w *watcher) followOnce(ctx context.Context, collection string, h collectionHandler, timeout time.Duration, answered func()) error {
 	ctx, end := w.renewable(ctx, collection)
 	defer end()
-	limited, cancel := context.WithTimeout(ctx, timeout)
-	list, err := w.store.List(limited, collection, "")
-	cancel()
+	list, err := w.store.List(platform.WithCallTimeout(ctx, timeout), collection, "")
 	if err != nil {
 		return err
 	}
--- a/internal/gossip/fetch.go
+++ b/internal/gossip/fetch.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -20,6 +21,9 @@
 	fetchTimeout = time.Second
 	// maxFetched bounds a snapshot: the platform's largest value and some framing.
 	maxFetched = 2 << 20
+	// maxFetches bounds the peers served at once: all of a fleet that starts ask the first
+	// that knows anything, and a narrow link would serve none of them in time.
+	maxFetches = 8
 	// headerTimeout bounds the time in which a peer sends its request.
 	headerTimeout = 2 * time.Second
 )
@@ -36,7 +40,20 @@
 			}
 			return connect.NewResponse(wrapperspb.Bytes(data)), nil
 		}, connect.WithCompressMinBytes(maxFetched))) // A large snapshot is compressed already, once for all.
-	return &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: atMost(maxFetches, mux), ReadHeaderTimeout: headerTimeout}
+}
+
+// atMost refuses requests beyond n at a time: who asks tries another peer.
+func atMost(n int64, next http.Handler) http.Handler {
+	var running atomic.Int64
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer running.Add(-1)
+		if running.Add(1) > n {
+			http.Error(w, "too many peers ask at once", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 // Fetcher reads the snapshot of a peer.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -19,9 +19,12 @@
 const (
 	// Interval is the time between two messages to a peer.
 	Interval = 200 * time.Millisecond
-	// fanout bounds the peers told at each interval by a daemon that does not follow the
-	// platform, so that its cost does not grow with their number.
+	// fanout is the number of peers up to which each daemon tells all others at each interval.
 	fanout = 12
+	// othersTold is the number of peers told at each interval by a daemon of a larger fleet
+	// that does not follow the platform, besides those that do: bytes between data centres
+	// are dear, and it is these that tell the news.
+	othersTold = 3
 	// crashesSent bounds the digests passed on in a message.
 	crashesSent = 6
 	// sumsSent bounds the endpoints in a datagram of sums; an entry takes up to 13 bytes.
@@ -40,6 +43,8 @@
 type Options struct {
 	Node    string
 	Address netip.Addr
+	// DataCentre is where the daemon is.
+	DataCentre string
 	// Port is the UDP port of all daemons.
 	Port    int
 	Members *Members
@@ -128,26 +133,31 @@
 	case !large:
 		g.send(message, parseAddresses(addresses))
 	case !message.Following:
-		g.send(message, parseAddresses(g.nextPeers(addresses, following)))
-		if g.told%g.followerPace(len(addresses)) == 0 {
+		if g.told%followerPace(len(addresses)) == 0 {
 			message.Known = nil // They hear of everybody.
 			g.send(message, parseAddresses(following))
 		}
+		message.Brief, message.Loads, message.Known = true, nil, someOf(addresses, knownSpread)
+		g.send(message, parseAddresses(g.nextPeers(addresses, following)))
 	default:
+		message.Known = nil
 		g.send(message, parseAddresses(following)) // They sum up the work of each other too.
-		g.spreadNews(addresses)
+		g.spreadNews()
 		message.Brief, message.Loads, message.Known = true, nil, someOf(addresses, knownSpread)
-		g.spread(message, addresses)
-		g.spreadSums(now, addresses)
+		g.spread(message)
+		g.spreadSums(now)
 	}
 }
 
 // state is a message of what the daemon has and does.
 func (g *Gossip) state() Message {
-	return Message{
+	m := Message{
 		Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Table: g.Table(), Listing: g.Listing(),
 		Following: g.Following(), Blind: g.Blind(), Leaving: g.Leaving(),
+		DataCentre: g.DataCentre, Counted: g.Members.CountHeard(time.Now()),
 	}
+	m.Followed = g.Members.Followed(m.Following && !m.Blind && !m.Leaving)
+	return m
 }
 
 // greet answers a daemon that was just found: it may know few others yet.
@@ -157,33 +167,26 @@
 	g.send(message, parseAddresses([]string{address}))
 }
 
-// followerPace is the number of intervals between two messages of each daemon to those
-// that follow the platform.
-func (g *Gossip) followerPace(peers int) int {
-	most := inboxPerSecond * int(Interval/time.Millisecond) / int(time.Second/time.Millisecond)
-	return max(1, (peers+most-1)/most)
-}
-
 // spreadNews tells what changed lately, before the message that tells of newer versions:
 // who has the news then needs to fetch nothing.
-func (g *Gossip) spreadNews(addresses []string) {
+func (g *Gossip) spreadNews() {
 	data := g.News()
 	if data == nil {
 		return
 	}
 	g.newsNumber++
 	for _, part := range newsParts(g.newsNumber, data) {
-		g.spread(Message{Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), News: []NewsPart{part}}, addresses)
+		g.spread(Message{Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), News: []NewsPart{part}})
 	}
 }
 
 // spreadSums tells the work of all daemons. In a large fleet the others hear of each other
 // once in a round only, which is too late to share an endpoint's slots in a burst.
-func (g *Gossip) spreadSums(now time.Time, addresses []string) {
+func (g *Gossip) spreadSums(now time.Time) {
 	sums := g.Members.Elsewhere(now)
 	addLoads(sums, g.sent)
 	for part := range slices.Chunk(entriesOf(sums), sumsSent) {
-		g.spread(Message{Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Sums: part}, addresses)
+		g.spread(Message{Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), Sums: part})
 	}
 }
 
@@ -193,8 +196,8 @@
 }
 
 // spread tells all, by way of relays.
-func (g *Gossip) spread(message Message, addresses []string) {
-	g.sendLegs(message, maxSpread, legs(parseAddresses(addresses), parseAddresses(g.Members.LiveAddresses()), rand.Perm))
+func (g *Gossip) spread(message Message) {
+	g.sendLegs(message, maxSpread, legs(g.Members.places(), rand.Perm))
 }
 
 func (g *Gossip) sendLegs(message Message, most int, plan []leg) {
@@ -233,7 +236,7 @@
 func (g *Gossip) nextPeers(addresses, following []string) []string {
 	var told []string
 	for range len(addresses) {
-		if len(told) == fanout-len(following) {
+		if len(told) == othersTold {
 			break
 		}
 		if next := addresses[g.turn%len(addresses)]; !slices.Contains(following, next) {
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -1,27 +1,25 @@
 package gossip
 
 import (
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/primrosewell/primrosewell/internal/balance"
 )
 
 const (
 	// lostAfter is the silence after which a peer counts as lost: a few messages in a row.
 	lostAfter = 1500 * time.Millisecond
-	// followers is the number of daemons that follow the platform for all: more than are
-	// commonly cut off from it at once, and few beside a large fleet.
-	followers = 4
 	// forgetAfter is the silence after which a peer's address is tried no more.
 	forgetAfter = 60 * time.Second
 	// loadsFresh is how long a peer's loads are used.
 	loadsFresh = time.Second
 	// sumsFresh is how long sums are used: a few of those that send them may be lost at once.
 	sumsFresh = 3 * Interval
+	// settled is how long after a daemon began to follow the platform all tell it.
+	settled = 3 * time.Second
 	// countedFor is how long a lost peer still counts as a holder of its part of shared
 	// budgets; it may only be cut off from here.
 	countedFor = 15 * time.Second
@@ -31,16 +29,20 @@
 type peer struct {
 	address     string
 	node        string
+	dataCentre  string
 	incarnation int64
 	table       int64
 	listing     int64
 	following   bool
 	blind       bool
+	blindSince  time.Time
 	leaving     bool
 	heard       time.Time
 	since       time.Time
 	lost        bool
 	loads       map[balance.Key]balance.Load
+	// counted is the number of daemons that the peer counts.
+	counted int
 	// loadsAt is when the loads were heard.
 	loadsAt time.Time
 }
@@ -62,6 +64,7 @@
 	// in a large fleet tell it, and sent this daemon's part of it.
 	sums map[balance.Key]summed
 	sent map[balance.Key]balance.Load
+	duty duty
 }
 
 // summed is the work of all daemons at one endpoint, and when it was heard.
@@ -72,7 +75,7 @@
 
 // NewMembers returns the members known from settings; self is the own address.
 func NewMembers(now time.Time, self string, seeds []string) *Members {
-	m := &Members{self: self, peers: make(map[string]*peer), sums: make(map[balance.Key]summed)}
+	m := &Members{self: self, peers: make(map[string]*peer), sums: make(map[balance.Key]summed), duty: duty{started: now}}
 	for _, seed := range seeds {
 		m.add(now, seed)
 	}
@@ -118,7 +121,12 @@
 	case p.lost:
 		change.What = "found"
 	}
-	p.node, p.incarnation = message.Node, message.Incarnation
+	if message.Blind && !p.blind {
+		p.blindSince = now
+	}
+	m.duty.claim(now, message.Followed)
+	p.node, p.dataCentre, p.incarnation = message.Node, message.DataCentre, message.Incarnation
+	p.counted = message.Counted
 	p.following, p.blind, p.leaving = message.Following, message.Blind, message.Leaving
 	p.table, p.listing = message.Table, message.Listing
 	p.heard, p.lost = now, false
@@ -135,7 +143,7 @@
 	var lost []Change
 	for address, p := range m.peers {
 		silent := now.Sub(p.heard)
-		if !p.lost && silent > m.patience(p) {
+		if !p.lost && silent > m.patience(now, p) {
 			p.lost = true
 			lost = append(lost, Change{Node: p.node, Address: address, What: "lost", Silent: silent})
 		}
@@ -148,16 +156,35 @@
 
 // round is the time in which a daemon that does not follow the platform tells every peer once.
 func (m *Members) round() time.Duration {
-	return Interval * time.Duration((len(m.peers)+fanout-1)/fanout)
+	if len(m.peers) <= fanout {
+		return Interval
+	}
+	return Interval * time.Duration((len(m.peers)+othersTold-1)/othersTold)
+}
+
+// pace is the time between two messages of a peer to those that follow the platform.
+func (m *Members) pace() time.Duration {
+	return Interval * time.Duration(followerPace(len(m.peers)))
+}
+
+// followerPace is the number of intervals between two messages of each daemon to those
+// that follow the platform.
+func followerPace(peers int) int {
+	most := inboxPerSecond * int(Interval/time.Millisecond) / int(time.Second/time.Millisecond)
+	return max(1, (peers+most-1)/most)
 }
 
 // patience is the silence after which a peer counts as lost. Those that follow the
-// platform tell every peer at each interval.
-func (m *Members) patience(p *peer) time.Duration {
-	if p.following {
+// platform tell every peer at each interval, and are told by each at its pace.
+func (m *Members) patience(now time.Time, p *peer) time.Duration {
+	switch {
+	case p.following:
 		return lostAfter
+	case m.duty.following && now.Sub(m.duty.since) > settled:
+		return max(lostAfter, 4*m.pace())
+	default:
+		return max(lostAfter, 3*m.round())
 	}
-	return max(lostAfter, 3*m.round())
 }
 
 // Addresses returns the addresses to send to.
@@ -172,18 +199,18 @@
 	return addresses
 }
 
-// LiveAddresses returns the addresses of the live peers.
-func (m *Members) LiveAddresses() []string {
+// places returns all peers, by address.
+func (m *Members) places() []place {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var addresses []string
+	places := make([]place, 0, len(m.peers))
 	for address, p := range m.peers {
-		if !p.lost {
-			addresses = append(addresses, address)
+		if a, err := netip.ParseAddr(address); err == nil && a.Is4() {
+			places = append(places, place{address: a, dataCentre: p.dataCentre, live: !p.lost})
 		}
 	}
-	slices.Sort(addresses)
-	return addresses
+	slices.SortFunc(places, func(a, b place) int { return a.address.Compare(b.address) })
+	return places
 }
 
 // Large reports whether there are more daemons than each tells at each interval.
@@ -226,10 +253,29 @@
 	return ages
 }
 
-// Counted is the number of daemons, this one included, that may use shared budgets.
+// Counted is the number of daemons, this one included, that may use shared budgets. In a
+// large fleet those that follow the platform hear of more than this one does.
 func (m *Members) Counted(now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	n := m.countHeard(now)
+	for _, p := range m.peers {
+		if !p.lost && p.following {
+			n = max(n, p.counted)
+		}
+	}
+	return n
+}
+
+// CountHeard is the number of daemons, this one included, that it has heard of itself
+// lately, or that may only not have been heard yet.
+func (m *Members) CountHeard(now time.Time) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.countHeard(now)
+}
+
+func (m *Members) countHeard(now time.Time) int {
 	n := 1
 	for _, p := range m.peers {
 		if !p.heard.IsZero() && now.Sub(p.heard) < countedFor || p.heard.IsZero() && now.Sub(p.since) < countedFor {
@@ -319,25 +365,10 @@
 func (m *Members) elsewhere(now time.Time) map[balance.Key]balance.Load {
 	total := make(map[balance.Key]balance.Load)
 	for _, p := range m.peers {
-		if now.Sub(p.loadsAt) > max(loadsFresh, 2*m.round()) {
+		if now.Sub(p.loadsAt) > max(loadsFresh, 3*m.pace()) {
 			continue
 		}
 		addLoads(total, p.loads)
 	}
 	return total
 }
-
-// Follows reports whether this daemon is among the few that follow the platform for
-// all: the first ones by hash of the live daemons that can read it.
-func (m *Members) Follows() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	own := xxhash.Sum64String(m.self)
-	ahead := 0
-	for address, p := range m.peers {
-		if !p.lost && !p.blind && !p.leaving && xxhash.Sum64String(address) < own {
-			ahead++
-		}
-	}
-	return ahead < followers
-}
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -40,6 +40,13 @@
 	Following bool `cbor:"11,keyasint,omitempty"`
 	// Blind is set while the sender can't read the platform.
 	Blind bool `cbor:"12,keyasint,omitempty"`
+	// Followed is the number of daemons that the sender has heard follow the platform and
+	// read it, itself included.
+	Followed int `cbor:"16,keyasint,omitempty"`
+	// Counted is the number of daemons that the sender has heard of lately, itself included.
+	Counted int `cbor:"17,keyasint,omitempty"`
+	// DataCentre is where the sender is.
+	DataCentre string `cbor:"18,keyasint,omitempty"`
 	// Leaving is set while the sender shuts down.
 	Leaving bool `cbor:"6,keyasint,omitempty"`
 	// Loads is the sender's own work at each endpoint, the most work first.
--- a/internal/gossip/spread.go
+++ b/internal/gossip/spread.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"math"
 	"net/netip"
 	"slices"
 
@@ -13,8 +12,18 @@
 // Load pattern: a fleet of hundreds. A daemon that told each of the others itself would
 // fill its link and use up its processor; it tells some, and each of them tells some more.
 
-// maxRelayed bounds the daemons that one relay tells; each takes 5 bytes of a datagram.
-const maxRelayed = 36
+const (
+	// relayed is the number of daemons that one relay tells, and maxRelayed the most that it
+	// may be asked to tell; each takes 5 bytes of a datagram.
+	relayed, maxRelayed = 18, 36
+)
+
+// place is where a daemon is, as far as is known.
+type place struct {
+	address    netip.Addr
+	dataCentre string
+	live       bool
+}
 
 // envelope is what a datagram holds: a message, and to whom its receiver passes it on.
 type envelope struct {
@@ -54,22 +63,30 @@
 	relay []netip.Addr
 }
 
-// legs plans how all are told in two steps. Relays are drawn among the live, others each
-// time, so that the loss of one costs some daemons one message. permutation draws an order
-// of n indices.
-func legs(all, live []netip.Addr, permutation func(n int) []int) []leg {
-	if len(all) == 0 {
-		return nil
-	}
-	heads := max(int(math.Ceil(math.Sqrt(float64(len(all))))), (len(all)+maxRelayed)/(maxRelayed+1))
-	if heads > len(live) {
-		return lo.Map(all, func(a netip.Addr, _ int) leg { return leg{to: a} })
-	}
-	plan := lo.Map(permutation(len(live))[:heads], func(i, _ int) leg { return leg{to: live[i]} })
-	rest := lo.Without(all, lo.Map(plan, func(l leg, _ int) netip.Addr { return l.to })...)
-	for i, a := range rest {
-		l := &plan[i%heads]
-		l.relay = append(l.relay, a)
+// legs plans how all are told in two steps. Bytes between data centres are dear, so a relay
+// tells daemons of its own data centre; those of which it is not known are told directly.
+// Relays are drawn among the live, others each time, so that the loss of one costs some
+// daemons one message. permutation draws an order of n indices.
+func legs(places []place, permutation func(n int) []int) []leg {
+	var plan []leg
+	for _, group := range lo.PartitionBy(places, func(p place) string { return p.dataCentre }) {
+		live := lo.Filter(group, func(p place, _ int) bool { return p.live })
+		heads := (len(group) + relayed) / (relayed + 1)
+		if group[0].dataCentre == "" || heads > len(live) || (len(group)-heads+heads-1)/heads > maxRelayed {
+			plan = append(plan, lo.Map(group, func(p place, _ int) leg { return leg{to: p.address} })...)
+			continue
+		}
+		drawn := make(map[netip.Addr]bool, heads)
+		from := len(plan)
+		for _, i := range permutation(len(live))[:heads] {
+			drawn[live[i].address] = true
+			plan = append(plan, leg{to: live[i].address})
+		}
+		rest := lo.Filter(group, func(p place, _ int) bool { return !drawn[p.address] })
+		for i, p := range rest {
+			l := &plan[from+i%heads]
+			l.relay = append(l.relay, p.address)
+		}
 	}
 	return plan
 }
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -35,9 +35,22 @@
 	return &Error{Reason: reason, Op: r.op, Key: r.key, Cause: cause}
 }
 
+type callTimeoutKey struct{}
+
+// WithCallTimeout bounds each call made with the returned context by d, in place of the
+// client's own timeout. Each page of a list is a call of its own: a long list takes as
+// long as it needs while the platform goes on answering.
+func WithCallTimeout(ctx context.Context, d time.Duration) context.Context {
+	return context.WithValue(ctx, callTimeoutKey{}, d)
+}
+
 // do makes one call within the timeout and returns the body of a success.
 func (c *Client) do(ctx context.Context, r call) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.options.Timeout)
+	timeout := c.options.Timeout
+	if own, ok := ctx.Value(callTimeoutKey{}).(time.Duration); ok {
+		timeout = own
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	started := time.Now()
 	body, err := c.exchange(ctx, r)
