--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -21,6 +21,9 @@
 	Interval = 200 * time.Millisecond
 	// fanout is the number of peers up to which each daemon tells all others at each interval.
 	fanout = 12
+	// followersTold bounds those that follow the platform and are told of each daemon's work:
+	// more than four do only while some of them can't read it.
+	followersTold = 6
 	// othersTold is the number of peers told at each interval by a daemon of a larger fleet
 	// that does not follow the platform, besides those that do: bytes between data centres
 	// are dear, and it is these that tell the news.
@@ -128,7 +131,7 @@
 	g.Members.SetSent(g.sent)
 	large := len(addresses) > fanout
 	message.Crashes, message.Loads, message.Known = g.crashes(), entriesOf(g.sent), someOf(addresses, knownSent)
-	following := g.Members.Following(fanout / 2)
+	following := g.Members.Following(followersTold)
 	switch {
 	case !large:
 		g.send(message, parseAddresses(addresses))
@@ -183,6 +186,9 @@
 // spreadSums tells the work of all daemons. In a large fleet the others hear of each other
 // once in a round only, which is too late to share an endpoint's slots in a burst.
 func (g *Gossip) spreadSums(now time.Time) {
+	if !g.Members.SumsUp(now) {
+		return
+	}
 	sums := g.Members.Elsewhere(now)
 	addLoads(sums, g.sent)
 	for part := range slices.Chunk(entriesOf(sums), sumsSent) {
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -320,6 +320,18 @@
 	return addresses[:min(n, len(addresses))]
 }
 
+// SumsUp reports whether this daemon hears of the work of all: the others tell the first
+// few that follow the platform, and each has had time to do so.
+func (m *Members) SumsUp(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ahead := 0
+	for address, p := range m.peers {
+		ahead += one(!p.lost && p.following && address < m.self)
+	}
+	return m.duty.following && ahead < followersTold && now.Sub(m.duty.since) >= 2*m.pace()
+}
+
 // SetSent notes the own work that peers were told of.
 func (m *Members) SetSent(loads map[balance.Key]balance.Load) {
 	m.mu.Lock()
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -87,6 +87,21 @@
 		Expect(m.Following(6)).To(BeEmpty())
 	})
 
+	It("sums up once the others had time to tell it, unless enough others do", func() {
+		alone := gossip.NewMembers(now, "7", nil)
+		Expect(alone.SumsUp(now)).To(BeFalse(), "it does not follow the platform")
+		Expect(alone.Follows(now)).To(BeTrue())
+		Expect(alone.SumsUp(now)).To(BeFalse(), "nobody had time to tell it")
+		late := now.Add(time.Second)
+		Expect(alone.SumsUp(late)).To(BeTrue())
+		for _, address := range []string{"1", "2", "3", "4", "5", "6"} {
+			told := message(address, 5)
+			told.Following, told.Blind = true, true
+			alone.Heard(late, told)
+		}
+		Expect(alone.SumsUp(late)).To(BeFalse(), "the others tell the first six")
+	})
+
 	It("tells how long ago each peer was heard", func() {
 		m.Heard(now, message("2", 5))
 		m.Heard(now.Add(time.Second), message("3", 5))
