gossip: newcomers are told who follows; busy peers name others; pages refused by a rate limit are asked for again

A newcomer knows three seeds and found the followers by and by; all fetched the whole from the few that had it; a page refused by the rate limit began the list anew.

--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"sync"
@@ -50,6 +51,9 @@
 const (
 	// newsSpan is how far back the news go that are told unasked: a few messages may be lost.
 	newsSpan = 3 * gossip.Interval
+	// busyTries bounds the peers asked in a row, each named by the one before: at eight
+	// a peer, four steps reach thousands.
+	busyTries = 4
 	// fetchAfter and fetchSpread are when a gateway of a large fleet fetches what it was not
 	// told: the news are on their way, and not all ask the same peer at once.
 	fetchAfter, fetchSpread = 50 * time.Millisecond, 200 * time.Millisecond
@@ -220,6 +224,19 @@
 	}()
 }
 
+// fetchFrom asks a peer, or in place of busy ones those that they name; it returns who told.
+func (p *peerNews) fetchFrom(ctx context.Context, address string, asked []byte) (data []byte, told string, err error) {
+	for range busyTries {
+		data, err = p.fetcher.Fetch(ctx, joinPort(address, p.port), asked)
+		var busy *gossip.Busy
+		if !errors.As(err, &busy) {
+			return data, address, err
+		}
+		address = busy.Others[rand.IntN(len(busy.Others))]
+	}
+	return nil, address, err
+}
+
 // postpone makes the next fetch wait: the peer may be busy with others that ask.
 func (p *peerNews) postpone(now time.Time) {
 	p.mu.Lock()
@@ -280,7 +297,7 @@
 	if err != nil {
 		return err
 	}
-	data, err := p.fetcher.Fetch(ctx, joinPort(address, p.port), asked)
+	data, address, err := p.fetchFrom(ctx, address, asked)
 	if err != nil {
 		return err
 	}
--- a/internal/gossip/duty_test.go
+++ b/internal/gossip/duty_test.go
@@ -24,6 +24,8 @@
 	tries     int
 	following bool
 	turn      int
+	// since is when it began to follow, and heardOf when it first heard a peer that has a configuration.
+	since, heardOf time.Time
 }
 
 // simulation plays a fleet in steps of 20 ms. Messages arrive in the next step; who
@@ -49,7 +51,7 @@
 // start starts a daemon that knows three of the fleet, and tells them at once.
 func (s *simulation) start(d *simulated) {
 	seeds := []string{s.fleet[0].address, s.fleet[1].address, s.fleet[2].address}
-	d.members, d.up, d.following = gossip.NewMembers(s.now, d.address, seeds), true, false
+	d.members, d.up, d.following, d.heardOf = gossip.NewMembers(s.now, d.address, seeds), true, false, time.Time{}
 	d.incarnation++
 	for _, seed := range d.members.Addresses() {
 		s.deliver(seed, s.message(d))
@@ -60,9 +62,22 @@
 	return gossip.Message{
 		Node: d.address, Address: d.address, Incarnation: d.incarnation, Following: d.following, Blind: d.blind && d.following,
 		Leaving: d.leaving, Followed: d.members.Followed(d.following && !d.blind && !d.leaving), Known: s.some(d.members.Addresses(), 24),
+		Followers: d.members.Following(6), Table: s.table(d),
 	}
 }
 
+// table is the version of a daemon's configuration: it lists the platform in 300 ms, and
+// takes what a peer has in 100 ms.
+func (s *simulation) table(d *simulated) int64 {
+	if !d.blind && d.following && s.now.Sub(d.since) >= 300*time.Millisecond {
+		return 1
+	}
+	if !d.heardOf.IsZero() && s.now.Sub(d.heardOf) >= 100*time.Millisecond {
+		return 1
+	}
+	return 0
+}
+
 func (s *simulation) some(addresses []string, n int) []string {
 	s.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	return addresses[:min(n, len(addresses))]
@@ -74,7 +89,13 @@
 		return
 	}
 	if _, found := d.members.Heard(s.now, m); found && s.at[m.Address].up {
-		s.at[m.Address].members.Heard(s.now, s.message(d)) // It is greeted.
+		s.deliver(m.Address, s.message(d)) // It is greeted.
+	}
+	for _, stranger := range d.members.Named(s.now, m.Followers) {
+		s.deliver(stranger, s.message(d))
+	}
+	if version, _ := d.members.Newest(); version > 0 && d.heardOf.IsZero() {
+		d.heardOf = s.now
 	}
 }
 
@@ -90,6 +111,7 @@
 			follows := d.members.Follows(s.now)
 			if follows && !d.following {
 				d.tries++
+				d.since = s.now
 			}
 			d.following = follows
 			if (int(s.now.UnixNano()/int64(step))+i)%10 != 0 {
@@ -97,8 +119,8 @@
 			}
 			addresses := d.members.Addresses()
 			if !d.following && len(addresses) > 12 {
-				var next []string
-				for range 12 {
+				next := d.members.Following(6)
+				for range 3 {
 					next = append(next, addresses[d.turn%len(addresses)])
 					d.turn++
 				}
@@ -153,7 +175,11 @@
 			// Who starts before a seed does hears of nobody; the seeds tell the others, but for
 			// those that start within two steps of the first.
 			Expect(s.tries()).To(BeNumerically("<=", alone+4+2*(n+49)/50), "daemons that list the platform")
-			s.play(3 * time.Second)
+			s.play(time.Second)
+			for _, d := range s.fleet {
+				Expect(s.table(d)).To(Equal(int64(1)), "it has a configuration within a second of the last start")
+			}
+			s.play(2 * time.Second)
 			Expect(s.following()).To(Equal(4))
 		},
 		Entry("8 daemons", 8),
--- /dev/null
+++ b/internal/gossip/fetch_test.go
@@ -0,0 +1,57 @@
+package gossip_test
+
+import (
+	"context"
+	"errors"
+	"net"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/gossip"
+)
+
+var _ = Describe("Fetching from a peer", func() {
+	// Load pattern: a fleet starts, and all ask the first that knows anything.
+	It("is refused where too many ask, who are told whom to ask instead", func() {
+		release, begun := make(chan struct{}), make(chan struct{}, 100)
+		server := gossip.NewFetchServer(func(asked []byte) []byte {
+			if string(asked) == "slow" {
+				begun <- struct{}{}
+				<-release
+			}
+			return append([]byte("for "), asked...)
+		})
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(server.Close)
+		address := listener.Addr().String()
+		fetcher := gossip.NewFetcher()
+
+		data, err := fetcher.Fetch(context.Background(), address, []byte("one"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(data)).To(Equal("for one"))
+
+		results := make(chan error, 8)
+		for range 8 {
+			go func() {
+				_, err := fetcher.Fetch(context.Background(), address, []byte("slow"))
+				results <- err
+			}()
+		}
+		for range 8 {
+			Eventually(begun).WithTimeout(patience).Should(Receive())
+		}
+		_, err = fetcher.Fetch(context.Background(), address, []byte("ninth"))
+		var busy *gossip.Busy
+		Expect(errors.As(err, &busy)).To(BeTrue(), "%v", err)
+		Expect(busy.Others).To(Equal([]string{"127.0.0.1"}))
+		close(release)
+		for range 8 {
+			Eventually(results).WithTimeout(patience).Should(Receive(BeNil()))
+		}
+		_, err = fetcher.Fetch(context.Background(), address, []byte("late"))
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -167,6 +167,7 @@
 func (g *Gossip) greet(address string) {
 	message := g.state()
 	message.Brief, message.Known = true, someOf(g.Members.Addresses(), knownSent)
+	message.Followers = g.Members.Following(followersTold)
 	g.send(message, parseAddresses([]string{address}))
 }
 
@@ -317,6 +318,9 @@
 			g.logChange(change)
 			g.greet(message.Address)
 		}
+		for _, address := range g.Members.Named(now, message.Followers) {
+			g.greet(address)
+		}
 		g.Register.Merge(now, message.Crashes)
 	}
 	g.OnHeard(now)
--- a/internal/gossip/gossip_suite_test.go
+++ b/internal/gossip/gossip_suite_test.go
@@ -4,11 +4,15 @@
 	"flag"
 	"os"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
+// patience is how long something may take to happen; it asserts nothing about speed.
+const patience = 20 * time.Second
+
 // rapidSeed fixes the generated schedules; -rapid.seed overrides it.
 const rapidSeed = "20261204"
 
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -18,6 +18,8 @@
 	loadsFresh = time.Second
 	// sumsFresh is how long sums are used: a few of those that send them may be lost at once.
 	sumsFresh = 3 * Interval
+	// namedFor is the time between two messages to a daemon that was named and does not answer.
+	namedFor = 500 * time.Millisecond
 	// settled is how long after a daemon began to follow the platform all tell it.
 	settled = 3 * time.Second
 	// countedFor is how long a lost peer still counts as a holder of its part of shared
@@ -41,6 +43,8 @@
 	since       time.Time
 	lost        bool
 	loads       map[balance.Key]balance.Load
+	// namedAt is when a peer named this one, not heard of yet, as following the platform.
+	namedAt time.Time
 	// counted is the number of daemons that the peer counts.
 	counted int
 	// loadsAt is when the loads were heard.
@@ -306,6 +310,22 @@
 	return version, address
 }
 
+// Named notes daemons that a peer names as following the platform, and returns those that
+// were not heard of, to be told at once.
+func (m *Members) Named(now time.Time, addresses []string) (strangers []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, address := range addresses {
+		p := m.add(now, address)
+		if p == nil || !p.heard.IsZero() || now.Sub(p.namedAt) < namedFor {
+			continue
+		}
+		p.namedAt = now
+		strangers = append(strangers, address)
+	}
+	return strangers
+}
+
 // Following returns up to n peers that follow the platform for all.
 func (m *Members) Following(n int) []string {
 	m.mu.Lock()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -45,6 +45,9 @@
 	Followed int `cbor:"16,keyasint,omitempty"`
 	// Counted is the number of daemons that the sender has heard of lately, itself included.
 	Counted int `cbor:"17,keyasint,omitempty"`
+	// Followers are the addresses of some that follow the platform, for a daemon that was
+	// just found.
+	Followers []string `cbor:"19,keyasint,omitempty"`
 	// DataCentre is where the sender is.
 	DataCentre string `cbor:"18,keyasint,omitempty"`
 	// Leaving is set while the sender shuts down.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -24,6 +25,9 @@
 	maxIdleConns = 16
 	// idleConnTimeout closes connections that are not used.
 	idleConnTimeout = 90 * time.Second
+	// pageRefusals bounds the refusals of one list, and refusedPause is the mean pause after
+	// one: a fraction of the second that rates are counted in.
+	pageRefusals, refusedPause = 20, 200 * time.Millisecond
 	// rateBurst is how much of a second's rate may be used at once.
 	rateBurst = 0.25
 )
@@ -113,13 +117,19 @@
 }
 
 // List implements Store. Pages are read one after the other; the list is as of the
-// first page's version, so that a watch from there misses nothing.
+// first page's version, so that a watch from there misses nothing. A later page that a
+// rate limit refuses is asked for again: to begin anew would only ask for more.
 func (c *Client) List(ctx context.Context, collection, prefix string) (List, error) {
 	var list List
-	after := ""
+	after, refusals := "", 0
 	for {
 		r := call{op: "list", key: collection + "/" + prefix, method: http.MethodGet, path: c.options.Dialect.ListPath(collection, prefix, after)}
 		body, err := c.do(ctx, r)
+		if ReasonOf(err) == RateLimited && after != "" && refusals < pageRefusals {
+			refusals++
+			pause(ctx, refusedPause/2+rand.N(refusedPause))
+			continue
+		}
 		if err != nil {
 			return List{}, err
 		}
@@ -138,6 +148,16 @@
 	}
 }
 
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 func (c *Client) decodePage(r call, collection, prefix string, body []byte) (Page, error) {
 	page, err := c.options.Dialect.DecodePage(collection, prefix, body)
 	if err != nil {
