--- a/internal/gossip/duty.go
+++ b/internal/gossip/duty.go
@@ -76,7 +76,9 @@
 	if d.shortSince.IsZero() {
 		d.shortSince = now
 	}
-	if now.Sub(d.shortSince) >= min(time.Duration(position)*turnPause, longestTurn) {
+	// As many as are missing begin at once.
+	turn := max(0, position-(followers-1-sound))
+	if now.Sub(d.shortSince) >= min(time.Duration(turn)*turnPause, longestTurn) {
 		d.following, d.since = true, now
 	}
 	return d.following
@@ -87,7 +89,9 @@
 func (m *Members) countFollowing(now time.Time) (sound, ahead, position int) {
 	own := xxhash.Sum64String(m.self)
 	for address, p := range m.peers {
-		if p.lost || p.leaving {
+		// One that was named and not heard yet may have started just now, as this one has.
+		unheard := p.heard.IsZero() && now.Sub(p.since) < claimsFor
+		if p.lost && !unheard || p.leaving {
 			continue
 		}
 		before := xxhash.Sum64String(address) < own
--- a/internal/gossip/duty_test.go
+++ b/internal/gossip/duty_test.go
@@ -203,6 +203,20 @@
 	})
 
 	// The others take over soon, and not all of them at once.
+	It("is a part of a large fleet that starts at one moment, and soon a few", func() {
+		s := newSimulation(240)
+		for _, d := range s.fleet {
+			s.start(d)
+		}
+		s.play(time.Second)
+		Expect(s.tries()).To(BeNumerically("<=", 120), "daemons that list the platform")
+		for _, d := range s.fleet {
+			Expect(s.table(d)).To(Equal(int64(1)), "it has a configuration within a second")
+		}
+		s.play(2 * time.Second)
+		Expect(s.following()).To(Equal(4))
+	})
+
 	DescribeTable("moves on when those who do can't",
 		func(stop func(*simulated), within time.Duration, most int) {
 			s := newSimulation(60)
