--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosewell/primrosewell/internal/adapter"
@@ -19,8 +20,11 @@
 	// platform. The longest is short beside the time in which a change must be in force.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 400 * time.Millisecond
-	// dutyPoll is the time between two looks at who follows the platform.
-	dutyPoll = 20 * time.Millisecond
+	// dutyPoll is the time between two looks at who follows the platform, and startPoll that
+	// in the first startSpan, in which turns to follow are short.
+	dutyPoll  = 100 * time.Millisecond
+	startPoll = 20 * time.Millisecond
+	startSpan = 3 * time.Second
 )
 
 // listTimeouts bound the calls of a try to list, in turn; a list may take many. A platform
@@ -35,6 +39,8 @@
 	log    *logrus.Logger
 	// onDuty reports whether this gateway follows the platform itself.
 	onDuty func() bool
+	// started is when this gateway started.
+	started time.Time
 
 	mu sync.Mutex
 	// renewals end the calls that wait for changes, by collection.
@@ -134,7 +140,7 @@
 		h.idle()
 	}
 	for ctx.Err() == nil && !w.onDuty() {
-		sleep(ctx, dutyPoll)
+		sleep(ctx, lo.Ternary(time.Since(w.started) < startSpan, startPoll, dutyPoll))
 	}
 	w.log.WithFields(logrus.Fields{"event": "on_duty", "collection": collection}).Info("this gateway follows the platform")
 }
