--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -54,7 +54,7 @@
 		BaseURL: g.settings.Platform.URL, Token: g.settings.Platform.Token, Timeout: g.settings.Platform.Timeout, PollWait: g.settings.Platform.PollWait,
 		Dialect: g.options.Adapter.Dialect, Observe: observeCalls(calls),
 	})
-	return &watcher{store: client, source: g.options.Adapter.Source, log: g.log, onDuty: g.follows, started: g.started}, nil
+	return &watcher{store: client, source: g.options.Adapter.Source, log: g.log, onDuty: g.follows, tookOver: g.tellPeers, started: g.started}, nil
 }
 
 func (g *Gateway) newPeerNews(do.Injector) (*peerNews, error) {
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -39,6 +39,8 @@
 	log    *logrus.Logger
 	// onDuty reports whether this gateway follows the platform itself.
 	onDuty func() bool
+	// tookOver is called when this gateway begins to follow the platform.
+	tookOver func()
 	// started is when this gateway started.
 	started time.Time
 
@@ -143,6 +145,9 @@
 		sleep(ctx, lo.Ternary(time.Since(w.started) < startSpan, startPoll, dutyPoll))
 	}
 	w.log.WithFields(logrus.Fields{"event": "on_duty", "collection": collection}).Info("this gateway follows the platform")
+	if ctx.Err() == nil {
+		w.tookOver()
+	}
 }
 
 // followOnce lists and watches until a call fails. answered is called after the list.
--- a/internal/gossip/duty_test.go
+++ b/internal/gossip/duty_test.go
@@ -109,12 +109,13 @@
 			}
 			d.members.Expire(s.now)
 			follows := d.members.Follows(s.now)
-			if follows && !d.following {
+			tookOver := follows && !d.following
+			d.following = follows
+			if tookOver {
 				d.tries++
 				d.since = s.now
 			}
-			d.following = follows
-			if (int(s.now.UnixNano()/int64(step))+i)%10 != 0 {
+			if !tookOver && (int(s.now.UnixNano()/int64(step))+i)%10 != 0 {
 				continue
 			}
 			addresses := d.members.Addresses()
