command: apply takes what get prints

Cause (seen and left alone before): an operator who edits what `profile get` prints was refused for the unknown field "kind". Shown: command "applies what get prints, and not as another kind", failed before.

--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -36,7 +36,8 @@
 func (c *applyCommand) Usage() string {
 	return fmt.Sprintf(`%[1]s apply -f FILE [-if-version N]: create or change objects, and report where they are in force.
 
-FILE holds one JSON object, or a list of them; - reads standard input.
+FILE holds one JSON object, or a list of them; - reads standard input. What get prints may be
+edited and applied; its version binds only if it is named with -if-version.
 Exit codes: 0 in force everywhere, 2 usage, 3 refused, 4 conflict, 5 result unknown, 6 unreachable,
 7 accepted but not in force everywhere yet.
 
@@ -84,6 +85,10 @@
 
 // apply checks spec here first, so that a mistake is reported without a call.
 func (c *applyCommand) apply(ctx context.Context, client *admin.Client, spec []byte) (admin.ApplyResult, error) {
+	spec, err := c.specOf(spec)
+	if err != nil {
+		return admin.ApplyResult{}, err
+	}
 	name, canonical, err := catalog.Decode(c.kind, spec)
 	if err != nil {
 		return admin.ApplyResult{}, err
@@ -95,6 +100,18 @@
 	return client.Apply(ctx, c.kind, name, canonical, version)
 }
 
+// specOf takes the spec out of a record, as get prints it; anything else is a spec.
+func (c *applyCommand) specOf(data []byte) ([]byte, error) {
+	var record catalog.Record
+	if err := json.Unmarshal(data, &record); err != nil || record.Kind == "" || len(record.Spec) == 0 {
+		return data, nil // catalog.Decode says what is wrong with it.
+	}
+	if record.Kind != c.kind {
+		return nil, failure.New(failure.InvalidObject, fmt.Sprintf("%s is a %s, not a %s", record.Name, record.Kind, c.kind))
+	}
+	return record.Spec, nil
+}
+
 func (c *applyCommand) print(results []admin.ApplyResult) subcommands.ExitStatus {
 	if c.output.format == "json" {
 		c.std.printJSON(results)
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -123,6 +123,19 @@
 		Expect(out).To(ContainSubstring("missing: entry-3"))
 	})
 
+	It("applies what get prints, and not as another kind", func() {
+		code, _, _ := invoke(pilot, "profile", "apply", "-f", "-")
+		Expect(code).To(Equal(exitOK))
+		code, printed, _ := invoke("", "profile", "get", "pilot")
+		Expect(code).To(Equal(exitOK))
+		code, out, errOut := invoke(printed, "profile", "apply", "-f", "-")
+		Expect(code).To(Equal(exitOK), errOut)
+		Expect(out).To(ContainSubstring("pilot: accepted"))
+		code, _, errOut = invoke(printed, "workspace", "apply", "-f", "-")
+		Expect(code).To(Equal(exitRefused))
+		Expect(errOut).To(ContainSubstring("pilot is a profile, not a workspace"))
+	})
+
 	It("passes the version on", func() {
 		code, _, _ := invoke(pilot, "profile", "apply", "-f", "-", "-if-version", "0")
 		Expect(code).To(Equal(exitOK))
