--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -103,7 +103,8 @@
 // specOf takes the spec out of a record, as get prints it; anything else is a spec.
 func (c *applyCommand) specOf(data []byte) ([]byte, error) {
 	var record catalog.Record
-	if json.Unmarshal(data, &record) != nil || record.Kind == "" || len(record.Spec) == 0 {
+	readable := json.Unmarshal(data, &record) == nil
+	if !readable || record.Kind == "" || len(record.Spec) == 0 {
 		return data, nil // catalog.Decode says what is wrong with it.
 	}
 	if record.Kind != c.kind {
