tests: ports of processes lie below those of outgoing connections, everywhere

Change: internal/testport for all three harnesses: 10,000 to 32,000, free on every address for TCP and UDP, each handed out once.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -21,6 +21,7 @@
 	"github.com/primrosewell/primrosewell/internal/routetable"
 	platformstandin "github.com/primrosewell/primrosewell/internal/standin/platform"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
+	"github.com/primrosewell/primrosewell/internal/testport"
 )
 
 // patience is how long a change may take to show; it asserts nothing about speed.
@@ -107,13 +108,8 @@
 type ports struct{ callers, readiness, gossip, fetch int }
 
 func freePorts() ports {
-	var free [4]int
-	for i := range free {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		free[i] = l.Addr().(*net.TCPAddr).Port
-		defer func() { _ = l.Close() }()
-	}
+	free, err := testport.Free(4)
+	Expect(err).NotTo(HaveOccurred())
 	return ports{callers: free[0], readiness: free[1], gossip: free[2], fetch: free[3]}
 }
 
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"github.com/primrosewell/primrosewell/internal/gossip"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
+	"github.com/primrosewell/primrosewell/internal/testport"
 )
 
 // daemon is one of a fleet on loopback addresses of its own.
@@ -34,17 +34,11 @@
 	return d.got[news] > 0
 }
 
-// freePort finds a UDP port that is free on the first address of the fleet.
-func freePort() int {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 9, 1)})
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = conn.Close() }()
-	return conn.LocalAddr().(*net.UDPAddr).Port
-}
-
 // startFleet starts n daemons that know the first three, as the platform names no more.
 func startFleet(n int) []*daemon {
-	port := freePort()
+	ports, err := testport.Free(1)
+	Expect(err).NotTo(HaveOccurred())
+	port := ports[0]
 	address := func(i int) string { return fmt.Sprintf("127.0.9.%d", i+1) }
 	fleet := make([]*daemon, n)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/test/e2e/gateway_test.go
+++ b/test/e2e/gateway_test.go
@@ -25,6 +25,7 @@
 	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 	"github.com/primrosewell/primrosewell/internal/standin/opaque"
+	"github.com/primrosewell/primrosewell/internal/testport"
 )
 
 // gatewayProcess is one gateway of a fleet.
@@ -58,16 +59,9 @@
 	f := &gatewayFleet{grace: grace}
 	f.platform, f.platformAddress = standin("platform", "-token", platformToken)
 	f.store = platform.NewClient(platform.ClientOptions{BaseURL: "http://" + f.platformAddress, Token: platformToken})
-	var held []net.Listener // All at once, so that the ports differ.
-	for i := range f.ports {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		held = append(held, l)
-		f.ports[i] = l.Addr().(*net.TCPAddr).Port
-	}
-	for _, l := range held {
-		Expect(l.Close()).To(Succeed())
-	}
+	ports, err := testport.Free(len(f.ports))
+	Expect(err).NotTo(HaveOccurred())
+	copy(f.ports[:], ports)
 	return f
 }
 
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,6 +27,7 @@
 	"github.com/primrosewell/primrosewell/internal/catalog"
 	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/standin/service"
+	"github.com/primrosewell/primrosewell/internal/testport"
 )
 
 func TestEndToEnd(t *testing.T) {
@@ -147,31 +147,11 @@
 	return c
 }
 
-// Ports of daemons lie below the range that the kernel gives to outgoing connections,
-// which could take a port between its choice here and the daemon's start.
-const (
-	firstPort = 20_000
-	lastPort  = 32_000
-)
-
-var nextPort = firstPort + os.Getpid()%(lastPort-firstPort)
-
 func freeAddress() string {
 	GinkgoHelper()
-	for range lastPort - firstPort {
-		nextPort++
-		if nextPort >= lastPort {
-			nextPort = firstPort
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			Expect(listener.Close()).To(Succeed())
-			return address
-		}
-	}
-	Fail("no free port")
-	return ""
+	ports, err := testport.Free(1)
+	Expect(err).NotTo(HaveOccurred())
+	return fmt.Sprintf("127.0.0.1:%d", ports[0])
 }
 
 func hash(secret string) string {
