--- a/internal/gateway/peernews.go
+++ b/internal/gateway/peernews.go
@@ -40,6 +40,8 @@
 	// noticed is the newest that peers were seen to have, and due when it may be fetched.
 	noticed known
 	due     time.Time
+	// waits is set while a fetch waits until due.
+	waits bool
 }
 
 // Check starts a fetch if a peer knows more and no fetch is running.
@@ -96,11 +98,16 @@
 	newest.Listing, _ = p.members.NewestListing()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if newest != p.noticed {
-		p.noticed = newest
-		p.due = now.Add(fetchAfter + rand.N(fetchSpread))
+	// What is newer still does not put off a fetch that waits: a list may change all the time.
+	if newest != p.noticed && !p.waits {
+		p.due, p.waits = now.Add(fetchAfter+rand.N(fetchSpread)), true
 	}
-	return !now.Before(p.due)
+	p.noticed = newest
+	if now.Before(p.due) {
+		return false
+	}
+	p.waits = false
+	return true
 }
 
 // Told takes news that a peer told unasked.
--- a/internal/gateway/snapshot_test.go
+++ b/internal/gateway/snapshot_test.go
@@ -144,3 +144,25 @@
 	hear(1, 6)
 	g.Expect(b.news.patient(later)).To(BeFalse(), "newer ones are")
 }
+
+// Load pattern: endpoints are replaced one after the other, and the list changes each 40 ms.
+// A gateway that missed news must not wait for a pause between the changes.
+func TestPatienceEnds(t *testing.T) {
+	g := NewWithT(t)
+	b := newBeliefs()
+	b.install(t, 1)
+	now := time.Unix(1000, 0)
+	for i := range 30 {
+		b.news.members.Heard(now, gossip.Message{Node: fmt.Sprint(i), Address: fmt.Sprint("10.0.1.", i), Incarnation: 1, Listing: 5})
+	}
+	fetches := 0
+	for i := range 250 {
+		now = now.Add(40 * time.Millisecond)
+		b.news.members.Heard(now, gossip.Message{Node: "1", Address: "10.0.1.1", Incarnation: 1, Listing: int64(6 + i)})
+		if b.news.patient(now) {
+			fetches++
+		}
+	}
+	g.Expect(fetches).To(BeNumerically(">=", 30), "ten seconds hold forty of the longest waits")
+	g.Expect(fetches).To(BeNumerically("<=", 200), "not each change is fetched by itself")
+}
