Reserve endpoints by the limit on pauses, not by prompt size alone

A trace shows first events at 70 ms (p50) and 503 of 1,358 chats late by pauses. Change: a request is interactive if its prompt is short and no other route to the service has a much tighter limit on pauses; only these take reserved endpoints.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -98,6 +98,27 @@
 			Expect(len(long)).To(BeNumerically(">=", 6))
 		})
 
+		It("keeps short prompts that tolerate pauses off the endpoints of those that don't", func() {
+			p := newPool(18)
+			request := func(i int) balance.Request {
+				return balance.Request{PromptTokens: 1460, Parts: []balance.PromptPart{{ID: "tiny", Tokens: 350}, {ID: fmt.Sprint("own", i), Tokens: 1110}}}
+			}
+			interactive, tolerant := make(map[string]int), make(map[string]int)
+			for i := range 40 {
+				c := p.Pick(now, request(2*i))
+				c.ResponseStarted(now)
+				interactive[c.ID]++
+				r := request(2*i + 1)
+				r.TolerantOfPauses = true
+				tolerant[p.Pick(now, r).ID]++
+			}
+			for id := range interactive {
+				Expect(tolerant).NotTo(HaveKey(id))
+			}
+			Expect(interactive).To(HaveLen(2))
+			Expect(len(tolerant)).To(BeNumerically(">=", 14))
+		})
+
 		It("sends long prompts to reserved endpoints when the others have a long backlog", func() {
 			p := newPool(9)
 			used := make(map[string]bool)
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -28,6 +28,9 @@
 	// Parts are the declared parts of the prompt in order. The last part is specific to this
 	// request; the others may be shared with other requests.
 	Parts []PromptPart
+	// TolerantOfPauses is set if other requests to this pool have a much tighter limit on the
+	// pauses in their streams.
+	TolerantOfPauses bool
 	// Priority is the request's priority in the engine's queue; 0 is served first.
 	Priority int
 	// Exclude holds the ids of the endpoints that this request has already tried.
@@ -72,13 +75,13 @@
 	// their prompt tokens that are not prefilled yet.
 	running       int
 	pendingTokens int
-	// runningShort counts those of running whose prompts are short.
-	runningShort int
+	// runningInteractive counts those of running that are interactive.
+	runningInteractive int
 	// pendingByPriority splits pendingTokens by priority.
 	pendingByPriority backlog
 	// remote is the load that other daemons put on the endpoint.
 	remote Load
-	// reserved endpoints are for short prompts.
+	// reserved endpoints are for interactive requests.
 	reserved bool
 	cache    partCache
 	health   health
@@ -124,7 +127,7 @@
 		p.order = append(p.order, e)
 	}
 	p.endpoints = next
-	p.reservation.size = reservedCount(len(p.order), p.slots(), p.reservation.runningShort)
+	p.reservation.size = reservedCount(len(p.order), p.slots(), p.reservation.running)
 	p.assignReserved()
 }
 
@@ -188,7 +191,7 @@
 	endpoint       *endpoint
 	pendingTokens  int
 	priority       int
-	short          bool
+	interactive    bool
 	parts          []hashedPart
 	pickedAt       time.Time
 	pendingRemoved bool
@@ -214,14 +217,14 @@
 	c := &Choice{
 		Endpoint: e.Endpoint, Reason: best.reason, Score: best.cost, Candidates: len(candidates),
 		pool: p, endpoint: e, pendingTokens: best.pendingTokens, parts: parts, pickedAt: now,
-		PredictedWait: p.predictWait(e, request.Priority), priority: request.Priority, short: request.PromptTokens <= maxShortPrompt,
+		PredictedWait: p.predictWait(e, request.Priority), priority: request.Priority, interactive: request.interactive(),
 	}
 	if best.fetchSource != nil {
 		c.FetchFrom = best.fetchSource.Address
 	}
 	e.running++
-	if c.short {
-		e.runningShort++
+	if c.interactive {
+		e.runningInteractive++
 	}
 	e.addPending(c.priority, c.pendingTokens)
 	e.health.requestSent(now)
@@ -262,8 +265,8 @@
 		c.endpoint.addPending(c.priority, -c.pendingTokens)
 	}
 	c.endpoint.running--
-	if c.short {
-		c.endpoint.runningShort--
+	if c.interactive {
+		c.endpoint.runningInteractive--
 	}
 	c.endpoint.health.observeResult(now, result)
 	if result != Succeeded {
--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -60,7 +60,7 @@
 		p.cachedTokens = append(p.cachedTokens, e.cache.cachedTokens(now, parts))
 	}
 	source, sourceTokens := p.fetchSource(now, candidates, affinity, sharedTokens)
-	longPrompt := request.PromptTokens > maxShortPrompt
+	interactive := request.interactive()
 	drawn := newSample(candidates, p.daemons)
 	var best scoredEndpoint
 	for i, e := range candidates {
@@ -82,7 +82,7 @@
 			}
 		}
 		s.cost += p.cost(now, e, s.pendingTokens, median)
-		s.cost += p.reservationPenalty(e, longPrompt)
+		s.cost += p.reservationPenalty(e, interactive)
 		if best.endpoint == nil || s.cost < best.cost {
 			best = s
 		}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -257,7 +257,10 @@
 // place chooses the next endpoint and excludes it from later placements of this request.
 func (j *job) place(pool *balance.Pool) *balance.Choice {
 	now := time.Now()
-	choice := pool.Pick(now, balance.Request{PromptTokens: j.promptTokens, Parts: j.promptParts, Priority: j.urgency, Exclude: j.triedEndpoints})
+	choice := pool.Pick(now, balance.Request{
+		PromptTokens: j.promptTokens, Parts: j.promptParts, Priority: j.urgency, Exclude: j.triedEndpoints,
+		TolerantOfPauses: j.table.TolerantOfPauses(j.service, j.route),
+	})
 	if choice == nil {
 		return nil
 	}
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -123,6 +123,7 @@
 	workspacesByKey map[string]*Workspace
 	urgency         map[rank]int
 	longestTargets  longestTargets
+	tightestPauses  tightestPauses
 }
 
 // New returns a table for spec. It retains the spec's slices, which must not change later.
@@ -135,6 +136,7 @@
 		urgency:         assignUrgencies(spec),
 	}
 	t.longestTargets = findLongestTargets(spec, t.urgency)
+	t.tightestPauses = findTightestPauses(spec)
 	for i := range spec.Routes {
 		route := &spec.Routes[i]
 		host := strings.ToLower(route.Host)
--- a/internal/routetable/table_test.go
+++ b/internal/routetable/table_test.go
@@ -124,4 +124,22 @@
 		Expect(table.LongestTarget("llm", last)).To(Equal(100 * time.Millisecond))
 		Expect(table.LongestTarget("unknown", 0)).To(BeZero())
 	})
+
+	It("tells which routes tolerate longer pauses than the tightest one to the same service", func() {
+		engine := []routetable.Backend{{Service: "llm"}}
+		spec := routetable.Spec{Routes: []routetable.Route{
+			{Name: "chat", MaxPause: 250 * time.Millisecond, Backends: engine},
+			{Name: "other-chat", MaxPause: 300 * time.Millisecond, Backends: engine},
+			{Name: "faq", MaxPause: 400 * time.Millisecond, Backends: engine},
+			{Name: "whole", Backends: engine},
+			{Name: "elsewhere", MaxPause: time.Second, Backends: []routetable.Backend{{Service: "other"}}},
+			{Name: "plain", Backends: []routetable.Backend{{Service: "plain"}}},
+		}}
+		table := routetable.New(spec)
+		tolerant := func(i int) bool {
+			return table.TolerantOfPauses(spec.Routes[i].Backends[0].Service, &spec.Routes[i])
+		}
+		Expect([]bool{tolerant(0), tolerant(1), tolerant(2), tolerant(3), tolerant(4), tolerant(5)}).
+			To(Equal([]bool{false, false, true, true, false, false}))
+	})
 })
