--- a/internal/directory/delta.go
+++ b/internal/directory/delta.go
@@ -34,20 +34,21 @@
 	Digest uint64 `json:"digest"`
 }
 
-// changeLog records the list version in which each endpoint last changed. The daemon
-// assigns list versions; a change belongs to the next version that is assigned.
+// changeLog records the number of the list version in which each endpoint last changed. The
+// daemon assigns list versions; a change belongs to the next version that is assigned.
 type changeLog struct {
 	// digest is the XOR of the hashes of all endpoints.
 	digest uint64
 	// pending are the IDs of endpoints whose change has no version yet.
-	pending  map[string]struct{}
-	versions map[string]int64
-	// completeSince is the list version after which every change is recorded.
-	completeSince int64
+	pending map[string]struct{}
+	numbers map[string]int64
+	// completeSince is the list version after which every change is recorded. All numbers are
+	// of its era.
+	completeSince Version
 }
 
 func newChangeLog() changeLog {
-	return changeLog{pending: make(map[string]struct{}), versions: make(map[string]int64)}
+	return changeLog{pending: make(map[string]struct{}), numbers: make(map[string]int64)}
 }
 
 func (c *changeLog) note(id string) { c.pending[id] = struct{}{} }
@@ -65,17 +66,20 @@
 }
 
 // AssignVersion assigns the list version to all changes since the last call. It reports
-// whether there were any.
-func (d *Directory) AssignVersion(version int64) bool {
+// whether there were any, or the version is the first one of a later era.
+func (d *Directory) AssignVersion(version Version) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := &d.changes
-	if c.completeSince == 0 {
-		c.completeSince = version // There are no changes to report from before the first list.
-	}
 	changed := len(c.pending) > 0
+	if c.completeSince.Number == 0 || !version.SameEra(c.completeSince) {
+		// There are no changes to report from before the first list of an era.
+		changed = changed || c.completeSince.Number > 0
+		c.completeSince = version
+		clear(c.numbers)
+	}
 	for id := range c.pending {
-		c.versions[id] = version
+		c.numbers[id] = version.Number
 	}
 	clear(c.pending)
 	d.forgetRemoved()
@@ -86,28 +90,29 @@
 // d.mu is held.
 func (d *Directory) forgetRemoved() {
 	c := &d.changes
-	if len(c.versions) <= len(d.entries)+maxRemovedKept {
+	if len(c.numbers) <= len(d.entries)+maxRemovedKept {
 		return
 	}
-	removed := make([]string, 0, len(c.versions))
-	for id := range c.versions {
+	removed := make([]string, 0, len(c.numbers))
+	for id := range c.numbers {
 		if d.entries[id] == nil {
 			removed = append(removed, id)
 		}
 	}
-	slices.SortFunc(removed, func(a, b string) int { return int(c.versions[a] - c.versions[b]) })
+	slices.SortFunc(removed, func(a, b string) int { return int(c.numbers[a] - c.numbers[b]) })
 	for _, id := range removed[:len(removed)/2] {
-		c.completeSince = max(c.completeSince, c.versions[id])
-		delete(c.versions, id)
+		c.completeSince.Number = max(c.completeSince.Number, c.numbers[id])
+		delete(c.numbers, id)
 	}
 }
 
 // DeltaSince returns the changes after the given list version, or the full list if not
 // all of them are recorded. Changes that have no version yet are included.
-func (d *Directory) DeltaSince(version int64) Delta {
+func (d *Directory) DeltaSince(version Version) Delta {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delta := Delta{Full: version < d.changes.completeSince || version == 0, Digest: d.changes.digest}
+	from := d.changes.completeSince
+	delta := Delta{Full: version.Number == 0 || !version.SameEra(from) || version.Number < from.Number, Digest: d.changes.digest}
 	for id, e := range d.entries {
 		if !e.missingSince.IsZero() {
 			delta.Missing = append(delta.Missing, id)
@@ -121,7 +126,7 @@
 		}
 		return delta
 	}
-	for _, id := range d.changedSince(version) {
+	for _, id := range d.changedSince(version.Number) {
 		if e := d.entries[id]; e != nil {
 			delta.Endpoints = append(delta.Endpoints, e.endpoint)
 		} else {
@@ -131,12 +136,12 @@
 	return delta
 }
 
-// changedSince returns the sorted IDs of endpoints that changed after the version; d.mu
-// is held.
-func (d *Directory) changedSince(version int64) []string {
+// changedSince returns the sorted IDs of endpoints that changed after the version of that
+// number; d.mu is held.
+func (d *Directory) changedSince(number int64) []string {
 	ids := slices.Collect(maps.Keys(d.changes.pending))
-	for id, changedAt := range d.changes.versions {
-		if _, pending := d.changes.pending[id]; changedAt > version && !pending {
+	for id, changedAt := range d.changes.numbers {
+		if _, pending := d.changes.pending[id]; changedAt > number && !pending {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/directory/delta_test.go
+++ b/internal/directory/delta_test.go
@@ -14,6 +14,9 @@
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
+// number returns a version of an unknown era.
+func number(n int64) directory.Version { return directory.Version{Number: n} }
+
 var _ = Describe("A delta", func() {
 	endpoint := func(id string) routetable.Endpoint {
 		return routetable.Endpoint{ID: id, Service: "s", Address: id + ":1", Slots: 1}
@@ -22,28 +25,28 @@
 	BeforeEach(func() {
 		d = directory.New()
 		d.Replace(time.Unix(1000, 0), []routetable.Endpoint{endpoint("a"), endpoint("b")})
-		Expect(d.AssignVersion(10)).To(BeTrue())
+		Expect(d.AssignVersion(number(10))).To(BeTrue())
 	})
 
 	It("is the full list for a peer that has no version, or one older than the first", func() {
 		for _, since := range []int64{0, 9} {
-			delta := d.DeltaSince(since)
+			delta := d.DeltaSince(number(since))
 			Expect(delta.Full).To(BeTrue())
 			Expect(delta.Endpoints).To(Equal([]routetable.Endpoint{endpoint("a"), endpoint("b")}))
 		}
 	})
 
 	It("holds the endpoints that changed, including those without an assigned version", func() {
-		Expect(d.AssignVersion(11)).To(BeFalse(), "nothing changed")
+		Expect(d.AssignVersion(number(11))).To(BeFalse(), "nothing changed")
 		d.Put(endpoint("c"))
-		d.AssignVersion(12)
+		d.AssignVersion(number(12))
 		d.Put(endpoint("d"))
 		d.Remove(time.Unix(1000, 0), "a")
-		delta := d.DeltaSince(10)
+		delta := d.DeltaSince(number(10))
 		Expect(delta.Full).To(BeFalse())
 		Expect(delta.Endpoints).To(Equal([]routetable.Endpoint{endpoint("c"), endpoint("d")}))
 		Expect(delta.Removed).To(Equal([]string{"a"}))
-		Expect(d.DeltaSince(12).Endpoints).To(Equal([]routetable.Endpoint{endpoint("d")}))
+		Expect(d.DeltaSince(number(12)).Endpoints).To(Equal([]routetable.Endpoint{endpoint("d")}))
 	})
 
 	It("has a digest that covers every field of an endpoint", func() {
@@ -51,7 +54,7 @@
 		digest := func(e routetable.Endpoint) uint64 {
 			other := directory.New()
 			other.Put(e)
-			return other.DeltaSince(0).Digest
+			return other.DeltaSince(number(0)).Digest
 		}
 		for i := range original.NumField() {
 			changed := endpoint("a")
@@ -71,12 +74,12 @@
 		for i := range 4100 {
 			id := fmt.Sprint("x", i)
 			d.Put(endpoint(id))
-			d.AssignVersion(int64(100 + 2*i))
+			d.AssignVersion(number(int64(100 + 2*i)))
 			d.Remove(time.Unix(1000, 0), id)
-			d.AssignVersion(int64(101 + 2*i))
+			d.AssignVersion(number(int64(101 + 2*i)))
 		}
-		Expect(d.DeltaSince(10).Full).To(BeTrue())
-		recent := d.DeltaSince(100 + 2*4000)
+		Expect(d.DeltaSince(number(10)).Full).To(BeTrue())
+		recent := d.DeltaSince(number(100 + 2*4000))
 		Expect(recent.Full).To(BeFalse())
 		Expect(recent.Removed).To(HaveLen(100))
 	})
@@ -108,20 +111,20 @@
 				source.Expire(now)
 			default:
 				i := rapid.IntRange(0, len(receivers)-1).Draw(t, "receiver")
-				delta := source.DeltaSince(versions[i])
+				delta := source.DeltaSince(number(versions[i]))
 				if !receivers[i].Apply(delta) {
 					if delta.Full {
 						t.Fatalf("the full list does not lead to the same list: %+v", delta)
 					}
-					receivers[i].Apply(source.DeltaSince(0))
+					receivers[i].Apply(source.DeltaSince(number(0)))
 				}
-				receivers[i].AssignVersion(version)
+				receivers[i].AssignVersion(number(version))
 				versions[i] = version
 				requireSameEndpoints(t, source, receivers[i])
 				continue
 			}
 			version++
-			source.AssignVersion(version)
+			source.AssignVersion(number(version))
 		}
 	})
 }
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -34,10 +34,13 @@
 	availableSince time.Time
 	changeCount    uint64
 	changes        changeLog
+	retired        retiredEndpoints
 }
 
 // New returns an empty directory.
-func New() *Directory { return &Directory{entries: make(map[string]*entry), changes: newChangeLog()} }
+func New() *Directory {
+	return &Directory{entries: make(map[string]*entry), changes: newChangeLog(), retired: newRetiredEndpoints()}
+}
 
 // PlatformUnavailable records that the platform can't be read.
 func (d *Directory) PlatformUnavailable() {
@@ -74,6 +77,9 @@
 func (d *Directory) set(id string, e *entry) {
 	if old := d.entries[id]; old != nil {
 		d.changes.digest ^= hashEndpoint(old.endpoint)
+		if e == nil {
+			d.retired.add(old.endpoint)
+		}
 	}
 	delete(d.entries, id)
 	if e != nil {
@@ -115,6 +121,10 @@
 func (d *Directory) Replace(now time.Time, endpoints []routetable.Endpoint) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.replace(now, endpoints)
+}
+
+func (d *Directory) replace(now time.Time, endpoints []routetable.Endpoint) {
 	listed := make(map[string]bool, len(endpoints))
 	for _, endpoint := range endpoints {
 		listed[endpoint.ID] = true
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -102,6 +102,30 @@
 		Expect(d.Expire(now.Add(time.Hour))).To(BeEmpty())
 	})
 
+	It("takes from an older copy no endpoint that drains or has left, and keeps those that it lacks", func() {
+		draining, left := endpoint("a"), endpoint("b")
+		draining.Draining = true
+		d.Put(endpoint("since"))
+		d.Put(draining)
+		d.Remove(now, "b")
+		d.ReplaceFromCopy(now, []routetable.Endpoint{endpoint("a"), left, endpoint("c")})
+		Expect(usable()).To(ConsistOf("since", "c"))
+
+		By("following what the endpoints write themselves afterwards")
+		d.Put(left)
+		Expect(usable()).To(ConsistOf("since", "c", "b"))
+		Expect(d.Expire(now.Add(directory.ReturnGrace / 2))).To(BeEmpty())
+		Expect(d.Expire(now.Add(2 * directory.ReturnGrace))).To(ConsistOf("since"))
+	})
+
+	It("takes from an older copy an endpoint whose process started after the one that left", func() {
+		restarted := endpoint("b")
+		restarted.StartedAt = 7
+		d.Remove(now, "b")
+		d.ReplaceFromCopy(now, []routetable.Endpoint{endpoint("a"), restarted})
+		Expect(usable()).To(ConsistOf("a", "b"))
+	})
+
 	It("uses the endpoint that started last of two with the same address", func() {
 		old, newer := endpoint("a"), endpoint("c")
 		old.StartedAt, newer.StartedAt, newer.Address = 1, 2, old.Address
--- a/internal/gateway/endpointlist.go
+++ b/internal/gateway/endpointlist.go
@@ -14,8 +14,8 @@
 const removalBits = 16
 
 // endpointList is the list of endpoints and its version. The version orders the lists of
-// all gateways: it combines the platform's version with the number of missing entries
-// removed since. While this gateway does not watch the platform, or can't read it, it
+// all gateways: it holds the platform's era, and its number combines the platform's version
+// with the count of missing entries removed since. While this gateway does not watch the platform, or can't read it, it
 // accepts newer lists from peers. It is safe for concurrent use.
 type endpointList struct {
 	directory *directory.Directory
@@ -25,7 +25,9 @@
 	log                    *logrus.Logger
 
 	mu      sync.Mutex
-	version int64
+	version directory.Version
+	// listedEra is the platform's era of the last list that this gateway read itself, or 0.
+	listedEra int64
 	// confirmedAt is the last time at which the list was known to be current, from the
 	// platform or from the versions of live peers.
 	confirmedAt time.Time
@@ -37,15 +39,15 @@
 	standby bool
 }
 
-// Version returns the version of the list, or 0 before the first list.
-func (l *endpointList) Version() int64 {
+// Version returns the version of the list, or the zero version before the first list.
+func (l *endpointList) Version() directory.Version {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.version
 }
 
 // PlatformVersion returns the platform's version of the list, or 0 before the first list.
-func (l *endpointList) PlatformVersion() int64 { return l.Version() >> removalBits }
+func (l *endpointList) PlatformVersion() int64 { return l.Version().Number >> removalBits }
 
 // Age returns the time since the list was last known to be current, or 0 before the first list.
 func (l *endpointList) Age(now time.Time) time.Duration {
@@ -59,10 +61,10 @@
 
 // Confirm marks the list as current if version, the newest list version of all live peers,
 // is not newer.
-func (l *endpointList) Confirm(now time.Time, version int64) {
+func (l *endpointList) Confirm(now time.Time, version directory.Version) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if version > 0 && version <= l.version {
+	if version.Number > 0 && !version.After(l.version) {
 		l.confirmedAt = now
 	}
 }
@@ -74,33 +76,36 @@
 	return l.platformUnreachable
 }
 
-// Accepts reports whether a peer's list of that version would replace this one.
-func (l *endpointList) Accepts(version int64) bool {
+// Accepts reports whether a peer's list of that version would replace this one. A list of a
+// later era does so even while this gateway watches the platform, as its watch still waits for
+// changes of an era that has ended.
+func (l *endpointList) Accepts(version directory.Version) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return (l.platformUnavailable || l.standby) && version > l.version
+	outdated := l.version.Era > 0 && version.Era > l.version.Era
+	return (l.platformUnavailable || l.standby || outdated) && version.After(l.version)
 }
 
-// SetPlatformVersion records that all changes up to the platform's version have been
-// applied. The list version grows only if the list changed, so that peers fetch nothing
+// SetPlatformVersion records that all changes up to the platform's version in that era have
+// been applied. The list version grows only if the list changed, so that peers fetch nothing
 // else.
-func (l *endpointList) SetPlatformVersion(version int64) {
-	if l.advanceTo(version << removalBits) {
+func (l *endpointList) SetPlatformVersion(era, version int64) {
+	if l.advanceTo(directory.Version{Era: era, Number: version << removalBits}) {
 		l.onNewVersion()
 	}
 }
 
-// advanceTo marks the list as current and raises its version if the list has changed. It
-// reports whether the version grew.
-func (l *endpointList) advanceTo(version int64) bool {
+// advanceTo marks the list as current and raises its version if the list has changed or the
+// era has. It reports whether the version grew.
+func (l *endpointList) advanceTo(version directory.Version) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.confirmedAt = time.Now()
-	version = max(l.version, version)
-	if !l.directory.AssignVersion(version) && l.version > 0 {
+	version = directory.Latest(l.version, version)
+	if !l.directory.AssignVersion(version) && l.version.Number > 0 {
 		return false
 	}
-	newer := version > l.version
+	newer := version.After(l.version)
 	l.version = version
 	return newer
 }
@@ -112,7 +117,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.version++
+	l.version.Number++
 	l.directory.AssignVersion(l.version)
 	l.mu.Unlock()
 	l.log.WithFields(logrus.Fields{"event": "endpoints_gone", "endpoints": removed}).Info("entries did not return after the outage")
@@ -131,6 +136,20 @@
 	l.directory.PlatformAvailable(time.Now())
 }
 
+// BeginEra records that this gateway has listed the platform's endpoints in that era. It
+// reports whether the list is its first one of a later era, and so may be older than what it
+// holds.
+func (l *endpointList) BeginEra(era int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	previous := l.listedEra
+	if previous == 0 {
+		previous = l.version.Era // Of a peer's list.
+	}
+	l.listedEra = max(l.listedEra, era)
+	return previous > 0 && era > previous
+}
+
 // Standby records that other gateways watch the platform from now on.
 func (l *endpointList) Standby() { l.setState(false, true, false) }
 
@@ -143,22 +162,22 @@
 // ApplyPeerDelta applies a peer's delta, which leads to its list of that version, if Accepts
 // allows it. It returns false if the result differs from the peer's list, so that the full
 // list must be requested.
-func (l *endpointList) ApplyPeerDelta(version int64, delta directory.Delta, peer string) bool {
+func (l *endpointList) ApplyPeerDelta(version directory.Version, delta directory.Delta, peer string) bool {
 	if !l.Accepts(version) {
 		return true
 	}
 	matches := l.directory.Apply(delta)
 	if !matches && !delta.Full {
-		l.log.WithFields(logrus.Fields{"event": "endpoints_differ", "from": "peer " + peer, "version": version >> removalBits}).Warn("a peer's delta does not lead to its list; the full list is requested")
+		l.log.WithFields(logrus.Fields{"event": "endpoints_differ", "from": "peer " + peer, "version": version.Number >> removalBits, "era": version.Era}).Warn("a peer's delta does not lead to its list; the full list is requested")
 		l.onChange()
 		return false
 	}
 	l.mu.Lock()
 	l.directory.AssignVersion(version)
-	l.version, l.confirmedAt = max(l.version, version), time.Now()
+	l.version, l.confirmedAt = directory.Latest(l.version, version), time.Now()
 	l.mu.Unlock()
 	l.log.WithFields(logrus.Fields{
-		"event": "endpoints", "from": "peer " + peer, "version": version >> removalBits, "whole": delta.Full, "changed": len(delta.Endpoints), "gone": len(delta.Removed),
+		"event": "endpoints", "from": "peer " + peer, "version": version.Number >> removalBits, "era": version.Era, "whole": delta.Full, "changed": len(delta.Endpoints), "gone": len(delta.Removed),
 	}).Info("endpoint list of a peer applied")
 	l.onChange()
 	return true
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -141,7 +141,7 @@
 	if g.members.ShouldWatch(now) {
 		return true
 	}
-	return (g.tableHolder.Table() == nil || g.endpointList.Version() == 0) && now.Sub(g.started) > g.peerWait
+	return (g.tableHolder.Table() == nil || g.endpointList.Version().Number == 0) && now.Sub(g.started) > g.peerWait
 }
 
 // pushToPeers triggers an immediate message to the peers.
--- a/internal/gateway/peersync.go
+++ b/internal/gateway/peersync.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/primrosewell/primrosewell/internal/directory"
 	"github.com/primrosewell/primrosewell/internal/gossip"
 )
 
@@ -32,8 +33,10 @@
 	members      *gossip.Members
 	fetcher      *gossip.Fetcher
 	port         int
-	log          *logrus.Logger
-	fetching     sync.Mutex
+	// onPeerEra receives the era of the newest list of a peer.
+	onPeerEra func(era int64)
+	log       *logrus.Logger
+	fetching  sync.Mutex
 	// needFull is set while the full endpoint list must be requested.
 	needFull atomic.Bool
 
@@ -49,11 +52,13 @@
 // FetchIfBehind starts a fetch if a peer has a newer table or list, the fetch is due and
 // none is running.
 func (p *peerSync) FetchIfBehind(ctx context.Context) {
-	version, address := p.members.NewestTableVersion()
-	if version <= p.tableHolder.Version() {
-		version, address = p.members.NewestListVersion()
-		p.endpointList.Confirm(time.Now(), version)
-		if !p.endpointList.Accepts(version) {
+	tableVersion, address := p.members.NewestTableVersion()
+	listVersion, listAddress := p.members.NewestListVersion()
+	p.onPeerEra(listVersion.Era)
+	if tableVersion <= p.tableHolder.Version() {
+		address = listAddress
+		p.endpointList.Confirm(time.Now(), listVersion)
+		if !p.endpointList.Accepts(listVersion) {
 			return
 		}
 	}
@@ -63,7 +68,7 @@
 	go func() {
 		defer p.fetching.Unlock()
 		if err := p.fetch(ctx, address); err != nil {
-			p.log.WithFields(logrus.Fields{"event": "fetch_failed", "peer": address, "version": version, "error": err}).Warn("a peer's snapshot could not be fetched")
+			p.log.WithFields(logrus.Fields{"event": "fetch_failed", "peer": address, "table_version": tableVersion, "version": listVersion.Number >> removalBits, "era": listVersion.Era, "error": err}).Warn("a peer's snapshot could not be fetched")
 			p.delayFetch(time.Now())
 		}
 	}()
@@ -97,9 +102,9 @@
 		defer p.mu.Unlock()
 		return !now.Before(p.fetchAt)
 	}
-	var newest versions
-	newest.Table, _ = p.members.NewestTableVersion()
-	newest.List, _ = p.members.NewestListVersion()
+	tableVersion, _ := p.members.NewestTableVersion()
+	listVersion, _ := p.members.NewestListVersion()
+	newest := newVersions(tableVersion, listVersion)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	// Even newer versions don't postpone a scheduled fetch: a list may change continuously.
@@ -133,16 +138,23 @@
 	if s.Table != nil {
 		p.tableHolder.Install(s.Table, "peer "+address)
 	}
-	if s.ListVersion > 0 && (s.Full || !p.needFull.Load() && s.Since <= p.endpointList.Version()) {
-		p.needFull.Store(!p.endpointList.ApplyPeerDelta(s.ListVersion, s.Delta, address))
+	if s.ListNumber > 0 && (s.Full || !p.needFull.Load() && p.appliesHere(s)) {
+		p.needFull.Store(!p.endpointList.ApplyPeerDelta(s.listVersion(), s.Delta, address))
 	}
 	return nil
 }
 
+// appliesHere reports whether the delta of a snapshot applies to the list of this gateway.
+func (p *peerSync) appliesHere(s snapshot) bool {
+	base := directory.Version{Era: s.ListEra, Number: s.Since}
+	held := p.endpointList.Version()
+	return base.SameEra(held) && !base.After(held)
+}
+
 func (p *peerSync) fetch(ctx context.Context, address string) error {
-	held := versions{Table: p.tableHolder.Version(), List: p.endpointList.Version()}
+	held := newVersions(p.tableHolder.Version(), p.endpointList.Version())
 	if p.needFull.Load() {
-		held.List = 0
+		held.ListNumber = 0
 	}
 	request, err := json.Marshal(held)
 	if err != nil {
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -51,15 +51,25 @@
 		return nil, err
 	}
 	calls := metrics.Scope.SubScope("platform")
-	client := platform.NewClient(platform.ClientOptions{
+	w := &watcher{source: g.options.Adapter.Source, log: g.log, shouldWatch: g.shouldWatch, onTakeover: g.pushToPeers, started: g.started}
+	w.store = platform.NewClient(platform.ClientOptions{
 		BaseURL: g.settings.Platform.URL, Token: g.settings.Platform.Token, Timeout: g.settings.Platform.Timeout, PollWait: g.settings.Platform.PollWait,
 		Dialect: g.options.Adapter.Dialect, Observe: observeCalls(calls),
+		OnEra: func(previous, era int64) {
+			g.log.WithFields(logrus.Fields{"event": "platform_era", "era": era, "previous": previous}).Warn("the platform has come back from an older copy of its data; its collections are listed again")
+			calls.Counter("era_changes").Inc(1)
+			w.RelistBefore(era)
+		},
 	})
-	return &watcher{store: client, source: g.options.Adapter.Source, log: g.log, shouldWatch: g.shouldWatch, onTakeover: g.pushToPeers, started: g.started}, nil
+	return w, nil
 }
 
-func (g *Gateway) newPeerSync(do.Injector) (*peerSync, error) {
-	return &peerSync{tableHolder: g.tableHolder, endpointList: g.endpointList, members: g.members, fetcher: gossip.NewFetcher(), port: g.settings.Peers.FetchPort, log: g.log}, nil
+func (g *Gateway) newPeerSync(i do.Injector) (*peerSync, error) {
+	w, err := do.Invoke[*watcher](i)
+	if err != nil {
+		return nil, err
+	}
+	return &peerSync{onPeerEra: w.RelistBefore, tableHolder: g.tableHolder, endpointList: g.endpointList, members: g.members, fetcher: gossip.NewFetcher(), port: g.settings.Peers.FetchPort, log: g.log}, nil
 }
 
 func (g *Gateway) newForwarder(i do.Injector) (*forward.Forwarder, error) {
--- a/internal/gateway/publisher.go
+++ b/internal/gateway/publisher.go
@@ -50,7 +50,7 @@
 func (p *snapshotPublisher) RecentDelta(now time.Time) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	current := versions{Table: p.tableHolder.Version(), List: p.endpointList.Version()}
+	current := newVersions(p.tableHolder.Version(), p.endpointList.Version())
 	p.history = append(p.history, versionsAt{current, now})
 	for len(p.history) > 1 && now.Sub(p.history[1].recordedAt) >= pushWindow {
 		p.history = p.history[1:]
@@ -63,13 +63,13 @@
 	if current.Table > base.Table {
 		s.Table = p.tableHolder.Data()
 	}
-	if current.List > base.List {
-		s.ListVersion, s.Since, s.Delta = current.List, base.List, p.endpointList.directory.DeltaSince(base.List)
+	if current.list().After(base.list()) {
+		s.ListNumber, s.ListEra, s.Since, s.Delta = current.ListNumber, current.ListEra, base.ListNumber, p.endpointList.directory.DeltaSince(base.list())
 	}
 	if s.Full {
-		s.ListVersion, s.Delta = 0, directory.Delta{} // A full list is too long to push; peers fetch it.
+		s.ListNumber, s.Delta = 0, directory.Delta{} // A full list is too long to push; peers fetch it.
 	}
-	if s.Table == nil && s.ListVersion == 0 {
+	if s.Table == nil && s.ListNumber == 0 {
 		return nil
 	}
 	return p.encode(s, deltaCompressionThreshold)
@@ -93,8 +93,9 @@
 	}
 	// The version is read before the delta: a change in between is then in the delta but not
 	// in the version, never the other way round.
-	s := snapshot{ListVersion: p.endpointList.Version(), Since: held.List}
-	s.Delta = p.endpointList.directory.DeltaSince(held.List)
+	current := p.endpointList.Version()
+	s := snapshot{ListNumber: current.Number, ListEra: current.Era, Since: held.ListNumber}
+	s.Delta = p.endpointList.directory.DeltaSince(held.list())
 	if p.tableHolder.Version() > held.Table {
 		s.Table = table
 	}
@@ -106,11 +107,11 @@
 func (p *snapshotPublisher) fullSnapshot(table []byte) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	current, directoryVersion := versions{Table: p.tableHolder.Version(), List: p.endpointList.Version()}, p.endpointList.directory.ChangeCount()
+	current, directoryVersion := newVersions(p.tableHolder.Version(), p.endpointList.Version()), p.endpointList.directory.ChangeCount()
 	if p.full != nil && current == p.fullVersions && directoryVersion == p.fullDirectoryVersion {
 		return p.full
 	}
-	p.full = p.encode(snapshot{Table: table, ListVersion: current.List, Delta: p.endpointList.directory.DeltaSince(0)}, snapshotCompressionThreshold)
+	p.full = p.encode(snapshot{Table: table, ListNumber: current.ListNumber, ListEra: current.ListEra, Delta: p.endpointList.directory.DeltaSince(directory.Version{})}, snapshotCompressionThreshold)
 	p.fullVersions, p.fullDirectoryVersion = current, directoryVersion
 	return p.full
 }
--- a/internal/gateway/snapshot.go
+++ b/internal/gateway/snapshot.go
@@ -16,8 +16,18 @@
 // gateway sends them when it requests a snapshot.
 type versions struct {
 	Table int64 `json:"table"`
-	// List is the version of the endpoint list, or 0 to request the full list.
-	List int64 `json:"listing"`
+	// ListNumber and ListEra are the version of the endpoint list; the number is 0 to request
+	// the full list. Older gateways send no era.
+	ListNumber int64 `json:"listing"`
+	ListEra    int64 `json:"listing_era,omitempty"`
+}
+
+func newVersions(table int64, list directory.Version) versions {
+	return versions{Table: table, ListNumber: list.Number, ListEra: list.Era}
+}
+
+func (v versions) list() directory.Version {
+	return directory.Version{Era: v.ListEra, Number: v.ListNumber}
 }
 
 // snapshot is the data that a gateway sends to a peer which does not get it from the
@@ -26,14 +36,20 @@
 	// Table is the platform's object from which the table in force was decoded, if that table
 	// is newer than the peer's.
 	Table json.RawMessage `json:"table,omitempty"`
-	// ListVersion is the version of the list that the delta leads to; see endpointList. 0 means
-	// that the snapshot has no delta.
-	ListVersion int64 `json:"listing,omitempty"`
-	// Since is the version of the list that the delta applies to, unless it is full.
+	// ListNumber and ListEra are the version of the list that the delta leads to; see
+	// endpointList. The number is 0 if the snapshot has no delta.
+	ListNumber int64 `json:"listing,omitempty"`
+	ListEra    int64 `json:"listing_era,omitempty"`
+	// Since is the number of the list version that the delta applies to, unless it is full. That
+	// version is of the same era.
 	Since int64 `json:"since,omitempty"`
 	directory.Delta
 }
 
+func (s snapshot) listVersion() directory.Version {
+	return directory.Version{Era: s.ListEra, Number: s.ListNumber}
+}
+
 // compress returns data in gzip format.
 func compress(data []byte) ([]byte, error) {
 	var out bytes.Buffer
--- a/internal/gateway/snapshot_test.go
+++ b/internal/gateway/snapshot_test.go
@@ -29,7 +29,7 @@
 		endpointList: &endpointList{directory: directory.New(), onChange: func() {}, onNewVersion: func() {}, log: log, platformUnavailable: true},
 	}
 	f.publisher = &snapshotPublisher{tableHolder: f.tableHolder, endpointList: f.endpointList, log: log}
-	f.sync = &peerSync{tableHolder: f.tableHolder, endpointList: f.endpointList, members: gossip.NewMembers(time.Now(), "10.0.0.1", nil), log: log}
+	f.sync = &peerSync{tableHolder: f.tableHolder, endpointList: f.endpointList, members: gossip.NewMembers(time.Now(), "10.0.0.1", nil), onPeerEra: func(int64) {}, log: log}
 	return f
 }
 
@@ -46,13 +46,13 @@
 	for _, id := range ids {
 		f.endpointList.directory.Put(routetable.Endpoint{ID: id, Service: "s", Address: id + ":1"})
 	}
-	f.endpointList.SetPlatformVersion(version)
+	f.endpointList.SetPlatformVersion(0, version)
 }
 
 // fetchRequest returns the request that the gateway would send to a peer.
 func (f *syncFixture) fetchRequest(t *testing.T) []byte {
 	t.Helper()
-	request, err := json.Marshal(versions{Table: f.tableHolder.Version(), List: f.endpointList.Version()})
+	request, err := json.Marshal(newVersions(f.tableHolder.Version(), f.endpointList.Version()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -132,7 +132,7 @@
 	f := newSyncFixture()
 	now := time.Unix(1000, 0)
 	receive := func(i int, list int64) {
-		f.sync.members.HandleMessage(now, gossip.Message{Node: fmt.Sprint(i), Address: fmt.Sprint("10.0.1.", i), Incarnation: 1, TableVersion: 1, ListVersion: list})
+		f.sync.members.HandleMessage(now, gossip.Message{Node: fmt.Sprint(i), Address: fmt.Sprint("10.0.1.", i), Incarnation: 1, TableVersion: 1, ListNumber: list})
 	}
 	for i := range 30 {
 		receive(i, 5)
@@ -154,12 +154,12 @@
 	f.install(t, 1)
 	now := time.Unix(1000, 0)
 	for i := range 30 {
-		f.sync.members.HandleMessage(now, gossip.Message{Node: fmt.Sprint(i), Address: fmt.Sprint("10.0.1.", i), Incarnation: 1, ListVersion: 5})
+		f.sync.members.HandleMessage(now, gossip.Message{Node: fmt.Sprint(i), Address: fmt.Sprint("10.0.1.", i), Incarnation: 1, ListNumber: 5})
 	}
 	fetches := 0
 	for i := range 250 {
 		now = now.Add(40 * time.Millisecond)
-		f.sync.members.HandleMessage(now, gossip.Message{Node: "1", Address: "10.0.1.1", Incarnation: 1, ListVersion: int64(6 + i)})
+		f.sync.members.HandleMessage(now, gossip.Message{Node: "1", Address: "10.0.1.1", Incarnation: 1, ListNumber: int64(6 + i)})
 		if f.sync.fetchDue(now) {
 			fetches++
 		}
--- a/internal/gateway/table.go
+++ b/internal/gateway/table.go
@@ -95,8 +95,8 @@
 func (w *watcher) watchTable(ctx context.Context, h *tableHolder) {
 	collection, name := w.source.TableObject()
 	w.watchCollection(ctx, collection, collectionHandler{
-		onList: func(items []platform.Object) {
-			for _, item := range items {
+		onList: func(list platform.List) {
+			for _, item := range list.Items {
 				if item.Name == name {
 					h.installFromPlatform(item.Data)
 				}
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -47,39 +47,67 @@
 	started time.Time
 
 	mu sync.Mutex
-	// cancelRounds holds, by collection, the function that cancels the current round.
-	cancelRounds map[string]context.CancelFunc
+	// rounds holds the current round of each collection.
+	rounds map[string]*round
+}
+
+// round is one round of listing a collection and watching it.
+type round struct {
+	cancel context.CancelFunc
+	// era is the platform's era of the list, or 0 before the list.
+	era int64
 }
 
 // Relist cancels the current rounds, so that every collection is listed again.
 func (w *watcher) Relist() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, cancel := range w.cancelRounds {
-		cancel()
+	for _, r := range w.rounds {
+		r.cancel()
+	}
+}
+
+// RelistBefore cancels the rounds whose list is of an era before the given one, so that their
+// collections are listed again: what such a list holds may be lost, and its watch may wait
+// for a version that is far ahead of the platform's.
+func (w *watcher) RelistBefore(era int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.rounds {
+		if r.era > 0 && r.era < era {
+			r.cancel()
+		}
 	}
 }
 
+// noteEra records the era of the list of a collection's current round.
+func (w *watcher) noteEra(collection string, era int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rounds[collection].era = era
+}
+
 // roundContext returns a context for one round of listing and watching a collection. Relist
 // cancels it.
 func (w *watcher) roundContext(ctx context.Context, collection string) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cancelRounds == nil {
-		w.cancelRounds = make(map[string]context.CancelFunc)
+	if w.rounds == nil {
+		w.rounds = make(map[string]*round)
 	}
-	w.cancelRounds[collection] = cancel
+	w.rounds[collection] = &round{cancel: cancel}
 	return ctx, cancel
 }
 
 // collectionHandler receives the content of a collection and its changes. The callbacks
 // below onEvent are optional.
 type collectionHandler struct {
-	onList  func(items []platform.Object)
+	onList  func(list platform.List)
 	onEvent func(event platform.Event)
-	// onVersion receives the version up to which all changes have been delivered.
-	onVersion func(version int64)
+	// onVersion receives the era, and the version in it up to which all changes have been
+	// delivered.
+	onVersion func(era, version int64)
 	// onUnavailable is called when the platform can't be read, and onAvailable when a list
 	// succeeds.
 	onUnavailable func()
@@ -142,6 +170,9 @@
 // errNotWatcher ends a round when this gateway no longer has the watcher role.
 var errNotWatcher = errors.New("other gateways watch the platform")
 
+// errEraEnded ends a round when the platform has come back from an older copy of its data.
+var errEraEnded = errors.New("the platform has come back from an older copy of its data")
+
 // standBy waits until this gateway must watch the platform itself.
 func (w *watcher) standBy(ctx context.Context, collection string, h collectionHandler) {
 	w.log.WithFields(logrus.Fields{"event": "standby", "collection": collection}).Info("other gateways watch the platform; their deltas are used")
@@ -167,9 +198,10 @@
 	if err != nil {
 		return err
 	}
+	w.noteEra(collection, list.Era)
 	onListed()
-	h.onList(list.Items)
-	h.reportVersion(list.Version)
+	h.onList(list)
+	h.reportVersion(list.Era, list.Version)
 	watch, err := w.store.Watch(ctx, collection, list.Version)
 	if err != nil {
 		return err
@@ -180,19 +212,22 @@
 		if err != nil {
 			return err
 		}
+		if event.Era != list.Era {
+			return errEraEnded
+		}
 		if event.Type != platform.Bookmark {
 			h.onEvent(event)
 		}
-		h.reportVersion(event.Object.Version)
+		h.reportVersion(event.Era, event.Object.Version)
 		if !w.shouldWatch() {
 			return errNotWatcher
 		}
 	}
 }
 
-func (h collectionHandler) reportVersion(version int64) {
+func (h collectionHandler) reportVersion(era, version int64) {
 	if h.onVersion != nil {
-		h.onVersion(version)
+		h.onVersion(era, version)
 	}
 }
 
@@ -204,14 +239,18 @@
 		onAvailable:   l.PlatformAvailable,
 		onVersion:     l.SetPlatformVersion,
 		onStandby:     l.Standby,
-		onList: func(items []platform.Object) {
-			endpoints := make([]routetable.Endpoint, 0, len(items))
-			for _, item := range items {
+		onList: func(list platform.List) {
+			endpoints := make([]routetable.Endpoint, 0, len(list.Items))
+			for _, item := range list.Items {
 				if endpoint, ok := w.decodeEndpoint(item); ok {
 					endpoints = append(endpoints, endpoint)
 				}
 			}
-			d.Replace(time.Now(), endpoints)
+			if l.BeginEra(list.Era) {
+				d.ReplaceFromCopy(time.Now(), endpoints)
+			} else {
+				d.Replace(time.Now(), endpoints)
+			}
 			onChange()
 		},
 		onEvent: func(event platform.Event) {
--- a/internal/gossip/fleet_test.go
+++ b/internal/gossip/fleet_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/directory"
 	"github.com/primrosewell/primrosewell/internal/gossip"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
@@ -51,7 +52,7 @@
 		never := func() bool { return false }
 		g, err := gossip.Listen(gossip.Options{
 			Node: fmt.Sprint("n", i), DataCentre: fmt.Sprint("dc", i%3), Address: netip.MustParseAddr(address(i)), Port: port, Members: d.members,
-			TableVersion: d.table.Load, ListVersion: func() int64 { return 1 }, Watching: func() bool { return d.members.ShouldWatch(time.Now()) }, PlatformUnreachable: never, Leaving: never,
+			TableVersion: d.table.Load, ListVersion: func() directory.Version { return directory.Version{Number: 1} }, Watching: func() bool { return d.members.ShouldWatch(time.Now()) }, PlatformUnreachable: never, Leaving: never,
 			Loads: func() map[balance.EndpointKey]balance.Load {
 				return map[balance.EndpointKey]balance.Load{1: {Running: 1}}
 			},
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/directory"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
 )
 
@@ -58,7 +59,7 @@
 	// TableVersion returns the version of this daemon's route table.
 	TableVersion func() int64
 	// ListVersion returns the version of this daemon's endpoint list.
-	ListVersion func() int64
+	ListVersion func() directory.Version
 	// Watching, PlatformUnreachable and Leaving report this daemon's state; see Message.
 	Watching, PlatformUnreachable, Leaving func() bool
 	// Loads returns this daemon's own load at each endpoint.
@@ -168,8 +169,9 @@
 
 // state returns a message with this daemon's versions and roles, without loads.
 func (g *Gossip) state() Message {
+	list := g.ListVersion()
 	m := Message{
-		Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), TableVersion: g.TableVersion(), ListVersion: g.ListVersion(),
+		Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), TableVersion: g.TableVersion(), ListNumber: list.Number, ListEra: list.Era,
 		Watching: g.Watching(), PlatformUnreachable: g.PlatformUnreachable(), Leaving: g.Leaving(),
 		DataCentre: g.DataCentre, DaemonCount: g.Members.ObservedCount(time.Now()),
 	}
@@ -342,7 +344,7 @@
 		}
 		g.Register.Merge(now, message.Crashes)
 	}
-	g.OnUpdate(now, message.TableVersion > g.TableVersion() || message.ListVersion > g.ListVersion())
+	g.OnUpdate(now, message.TableVersion > g.TableVersion() || message.listVersion().After(g.ListVersion()))
 }
 
 func (g *Gossip) logChange(c Change) {
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/directory"
 )
 
 const (
@@ -38,7 +39,7 @@
 	dataCentre          string
 	incarnation         int64
 	tableVersion        int64
-	listVersion         int64
+	listVersion         directory.Version
 	watching            bool
 	platformUnreachable bool
 	unreachableSince    time.Time
@@ -140,7 +141,7 @@
 	p.node, p.dataCentre, p.incarnation = message.Node, message.DataCentre, message.Incarnation
 	p.daemonCount = message.DaemonCount
 	p.watching, p.platformUnreachable, p.leaving = message.Watching, message.PlatformUnreachable, message.Leaving
-	p.tableVersion, p.listVersion = message.TableVersion, message.ListVersion
+	p.tableVersion, p.listVersion = message.TableVersion, message.listVersion()
 	p.lastReceived, p.lost = now, false
 	if !message.LoadsOmitted || change.Kind == "restarted" {
 		p.loads, p.loadsAt = loadsOf(message.Loads), now
@@ -317,20 +318,23 @@
 
 // NewestTableVersion returns the highest route table version of a live peer, and its address.
 func (m *Members) NewestTableVersion() (version int64, address string) {
-	return m.highestVersion(func(p *peer) int64 { return p.tableVersion })
-}
-
-// NewestListVersion returns the highest endpoint list version of a live peer, and its address.
-func (m *Members) NewestListVersion() (version int64, address string) {
-	return m.highestVersion(func(p *peer) int64 { return p.listVersion })
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if !p.lost && p.tableVersion > version {
+			version, address = p.tableVersion, p.address
+		}
+	}
+	return version, address
 }
 
-func (m *Members) highestVersion(of func(*peer) int64) (version int64, address string) {
+// NewestListVersion returns the newest endpoint list version of a live peer, and its address.
+func (m *Members) NewestListVersion() (version directory.Version, address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		if v := of(p); !p.lost && v > version {
-			version, address = v, p.address
+		if !p.lost && p.listVersion.After(version) {
+			version, address = p.listVersion, p.address
 		}
 	}
 	return version, address
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -14,7 +14,7 @@
 	now := time.Unix(1000, 0)
 	var m *gossip.Members
 	message := func(address string, incarnation int64) gossip.Message {
-		return gossip.Message{Node: "n" + address, Address: address, Incarnation: incarnation, TableVersion: 7, ListVersion: 9}
+		return gossip.Message{Node: "n" + address, Address: address, Incarnation: incarnation, TableVersion: 7, ListNumber: 9}
 	}
 
 	BeforeEach(func() { m = gossip.NewMembers(now, "1", []string{"1", "2"}) })
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -7,6 +7,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 
+	"github.com/primrosewell/primrosewell/internal/directory"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
 )
 
@@ -35,8 +36,10 @@
 	Address string `cbor:"4,keyasint"`
 	// TableVersion is the version of the sender's route table.
 	TableVersion int64 `cbor:"5,keyasint"`
-	// ListVersion is the version of the sender's endpoint list; a higher one is newer.
-	ListVersion int64 `cbor:"9,keyasint,omitempty"`
+	// ListNumber and ListEra are the version of the sender's endpoint list; older daemons send
+	// no era.
+	ListNumber int64 `cbor:"9,keyasint,omitempty"`
+	ListEra    int64 `cbor:"20,keyasint,omitempty"`
 	// Watching is set while the sender watches the platform.
 	Watching bool `cbor:"11,keyasint,omitempty"`
 	// PlatformUnreachable is set while the sender can't read the platform.
@@ -69,6 +72,11 @@
 	KnownAddresses []string `cbor:"8,keyasint,omitempty"`
 }
 
+// listVersion returns the version of the sender's endpoint list.
+func (m Message) listVersion() directory.Version {
+	return directory.Version{Era: m.ListEra, Number: m.ListNumber}
+}
+
 // encode drops the smallest loads until the message fits into maxBytes. A peer takes an
 // endpoint that is missing from Loads for one without load.
 func encode(m Message, maxBytes int) ([]byte, error) {
--- a/internal/gossip/message_test.go
+++ b/internal/gossip/message_test.go
@@ -19,7 +19,7 @@
 			loads[balance.KeyOf(fmt.Sprint("i-", i))] = balance.Load{Running: 1 + i/10, PendingTokens: 20000 + i}
 		}
 		m := gossip.Message{
-			Node: "edge-aaa-b-10", Incarnation: math.MaxInt64, Address: "10.100.100.100", TableVersion: 1 << 40, ListVersion: 1 << 40,
+			Node: "edge-aaa-b-10", Incarnation: math.MaxInt64, Address: "10.100.100.100", TableVersion: 1 << 40, ListNumber: 1 << 40, ListEra: 1 << 20,
 			Loads: gossip.EntriesOf(loads), Watching: true,
 		}
 		for i := range 24 {
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -46,8 +46,14 @@
 	return context.WithValue(ctx, callTimeoutKey{}, d)
 }
 
-// do makes one call within the timeout and returns the body of a successful response.
-func (c *Client) do(ctx context.Context, r call) ([]byte, error) {
+// response is a successful response of the platform.
+type response struct {
+	body []byte
+	era  int64
+}
+
+// do makes one call within the timeout and returns a successful response.
+func (c *Client) do(ctx context.Context, r call) (response, error) {
 	timeout := c.options.Timeout
 	if override, ok := ctx.Value(callTimeoutKey{}).(time.Duration); ok {
 		timeout = override
@@ -55,9 +61,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	started := time.Now()
-	body, err := c.exchange(ctx, r)
+	result, err := c.exchange(ctx, r)
 	c.observe(r, started, err)
-	return body, err
+	return result, err
 }
 
 func (c *Client) observe(r call, started time.Time, err error) {
@@ -67,20 +73,24 @@
 }
 
 // exchange sends the request and reads the response. It sets no timeout.
-func (c *Client) exchange(ctx context.Context, r call) ([]byte, error) {
-	response, err := c.send(ctx, r)
+func (c *Client) exchange(ctx context.Context, r call) (response, error) {
+	received, err := c.send(ctx, r)
 	if err != nil {
-		return nil, err
+		return response{}, err
 	}
-	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	defer func() { _ = received.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(received.Body, maxResponseBytes+1))
 	if err != nil {
-		return nil, r.newError(Uncertain, err)
+		return response{}, r.newError(Uncertain, err)
 	}
 	if len(body) > maxResponseBytes {
-		return nil, r.newError(Uncertain, oops.Errorf("response exceeds %d bytes", maxResponseBytes))
+		return response{}, r.newError(Uncertain, oops.Errorf("response exceeds %d bytes", maxResponseBytes))
+	}
+	era, err := c.checkEra(r, received.Header)
+	if err != nil {
+		return response{}, err
 	}
-	return body, r.checkResponse(response, body)
+	return response{body: body, era: era}, r.checkResponse(received, body)
 }
 
 // send waits for the client's rate limit and sends the request. A failure before the request was
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"github.com/samber/oops"
 	"golang.org/x/time/rate"
 
 	"github.com/primrosewell/primrosewell/internal/platform/wire"
@@ -57,6 +58,9 @@
 	// Transport sends the requests. It must not resend a request that may have been sent.
 	// Default: a transport without a proxy that only this client uses.
 	Transport http.RoundTripper
+	// OnEra, if set, is called when a response states a higher era than the ones before it; see
+	// Event.Era.
+	OnEra func(previous, era int64)
 	// Observe, if set, is called when a call ends; the reason is empty on success.
 	Observe func(op string, reason Reason, elapsed time.Duration)
 }
@@ -68,6 +72,7 @@
 	http    *http.Client
 	writes  *rate.Limiter
 	reads   *rate.Limiter
+	era     eraTracker
 }
 
 var _ Store = (*Client)(nil)
@@ -107,11 +112,11 @@
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, collection, name string) (Object, error) {
 	r := call{op: "get", key: collection + "/" + name, method: http.MethodGet, path: c.options.Dialect.ItemPath(collection, name)}
-	body, err := c.do(ctx, r)
+	response, err := c.do(ctx, r)
 	if err != nil {
 		return Object{}, err
 	}
-	return c.decodeObject(r, collection, name, body)
+	return c.decodeObject(r, collection, name, response.body)
 }
 
 func (c *Client) decodeObject(r call, collection, name string, body []byte) (Object, error) {
@@ -123,14 +128,15 @@
 }
 
 // List implements Store. It reads the pages one after the other and returns the version of the
-// first, so that a watch from that version misses no change. If a rate limit refuses a later page,
+// first, so that a watch from that version misses no change. It fails if the platform's era
+// changes in between. If a rate limit refuses a later page,
 // List requests that page again, since starting over would cost more calls.
 func (c *Client) List(ctx context.Context, collection, prefix string) (List, error) {
 	var list List
 	after, pageRetries := "", 0
 	for {
 		r := call{op: "list", key: collection + "/" + prefix, method: http.MethodGet, path: c.options.Dialect.ListPath(collection, prefix, after)}
-		body, err := c.do(ctx, r)
+		response, err := c.do(ctx, r)
 		if ReasonOf(err) == RateLimited && after != "" && pageRetries < maxPageRetries {
 			pageRetries++
 			sleep(ctx, meanPageRetryDelay/2+rand.N(meanPageRetryDelay))
@@ -139,12 +145,15 @@
 		if err != nil {
 			return List{}, err
 		}
-		page, err := c.decodePage(r, collection, prefix, body)
+		page, err := c.decodePage(r, collection, prefix, response.body)
 		if err != nil {
 			return List{}, err
 		}
 		if after == "" {
-			list.Version = page.Version
+			list.Version, list.Era = page.Version, response.era
+		}
+		if response.era != list.Era {
+			return List{}, r.newError(Unavailable, oops.Errorf("the list began in era %d and continues in era %d", list.Era, response.era))
 		}
 		list.Items = append(list.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -195,7 +204,7 @@
 	if err != nil {
 		return Object{}, err
 	}
-	stored, err := c.decodeObject(r, o.Collection, o.Name, response)
+	stored, err := c.decodeObject(r, o.Collection, o.Name, response.body)
 	if err != nil {
 		return Object{}, err
 	}
@@ -215,12 +224,12 @@
 // VMs implements Store.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
 	r := call{op: "vms", key: "vms", method: http.MethodGet, path: wire.VMsPath}
-	body, err := c.do(ctx, r)
+	response, err := c.do(ctx, r)
 	if err != nil {
 		return nil, err
 	}
 	var vms []VM
-	if err := json.Unmarshal(body, &vms); err != nil {
+	if err := json.Unmarshal(response.body, &vms); err != nil {
 		return nil, r.newError(Unavailable, err)
 	}
 	return vms, nil
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -79,7 +79,7 @@
 		o.Data = []byte("2")
 		o, err := client.Update(ctx, o)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(client.List(ctx, collection, "a/")).To(Equal(platform.List{Version: o.Version, Items: []platform.Object{o}}))
+		Expect(client.List(ctx, collection, "a/")).To(Equal(platform.List{Era: 1, Version: o.Version, Items: []platform.Object{o}}))
 		Expect(client.Delete(ctx, collection, o.Name, o.Version)).To(Succeed())
 		_, err = client.Get(ctx, collection, o.Name)
 		Expect(platform.ReasonOf(err)).To(Equal(platform.NotFound))
--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -49,11 +49,21 @@
 	DecodePoll(collection string, body []byte) ([]Event, int64, error)
 }
 
+// EraDialect is a Dialect whose API states the platform's era; see Event.Era.
+type EraDialect interface {
+	Dialect
+	// EraHeader returns the header field of each response that holds the era.
+	EraHeader() string
+}
+
 // nativeDialect is primrosewell's own API, which the stand-in serves. Its watch is a stream of JSON
 // lines.
 type nativeDialect struct{}
 
-var _ Dialect = nativeDialect{}
+var _ EraDialect = nativeDialect{}
+
+// EraHeader implements EraDialect.
+func (nativeDialect) EraHeader() string { return wire.EraHeader }
 
 // ItemPath implements Dialect.
 func (nativeDialect) ItemPath(collection, name string) string {
--- a/internal/platform/poll.go
+++ b/internal/platform/poll.go
@@ -20,9 +20,11 @@
 	dialect    PollingDialect
 	collection string
 	version    int64
-	pending    []Event
-	ctx        context.Context
-	cancel     context.CancelFunc
+	// era is the platform's era as of the last poll.
+	era     int64
+	pending []Event
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
 func (c *Client) newPollWatch(ctx context.Context, dialect PollingDialect, collection string, version int64) Watch {
@@ -39,7 +41,7 @@
 		}
 	}
 	if len(w.pending) == 0 {
-		return Event{Type: Bookmark, Object: Object{Collection: w.collection, Version: w.version}}, nil
+		return Event{Type: Bookmark, Era: w.era, Object: Object{Collection: w.collection, Version: w.version}}, nil
 	}
 	event := w.pending[0]
 	w.pending = w.pending[1:]
@@ -58,16 +60,18 @@
 	defer context.AfterFunc(w.ctx, cancel)()
 	r := call{op: "watch", key: w.collection, method: http.MethodGet, path: w.dialect.PollPath(w.collection, w.version, wait)}
 	started := time.Now()
-	body, err := w.client.exchange(ctx, r)
+	response, err := w.client.exchange(ctx, r)
 	w.client.observe(r, started, err)
 	if err != nil {
 		return err
 	}
-	events, version, err := w.dialect.DecodePoll(w.collection, body)
+	events, version, err := w.dialect.DecodePoll(w.collection, response.body)
 	if err != nil {
 		return r.newError(WatchEnded, err)
 	}
+	w.era = response.era
 	for _, event := range events {
+		event.Era = response.era
 		if event.Object.Version > w.version || event.Type == Deleted {
 			w.pending = append(w.pending, event)
 		}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -30,6 +30,8 @@
 
 // List is a consistent snapshot of a collection at Version.
 type List struct {
+	// Era is the platform's era, or 0 if it states none; see Event.
+	Era     int64
 	Version int64
 	Items   []Object
 }
@@ -49,7 +51,11 @@
 
 // Event is one change of a collection. A watch delivers events in version order.
 type Event struct {
-	Type   EventType
+	Type EventType
+	// Era is the platform's era when it sent the event, or 0 if it states none. If it differs
+	// from that of the list from which the watch started, the platform has come back from an
+	// older copy of its data and the collection must be listed again.
+	Era    int64
 	Object Object
 }
 
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -33,35 +33,39 @@
 	r := call{op: "watch", key: collection, method: http.MethodGet, path: collectionPath(collection, query)}
 	started := time.Now()
 	ctx, cancel := context.WithCancel(ctx)
-	body, err := c.openWatch(ctx, cancel, r)
+	body, era, err := c.openWatch(ctx, cancel, r)
 	c.observe(r, started, err)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
 	w := &watch{
-		call: r, collection: collection, lastVersion: version, idleTimeout: c.options.WatchIdleTimeout,
+		call: r, collection: collection, era: era, lastVersion: version, idleTimeout: c.options.WatchIdleTimeout,
 		body: body, ctx: ctx, cancel: cancel, results: make(chan watchResult),
 	}
 	go w.readLines()
 	return w, nil
 }
 
-// openWatch sends the request and returns the body of the response. The timeout applies only until
+// openWatch sends the request and returns the body and the era of the response. The timeout applies only until
 // the response header arrives.
-func (c *Client) openWatch(ctx context.Context, cancel context.CancelFunc, r call) (io.ReadCloser, error) {
+func (c *Client) openWatch(ctx context.Context, cancel context.CancelFunc, r call) (io.ReadCloser, int64, error) {
 	timer := time.AfterFunc(c.options.Timeout, cancel)
 	defer timer.Stop()
 	response, err := c.send(ctx, r)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	if response.StatusCode == http.StatusOK {
-		return response.Body, nil
+	era, err := c.checkEra(r, response.Header)
+	if err == nil && response.StatusCode == http.StatusOK {
+		return response.Body, era, nil
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err != nil {
+		return nil, 0, err
+	}
 	body, _ := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
-	return nil, r.checkResponse(response, body)
+	return nil, 0, r.checkResponse(response, body)
 }
 
 type watchResult struct {
@@ -74,6 +78,7 @@
 type watch struct {
 	call        call
 	collection  string
+	era         int64
 	lastVersion int64
 	idleTimeout time.Duration
 	body        io.ReadCloser
@@ -133,7 +138,7 @@
 	if event == nil || event.Object.Version <= w.lastVersion {
 		return true
 	}
-	w.lastVersion = event.Object.Version
+	w.lastVersion, event.Era = event.Object.Version, w.era
 	return w.sendResult(watchResult{event: *event})
 }
 
--- a/internal/platform/watch_test.go
+++ b/internal/platform/watch_test.go
@@ -43,7 +43,7 @@
 		Expect(err).To(MatchError(context.DeadlineExceeded))
 		o, err := server.Store().Create(ctx, object("a", "1"))
 		Expect(err).NotTo(HaveOccurred())
-		Expect(w.Next(ctx)).To(Equal(platform.Event{Type: platform.Put, Object: o}))
+		Expect(w.Next(ctx)).To(Equal(platform.Event{Type: platform.Put, Era: 1, Object: o}))
 		Expect(server.Store().Delete(ctx, collection, "a", o.Version)).To(Succeed())
 		e, err := w.Next(ctx)
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/platform/wire/wire.go
+++ b/internal/platform/wire/wire.go
@@ -14,6 +14,9 @@
 	WatchParam = "watch"
 	// VersionParam is the version to watch from, or the version that an object to delete must have.
 	VersionParam = "resourceVersion"
+	// EraHeader is the header field of every response that states the platform's era: a number
+	// that rises by one each time the platform comes back from an older copy of its data.
+	EraHeader = "Primrosewell-Platform-Era"
 )
 
 // Object is a stored object. Data is base64 in JSON.
--- a/internal/standin/platform/control.go
+++ b/internal/standin/platform/control.go
@@ -15,6 +15,8 @@
 	FaultsPath = "/control/faults"
 	// ControlVMsPath accepts a SetVMsRequest on PUT.
 	ControlVMsPath = "/control/vms"
+	// RestorePath accepts a RestoreRequest on POST; see Server.Restore.
+	RestorePath = "/control/restore"
 	// StatsPath returns the call counters on GET; see Server.Stats.
 	StatsPath = "/control/stats"
 )
@@ -25,7 +27,16 @@
 	LagMS int           `json:"lag_ms,omitempty"`
 }
 
+// RestoreRequest makes the platform come back from a copy of its state that is AgeMS
+// milliseconds old; see Server.Restore.
+type RestoreRequest struct {
+	AgeMS int `json:"age_ms"`
+}
+
 func (s *Server) addControlRoutes(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+RestorePath, func(w http.ResponseWriter, r *http.Request) {
+		handleControl(w, r, func(o RestoreRequest) { s.Restore(time.Duration(o.AgeMS) * time.Millisecond) })
+	})
 	mux.HandleFunc("GET "+FaultsPath, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Faults()) })
 	mux.HandleFunc("POST "+FaultsPath, func(w http.ResponseWriter, r *http.Request) { handleControl(w, r, s.SetFaults) })
 	mux.HandleFunc("PUT "+ControlVMsPath, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -82,11 +82,22 @@
 	close(i.changed)
 	i.changed = make(chan struct{})
 	if f.CutWatches || f.Outage == OutageRefuse {
-		close(i.cut)
-		i.cut = make(chan struct{})
+		i.cutLocked()
 	}
 }
 
+// cutWatches ends every watch that is open now.
+func (i *injector) cutWatches() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.cutLocked()
+}
+
+func (i *injector) cutLocked() {
+	close(i.cut)
+	i.cut = make(chan struct{})
+}
+
 // newLimiter returns a limiter for a rate; a rate of zero or less means no limit.
 func newLimiter(perSecond float64) *rate.Limiter {
 	if perSecond <= 0 {
--- a/internal/standin/platform/history.go
+++ b/internal/standin/platform/history.go
@@ -33,6 +33,8 @@
 type history struct {
 	mu         sync.RWMutex
 	maxChanges int
+	// era rises by one each time restore goes back to an older state.
+	era        int64
 	version    int64
 	floor      int64
 	objects    map[string]map[string][]revision
@@ -42,7 +44,7 @@
 }
 
 func newHistory(limit int) *history {
-	return &history{maxChanges: limit, objects: map[string]map[string][]revision{}, changed: make(chan struct{})}
+	return &history{maxChanges: limit, era: 1, objects: map[string]map[string][]revision{}, changed: make(chan struct{})}
 }
 
 func (h *history) create(o platform.Object, now time.Time) (platform.Object, platform.Reason) {
@@ -151,7 +153,7 @@
 	defer h.mu.RUnlock()
 	names := lo.Filter(lo.Keys(h.objects[collection]), func(n string, _ int) bool { return strings.HasPrefix(n, prefix) })
 	slices.Sort(names)
-	out := platform.List{Version: version}
+	out := platform.List{Era: h.era, Version: version}
 	for _, name := range names {
 		if r, ok := h.asOf(collection, name, version); ok {
 			out.Items = append(out.Items, object(collection, name, r))
@@ -179,11 +181,12 @@
 
 // next returns the first visible change of a collection after version, or, if there is none,
 // a channel that closes at the next change. lastVersion is the version up to which the
-// collection has been searched. ok is false if version has been compacted away.
+// collection has been searched. ok is false if version has been compacted away, or is not
+// reached yet because the platform went back to an older state.
 func (h *history) next(collection string, version int64) (e *platform.Event, lastVersion int64, wait <-chan struct{}, ok bool) {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	if version < h.floor {
+	if version < h.floor || version > h.version {
 		return nil, version, nil, false
 	}
 	i, _ := slices.BinarySearchFunc(h.changes, version+1, func(c change, v int64) int { return int(c.version - v) })
@@ -198,13 +201,43 @@
 // event converts a change to the event that a watch delivers.
 func (h *history) event(c change) *platform.Event {
 	r, exists := h.asOf(c.collection, c.name, c.version)
-	e := &platform.Event{Type: platform.Put, Object: object(c.collection, c.name, r)}
+	e := &platform.Event{Type: platform.Put, Era: h.era, Object: object(c.collection, c.name, r)}
 	if !exists {
 		e.Type = platform.Deleted
 	}
 	return e
 }
 
+// restore goes back to the state before cutoff, but not below the floor: later changes are
+// lost, and their versions are assigned again. It returns the new era.
+func (h *history) restore(cutoff time.Time) int64 {
+	version := h.staleVersion(0, cutoff)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.version = version
+	h.era++
+	for _, names := range h.objects {
+		for name, revisions := range names {
+			kept := slices.IndexFunc(revisions, func(r revision) bool { return r.version > version })
+			if kept == 0 {
+				delete(names, name)
+			} else if kept > 0 {
+				names[name] = revisions[:kept:kept]
+			}
+		}
+	}
+	h.changes = slices.DeleteFunc(h.changes, func(c change) bool { return c.version > version })
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return h.era
+}
+
+func (h *history) currentEra() int64 {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.era
+}
+
 // hideNext hides the next n changes from all watches.
 func (h *history) hideNext(n int) {
 	h.mu.Lock()
--- a/internal/standin/platform/http.go
+++ b/internal/standin/platform/http.go
@@ -44,6 +44,7 @@
 			writeJSON(w, http.StatusUnauthorized, wire.Status{Reason: reasonUnauthenticated})
 			return
 		}
+		w.Header().Set(wire.EraHeader, strconv.FormatInt(s.history.currentEra(), 10))
 		next.ServeHTTP(w, r)
 	})
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -85,6 +85,15 @@
 	s.faults.set(f)
 }
 
+// Restore makes the platform come back from a copy of its state that is age old: what was
+// written since is lost, versions go back and are assigned again, the era rises by one and
+// open watches end. It returns the new era.
+func (s *Server) Restore(age time.Duration) int64 {
+	era := s.history.restore(s.options.Clock.Now().Add(-age))
+	s.faults.cutWatches()
+	return era
+}
+
 // Faults returns the current faults.
 func (s *Server) Faults() Faults { return s.faults.get() }
 
