A completion and a crash are in the register before the caller can act on them

A response went out before its completion was recorded, and the same content sent again during a crash probe was admitted before the crash was known; when it completed, it cleared the suspicion. Change: the completion is recorded before the end of the response is written; a request whose content broke a connection waits for that endpoint's running crash probe (at most the 250 ms of its dial).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -147,6 +147,7 @@
 		return j.exchangeFailed(err, "within an answer")
 	}
 	j.status = status
+	j.recordCompletion()
 	return j.writeOutcome(j.writer.WriteResponse(status, j.responseFields(response), body))
 }
 
@@ -187,6 +188,7 @@
 		}
 		return outcome
 	}
+	j.recordCompletion()
 	outcome.done, outcome.failure = true, j.sendErrorResponse()
 	return outcome
 }
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosewell/primrosewell/internal/balance"
@@ -30,15 +32,28 @@
 // crashProber dials endpoints whose connections broke and reports crashes to the quarantine
 // register. It is safe for concurrent use.
 type crashProber struct {
-	dialer   *httpio.Dialer
+	dialer *httpio.Dialer
+	// dial opens the connection of a probe.
+	dial     func(ctx context.Context, address string, timeout time.Duration) (*httpio.Conn, error)
 	register *quarantine.Register
 	log      *logrus.Logger
 
-	mu        sync.Mutex
+	mu sync.Mutex
+	// broken, running and lastProbe are by endpoint ID.
 	broken    map[string][]brokenRequest
+	running   map[string]*crashProbe
 	lastProbe map[string]time.Time
 }
 
+// crashProbe is a running probe.
+type crashProbe struct {
+	// reporting holds the requests that the probe is reporting as having run at the crash. It is
+	// guarded by crashProber.mu.
+	reporting []brokenRequest
+	// done closes when the probe's result is in the register.
+	done chan struct{}
+}
+
 // brokenRequest is a request that was in progress at an endpoint when its connection broke.
 type brokenRequest struct {
 	digest string
@@ -46,7 +61,10 @@
 }
 
 func newCrashProber(dialer *httpio.Dialer, register *quarantine.Register, log *logrus.Logger) *crashProber {
-	return &crashProber{dialer: dialer, register: register, log: log, broken: make(map[string][]brokenRequest), lastProbe: make(map[string]time.Time)}
+	return &crashProber{
+		dialer: dialer, dial: dialer.Dial, register: register, log: log,
+		broken: make(map[string][]brokenRequest), running: make(map[string]*crashProbe), lastProbe: make(map[string]time.Time),
+	}
 }
 
 // reportBroken records a request whose connection broke and starts a crash probe of the
@@ -56,15 +74,50 @@
 	p.mu.Lock()
 	p.broken[choice.ID] = append(p.recentlyBroken(choice.ID, now), brokenRequest{digest: digest, at: now})
 	due := now.Sub(p.lastProbe[choice.ID]) >= minProbeInterval
+	probe := &crashProbe{done: make(chan struct{})}
 	if due {
 		p.lastProbe[choice.ID] = now
+		p.running[choice.ID] = probe
 	}
 	p.mu.Unlock()
 	if due {
-		go p.probe(choice)
+		go func() {
+			p.run(probe, choice)
+			p.mu.Lock()
+			if p.running[choice.ID] == probe {
+				delete(p.running, choice.ID)
+			}
+			p.mu.Unlock()
+			close(probe.done)
+		}()
+	}
+}
+
+// await waits for the running probes of endpoints at which a request with that digest broke,
+// so that content which may just have crashed an endpoint is not sent to another one before
+// that is known. A probe takes up to dialTimeout; await ends earlier if ctx does.
+func (p *crashProber) await(ctx context.Context, digest string) {
+	for _, done := range p.probesOf(digest) {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
+func (p *crashProber) probesOf(digest string) (probes []chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	concerned := func(r brokenRequest) bool { return r.digest == digest }
+	for id, probe := range p.running {
+		if slices.ContainsFunc(p.broken[id], concerned) || slices.ContainsFunc(probe.reporting, concerned) {
+			probes = append(probes, probe.done)
+		}
+	}
+	return probes
+}
+
 // recentlyBroken returns the requests whose connections to an endpoint broke within
 // crashWindow. The caller holds p.mu.
 func (p *crashProber) recentlyBroken(id string, now time.Time) []brokenRequest {
@@ -77,10 +130,10 @@
 	return requests
 }
 
-// probe dials the endpoint. If that fails, the endpoint is marked as dead and its recently
+// run dials the endpoint. If that fails, the endpoint is marked as dead and its recently
 // broken requests are reported as having run at the crash.
-func (p *crashProber) probe(choice *balance.Choice) {
-	conn, err := p.dialer.Dial(context.Background(), choice.Address, dialTimeout)
+func (p *crashProber) run(probe *crashProbe, choice *balance.Choice) {
+	conn, err := p.dial(context.Background(), choice.Address, dialTimeout)
 	if err == nil {
 		p.dialer.Put(choice.Address, conn)
 		choice.CrashProbeSucceeded(time.Now())
@@ -93,12 +146,10 @@
 	p.dialer.CloseIdle(choice.Address)
 	choice.CrashProbeFailed(now)
 	p.mu.Lock()
-	var digests []string
-	for _, request := range p.recentlyBroken(choice.ID, now) {
-		digests = append(digests, request.digest)
-	}
+	probe.reporting = p.recentlyBroken(choice.ID, now)
 	delete(p.broken, choice.ID)
 	p.mu.Unlock()
+	digests := lo.Map(probe.reporting, func(r brokenRequest, _ int) string { return r.digest })
 	p.register.Crashed(now, choice.ID, digests)
 	p.log.WithFields(logrus.Fields{"event": "crash", "endpoint": choice.ID, "address": choice.Address, "running": len(digests), "error": err}).Warn("endpoint crashed: a connection broke and the crash probe could not connect")
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -110,6 +110,8 @@
 	deadline     time.Time
 	promptTokens int
 	promptParts  []balance.PromptPart
+	// digest identifies the request's content in the quarantine register.
+	digest string
 
 	triedEndpoints map[string]bool
 	placements     int
@@ -210,14 +212,15 @@
 	if pool == nil || pool.Size() == 0 {
 		return failure.New(failure.NoEndpoint, "the service has no endpoint").WithRetryAfter(j.outageRetryAfter(&j.f.noEndpoints))
 	}
-	digest := j.contentDigest()
-	decision := j.f.Register.Admit(time.Now(), digest)
+	j.digest = j.contentDigest()
+	j.f.crashProber.await(j.ctx, j.digest)
+	decision := j.f.Register.Admit(time.Now(), j.digest)
 	if !decision.Admitted {
 		retryDelay := decision.RetryAfter + time.Duration(rand.Float64()*float64(suspendedRetryJitter))
 		return failure.New(failure.Suspended, "endpoints crashed under this content; it is refused for a while").WithRetryAfter(retryDelay)
 	}
 	if decision.Probe {
-		j.f.Log.WithFields(logrus.Fields{"event": "trial", "request_id": j.id, "route": j.route.Name, "content": digest}).Info("probing content that crashed endpoints, because it completed before")
+		j.f.Log.WithFields(logrus.Fields{"event": "trial", "request_id": j.id, "route": j.route.Name, "content": j.digest}).Info("probing content that crashed endpoints, because it completed before")
 	}
 	j.f.Budget.RecordRequest(time.Now(), j.service)
 	for {
@@ -233,7 +236,9 @@
 		choice.Done(time.Now(), outcome.result)
 		j.logAttempt(choice, outcome)
 		j.f.metrics.countAttempt(j.service, outcome.result)
-		j.reportToQuarantine(choice, outcome.result, digest)
+		if outcome.result == balance.Broken {
+			j.f.crashProber.reportBroken(choice, j.digest)
+		}
 		if outcome.done {
 			return outcome.failure
 		}
@@ -243,16 +248,9 @@
 	}
 }
 
-// reportToQuarantine records in the quarantine register whether the content broke a
-// connection or completed.
-func (j *job) reportToQuarantine(choice *balance.Choice, result balance.Result, digest string) {
-	if result == balance.Broken {
-		j.f.crashProber.reportBroken(choice, digest)
-	}
-	if result == balance.Succeeded {
-		j.f.Register.Cleared(time.Now(), digest)
-	}
-}
+// recordCompletion records that an endpoint completed the request. It must be called before
+// the end of the response goes out, as the caller may send the same content again at once.
+func (j *job) recordCompletion() { j.f.Register.Cleared(time.Now(), j.digest) }
 
 // place chooses the next endpoint and excludes it from later placements of this request.
 func (j *job) place(pool *balance.Pool) *balance.Choice {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -61,6 +61,7 @@
 
 // finishStream ends the caller's stream. A stream without events still gets its header.
 func (j *job) finishStream(status int, fields []httpio.Field) attemptOutcome {
+	j.recordCompletion()
 	if !j.writer.Started() {
 		j.status = status
 		if err := j.writer.StartStream(status, fields, nil); err != nil {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -41,6 +41,9 @@
 	HangPlatform Kind = "hang_platform"
 	// StalePlatform makes the platform serve an earlier state, and ends its watches.
 	StalePlatform Kind = "stale_platform"
+	// RestorePlatform makes the platform come back from an older copy of its data. The operator
+	// and the endpoints write their objects again when the fault ends.
+	RestorePlatform Kind = "restore_platform"
 	// ChangeTable adds an API key to the route table and revokes the one added before it.
 	ChangeTable Kind = "change_table"
 	// DrainEndpoint marks an endpoint as draining until the fault ends, and in some variants
@@ -83,6 +86,7 @@
 	{RefusePlatform, Platform, 2, 5 * time.Second, 1},
 	{HangPlatform, Platform, 2, 5 * time.Second, 1},
 	{StalePlatform, Platform, 1, 3 * time.Second, 1},
+	{RestorePlatform, Platform, 2, time.Second, 3},
 	{ChangeTable, Platform, 4, 0, 1},
 	{DrainEndpoint, Endpoint, 3, 5 * time.Second, 1},
 }
@@ -119,7 +123,7 @@
 // Generation is the current version of plan generation. It increases when a change would
 // alter the plans of existing seeds; passing an earlier generation to Plan reproduces the
 // plan of a run that failed with it.
-const Generation = 2
+const Generation = 3
 
 // Plan generates the faults of a run, ordered by start. The same generation, seed, fleet
 // and length give the same plan. Faults come in series and may overlap, but faults of one
@@ -196,7 +200,7 @@
 		return "process"
 	case DelayEndpoint, ResetEndpoint, CutEndpoint, CrashEndpoint:
 		return "relay"
-	case RefusePlatform, HangPlatform, StalePlatform:
+	case RefusePlatform, HangPlatform, StalePlatform, RestorePlatform:
 		return "platform"
 	case ChangeTable, DrainEndpoint, CutFromPlatform:
 		return string(k)
--- a/test/e2e/soak_faults_test.go
+++ b/test/e2e/soak_faults_test.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/soak"
 	platformstandin "github.com/primrosewell/primrosewell/internal/standin/platform"
 	"github.com/primrosewell/primrosewell/internal/standin/relay"
@@ -30,6 +31,8 @@
 		s.links[f.Index].Restore()
 	case soak.DelayEndpoint, soak.ResetEndpoint, soak.CutEndpoint, soak.CrashEndpoint:
 		s.strikeEndpoint(f, until)
+	case soak.RestorePlatform:
+		s.restorePlatform(f, until)
 	case soak.RefusePlatform, soak.HangPlatform, soak.StalePlatform:
 		s.strikePlatform(f, until)
 	case soak.ChangeTable:
@@ -139,13 +142,31 @@
 	s.setFaults(platformstandin.Faults{})
 }
 
+// restorePlatform makes the platform come back from an older copy of its data. Then the
+// operator and the endpoints write their objects again.
+func (s *soakRun) restorePlatform(f soak.Fault, until func()) {
+	s.control(platformstandin.RestorePath, platformstandin.RestoreRequest{AgeMS: 100 + f.Variant%3000})
+	until()
+	s.tables.Lock()
+	s.untilDone(func() error { return s.putSoakTable(s.version, s.key) })
+	s.tables.Unlock()
+	for i := range s.relays {
+		s.untilDone(func() error { return s.writeRegistration(i) })
+	}
+}
+
 func (s *soakRun) setFaults(faults platformstandin.Faults) {
-	data, err := json.Marshal(faults)
+	s.control(platformstandin.FaultsPath, faults)
+}
+
+// control sends a request to the control API of the platform's stand-in.
+func (s *soakRun) control(path string, request any) {
+	data, err := json.Marshal(request)
 	if err != nil {
 		s.faults.add("faults: %s", err)
 		return
 	}
-	response, err := http.Post(s.control, "application/json", bytes.NewReader(data))
+	response, err := http.Post("http://"+s.platformAddress+path, "application/json", bytes.NewReader(data))
 	if err != nil {
 		s.faults.add("faults: %s", err)
 		return
@@ -169,17 +190,19 @@
 }
 
 func (s *soakRun) drainEndpoint(f soak.Fault, until func()) {
-	if !s.untilDone(func() error { return s.putEndpoint(f.Index, true) }) {
+	s.register(f.Index, registration{draining: true})
+	if !s.untilDone(func() error { return s.writeRegistration(f.Index) }) {
 		return
 	}
 	change := soak.Change{At: time.Now(), Endpoint: f.Index}
 	if f.Variant%2 == 0 {
-		s.untilDone(func() error { return s.unlist(f.Index) })
+		s.register(f.Index, registration{unlisted: true})
+		s.untilDone(func() error { return s.writeRegistration(f.Index) })
 	}
 	until()
-	s.born.Add(1)
 	change.RestoredAt = time.Now()
-	s.untilDone(func() error { return s.putEndpoint(f.Index, false) })
+	s.register(f.Index, registration{born: s.born.Add(1)})
+	s.untilDone(func() error { return s.writeRegistration(f.Index) })
 	s.history.RecordChange(change)
 }
 
@@ -188,6 +211,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline)
 	defer cancel()
 	o, err := s.store.Get(ctx, "endpoints", endpointName(i))
+	if platform.ReasonOf(err) == platform.NotFound {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -20,7 +20,6 @@
 	"github.com/primrosewell/primrosewell/internal/routetable"
 	"github.com/primrosewell/primrosewell/internal/soak"
 	"github.com/primrosewell/primrosewell/internal/standin/opaque"
-	platformstandin "github.com/primrosewell/primrosewell/internal/standin/platform"
 	"github.com/primrosewell/primrosewell/internal/standin/relay"
 )
 
@@ -118,7 +117,6 @@
 // soakRun is a fleet with callers, and what they saw.
 type soakRun struct {
 	*gatewayFleet
-	control string
 	// relays stand before the endpoints, and links between each gateway and the platform.
 	relays, links []*relay.Relay
 	// born tells the registrations of an endpoint apart.
@@ -133,8 +131,10 @@
 	mu      sync.Mutex
 	version int64
 	// key is the API key that the table has besides the steady one.
-	key   string
-	spans []soak.Span
+	key string
+	// registrations are what the endpoints last registered.
+	registrations []registration
+	spans         []soak.Span
 	// ctx ends the callers; the endpoints run until the spec's end.
 	ctx    context.Context
 	stop   context.CancelFunc
@@ -164,7 +164,6 @@
 		gatewayFleet: newGatewayFleet("3s"), history: &soak.History{SteadyKey: steadyKey, Workspace: "acme"},
 		random: rand.New(rand.NewPCG(seed, 5)),
 	}
-	s.control = "http://" + s.platformAddress + platformstandin.FaultsPath
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	DeferCleanup(s.stop)
 	for i := range fleet.Endpoints {
@@ -200,13 +199,35 @@
 	r, err := relay.New(ctx, l.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(r.Close)
-	s.relays = append(s.relays, r)
-	Expect(s.putEndpoint(i, false)).To(Succeed())
+	s.relays, s.registrations = append(s.relays, r), append(s.registrations, registration{})
+	Expect(s.writeRegistration(i)).To(Succeed())
 }
 
-func (s *soakRun) putEndpoint(i int, draining bool) error {
+// registration is the state of an endpoint's entry at the platform.
+type registration struct {
+	born               int64
+	draining, unlisted bool
+}
+
+// register sets the state that writeRegistration writes. A zero born keeps the current one.
+func (s *soakRun) register(i int, r registration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r.born == 0 {
+		r.born = s.registrations[i].born
+	}
+	s.registrations[i] = r
+}
+
+func (s *soakRun) writeRegistration(i int) error {
+	s.mu.Lock()
+	r := s.registrations[i]
+	s.mu.Unlock()
+	if r.unlisted {
+		return s.unlist(i)
+	}
 	return s.tryPut("endpoints", endpointName(i), map[string]any{
-		"service": "svc", "address": s.relays[i].Address(), "data_centre": "dc-1", "slots": 8, "born": s.born.Load(), "draining": draining,
+		"service": "svc", "address": s.relays[i].Address(), "data_centre": "dc-1", "slots": 8, "born": r.born, "draining": r.draining,
 	})
 }
 
