--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -210,8 +210,12 @@
 	It("does not reuse a connection that received bytes after the response", func() {
 		var late sync.WaitGroup
 		e := newEndpoint(func(r *http.Request, _ string, conn net.Conn) bool {
+			late.Add(1) // Before the response, after which the caller waits for the late bytes.
 			ok("fine")(r, "", conn)
-			late.Go(func() { ok("again")(r, "", conn) })
+			go func() {
+				defer late.Done()
+				ok("again")(r, "", conn)
+			}()
 			return true
 		})
 		fx := newFixture(spec(), e)
