The door: headers with bare line feeds or folded lines, and closing after the last response

Found by hand on `make gateway`: a caller's Connection: close was answered with it, but the connection stayed open for the idle timeout; folded lines were accepted; a bare line feed waited for the 408; what can't be read was answered without a body. Now the header's line endings are checked as they arrive (400 at once), the connection's write side is closed right after the last response, and a rejection has the typed body of all other failures.

--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -180,7 +180,7 @@
 		Limits: func() httpio.Limits {
 			return httpio.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderTimeout: time.Second, BodyTimeout: 10 * time.Second, IdleTimeout: 5 * time.Second}
 		},
-		OnReject: func(net.Addr, int, httpio.RejectReason) {},
+		OnReject: func(net.Addr, int, httpio.RejectReason) []byte { return nil },
 	})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -100,11 +99,9 @@
 		return nil, err
 	}
 	return httpio.NewServer(httpio.Options{
-		Handler: forwarder.Handle,
-		Limits:  func() httpio.Limits { return g.limits() },
-		OnReject: func(remote net.Addr, status int, reason httpio.RejectReason) {
-			g.log.WithFields(logrus.Fields{"event": "rejected", "remote": remote, "status": status, "reason": reason}).Info("a request could not be read")
-		},
+		Handler:  forwarder.Handle,
+		Limits:   func() httpio.Limits { return g.limits() },
+		OnReject: g.rejectRequest,
 	}), nil
 }
 
--- a/internal/httpio/server.go
+++ b/internal/httpio/server.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// lingerTimeout limits how long a connection stays open after a response that was sent
-	// before the complete request was read. Closing at once would reset the connection, and
-	// the caller could lose the response.
+	// lingerTimeout limits how long a connection stays open after its last response has been
+	// sent and its write side closed. Closing it completely at once would reset it if the
+	// caller has sent more, and the caller could lose the response.
 	lingerTimeout = 500 * time.Millisecond
 	// lingerBytes limits how many request bytes are read and discarded during that time.
 	lingerBytes = 1 << 20
@@ -66,8 +66,9 @@
 	Handler Handler
 	// Limits returns the current limits; it is called for each connection and request.
 	Limits func() Limits
-	// OnReject is called before the server sends a response to a request that it rejects.
-	OnReject func(remote net.Addr, status int, reason RejectReason)
+	// OnReject is called before the server rejects a request. It returns the body of the
+	// response, in JSON.
+	OnReject func(remote net.Addr, status int, reason RejectReason) []byte
 }
 
 // Server serves callers' connections. Its methods are safe for concurrent use.
@@ -177,9 +178,11 @@
 		defer c.server.active.Add(-1)
 		c.server.options.Handler(ctx, r, w)
 		w.closeUnfinished()
-		if !w.close {
-			c.state.Store(connIdle)
+		if w.close {
+			_ = c.conn.SetReadDeadline(time.Now()) // Nothing more is read.
+			return
 		}
+		c.state.Store(connIdle)
 		_ = c.conn.SetReadDeadline(time.Now().Add(c.server.options.Limits().IdleTimeout))
 	}()
 	_, err := c.reader.Peek(1)
@@ -187,6 +190,9 @@
 		cancel() // The caller closed the connection, so that nobody reads the response.
 	}
 	<-done
+	if w.close && w.finished {
+		c.linger()
+	}
 	return err == nil && !w.close
 }
 
@@ -195,6 +201,10 @@
 func (c *serverConn) readRequest(request *fasthttp.Request) bool {
 	limits := c.server.options.Limits()
 	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	if err := awaitHeader(c.reader); err != nil {
+		c.rejectHeader(err)
+		return false
+	}
 	if err := request.Header.Read(c.reader); err != nil {
 		c.rejectHeader(err)
 		return false
@@ -240,7 +250,7 @@
 	var smallBuffer *fasthttp.ErrSmallBuffer
 	var nothingRead fasthttp.ErrNothingRead
 	switch {
-	case errors.As(err, &smallBuffer):
+	case errors.As(err, &smallBuffer), errors.Is(err, bufio.ErrBufferFull):
 		c.reject(fasthttp.StatusRequestHeaderFieldsTooLarge, HeaderTooLarge)
 	case isTimeout(err):
 		c.reject(fasthttp.StatusRequestTimeout, TooSlow)
@@ -253,9 +263,9 @@
 // reject sends an error response to a request that was not read completely. The response
 // repeats nothing of the request, which may contain an API key.
 func (c *serverConn) reject(status int, reason RejectReason) {
-	c.server.options.OnReject(c.conn.RemoteAddr(), status, reason)
+	body := c.server.options.OnReject(c.conn.RemoteAddr(), status, reason)
 	w := &Writer{conn: c.conn, close: true, draining: &c.server.draining}
-	if w.WriteResponse(status, nil, nil) != nil {
+	if w.WriteResponse(status, []Field{{Name: "Content-Type", Value: "application/json"}}, body) != nil {
 		return
 	}
 	c.linger()
--- a/internal/httpio/server_test.go
+++ b/internal/httpio/server_test.go
@@ -41,7 +41,7 @@
 			Limits: func() httpio.Limits {
 				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: 200 * time.Millisecond, BodyTimeout: 300 * time.Millisecond, IdleTimeout: 400 * time.Millisecond}
 			},
-			OnReject: func(net.Addr, int, httpio.RejectReason) {},
+			OnReject: func(_ net.Addr, _ int, reason httpio.RejectReason) []byte { return []byte(reason) },
 		})
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -81,11 +81,60 @@
 		Entry("a header that is too large", "GET /x HTTP/1.1\r\nHost: h\r\nKey: secret"+strings.Repeat("x", 4096)+"\r\n\r\n", 431),
 		Entry("a body that is too large", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\nsecret", 413),
 		Entry("a chunked body that is too large", "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1000\r\n"+strings.Repeat("x", 4096)+"\r\n0\r\n\r\n", 413),
+		Entry("a line that ends without a carriage return", "GET /x HTTP/1.1\r\nHost: h\nKey: secret\r\n\r\n", 400),
+		Entry("a header that ends without carriage returns", "GET /x HTTP/1.1\r\nHost: h\r\nKey: secret\n\n", 400),
+		Entry("a field that continues on the next line", "GET /x HTTP/1.1\r\nHost: h\r\nKey: a\r\n secret\r\n\r\n", 400),
+		Entry("a field that continues on the next line after a tab", "GET /x HTTP/1.1\r\nHost: h\r\nKey: a\r\n\tsecret\r\n\r\n", 400),
 		Entry("a header that does not end", "GET /x HTTP/1.1\r\nHost: h\r\nKey: secret", 408),
 		Entry("a body that does not end", "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\nsecret", 408),
 		Entry("a chunked body that does not end", "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nsecret\r\n", 408),
 	)
 
+	It("states in the body why it rejected a request", func() {
+		conn := dial()
+		_, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\n")
+		Expect(err).NotTo(HaveOccurred())
+		r, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = r.Body.Close() }()
+		Expect(r.Header.Get("Content-Type")).To(Equal("application/json"))
+		body, err := io.ReadAll(r.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(body)).To(Equal(string(httpio.Malformed)))
+	})
+
+	It("takes a header that arrives byte by byte", func() {
+		conn := dial()
+		for _, b := range []byte("GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n") {
+			_, err := conn.Write([]byte{b})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(readAll(conn)).To(HavePrefix("HTTP/1.1 200 "))
+	})
+
+	It("closes the connection at once after a response with Connection: close", func() {
+		patient := httpio.NewServer(httpio.Options{
+			Handler: func(_ context.Context, _ *httpio.Request, w *httpio.Writer) {
+				Expect(w.WriteResponse(200, nil, []byte("done"))).To(Succeed())
+			},
+			Limits: func() httpio.Limits {
+				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: time.Hour, BodyTimeout: time.Hour, IdleTimeout: time.Hour}
+			},
+			OnReject: func(net.Addr, int, httpio.RejectReason) []byte { return nil },
+		})
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(listener.Close)
+		go func() { _ = patient.Serve(listener) }()
+		address = listener.Addr().String()
+		conn := dial()
+		_, err = io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+		Expect(err).NotTo(HaveOccurred())
+		data, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred(), "the connection ends before the deadline of the read")
+		Expect(string(data)).To(And(ContainSubstring("Connection: close"), HaveSuffix("done")))
+	})
+
 	It("answers pipelined requests of one connection in order", func() {
 		conn := dial()
 		_, err := io.WriteString(conn, "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\naPOST /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbc\r\n0\r\n\r\n")
