Affinity: the last shared part decides, and a cached head does not hide it

Cause: a daemon that had sent only the first shared part of a prompt to its affinity endpoint counted just that part there ("cached" replaced "home"), so every endpoint with the common part looked alike and the specific part was read again wherever load led. Where the common part was the larger one, it even chose the endpoint: four endpoints for all.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -80,6 +80,42 @@
 		})
 	})
 
+	// Load pattern: prompts that begin with one of a few common parts, followed by one of many
+	// others.
+	Describe("with a common part before the specific shared ones", func() {
+		request := func(i int) balance.Request {
+			return balance.Request{PromptTokens: 9200, Parts: []balance.PromptPart{
+				{ID: fmt.Sprint("common", i%4), Tokens: 3500}, {ID: fmt.Sprint("specific", i), Tokens: 2800}, {ID: "own", Tokens: 2900},
+			}}
+		}
+
+		It("sends a specific part to the same endpoint from several daemons, which all have sent the common one to many", func() {
+			endpointsByPart := make(map[int]map[string]bool)
+			for daemon := range 6 {
+				p := balance.NewPool("dc", rand.New(rand.NewPCG(uint64(daemon), 7)))
+				p.Update(now, endpoints(9))
+				for i := range 160 {
+					c := p.Pick(now.Add(time.Duration(i)*10*time.Millisecond), request(i))
+					c.ResponseStarted(now)
+					c.Done(now, balance.Succeeded)
+					if endpointsByPart[i] == nil {
+						endpointsByPart[i] = make(map[string]bool)
+					}
+					endpointsByPart[i][c.ID] = true
+				}
+			}
+			duplicates, used := 0, make(map[string]bool)
+			for _, ids := range endpointsByPart {
+				duplicates += len(ids) - 1
+				for id := range ids {
+					used[id] = true
+				}
+			}
+			Expect(duplicates).To(BeNumerically("<=", 8))
+			Expect(len(used)).To(BeNumerically(">=", 7), "not only the affinity endpoints of the common parts")
+		})
+	})
+
 	// Load pattern: long prompts together with short prompts of high priority.
 	Describe("with long and short prompts", func() {
 		It("places them on separate endpoints while there is capacity", func() {
--- a/internal/balance/cache.go
+++ b/internal/balance/cache.go
@@ -10,12 +10,13 @@
 const (
 	// maxCachedParts bounds the prompt parts tracked per endpoint.
 	maxCachedParts = 512
-	// minAffinityTokens is the size from which a shared part has an affinity endpoint.
-	minAffinityTokens = 1000
+	// minAffinityTokens is the size of a prompt's shared parts from which they have an affinity
+	// endpoint.
+	minAffinityTokens = 400
 	// affinityHitShare is the share of the shared tokens that the affinity endpoint is assumed
 	// to have cached if this daemon did not send them there: other daemons send theirs to the
 	// same endpoint.
-	affinityHitShare = 0.8
+	affinityHitShare = 0.95
 	// cacheTTL is how long a part is assumed to stay cached after its last use.
 	cacheTTL = 30 * time.Second
 )
@@ -73,16 +74,18 @@
 	return hashed
 }
 
-// affinityPart returns the largest shared part, which determines the affinity endpoint, and
-// the number of tokens up to its end. Both are zero if no shared part is large enough. The
-// last part is specific to the request and does not count.
+// affinityPart returns the last shared part, which determines the affinity endpoint, and the
+// number of tokens up to its end. Both are zero if these are too few. The last part of the
+// prompt is specific to the request and does not count. Parts before the last shared one are
+// shared by more requests: if one of them decided, many requests would have the same affinity
+// endpoint, while every endpoint soon has such a part in its cache anyway.
 func affinityPart(parts []hashedPart) (part uint64, tokens int) {
-	largest, sum := 0, 0
 	for _, p := range parts[:max(0, len(parts)-1)] {
-		sum += p.tokens
-		if p.tokens >= minAffinityTokens && p.tokens > largest {
-			largest, part, tokens = p.tokens, p.hash, sum
-		}
+		part = p.hash
+		tokens += p.tokens
+	}
+	if tokens < minAffinityTokens {
+		return 0, 0
 	}
 	return part, tokens
 }
--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -37,6 +37,8 @@
 	// relative to a token already pending at the endpoint: the copy takes a few milliseconds,
 	// and the traffic has a price.
 	fetchWeight = 9.0
+	// minFetchTokens is the number of tokens from which a fetch costs less than prefilling them.
+	minFetchTokens = 1000
 )
 
 // scoredEndpoint is an endpoint with its cost for one request.
@@ -68,12 +70,15 @@
 			continue
 		}
 		s := scoredEndpoint{endpoint: e, pendingTokens: request.PromptTokens, reason: "load"}
-		if cached := p.cachedTokens[i]; cached > 0 {
+		// This daemon may have sent only the first shared parts to the affinity endpoint; others
+		// send it the rest.
+		affinityTokens := int(affinityHitShare * float64(sharedTokens))
+		if cached := p.cachedTokens[i]; e == affinity && cached < affinityTokens {
+			s.pendingTokens, s.reason = request.PromptTokens-affinityTokens, "home"
+		} else if cached > 0 {
 			s.pendingTokens, s.reason = max(0, request.PromptTokens-cached), "cached"
-		} else if e == affinity {
-			s.pendingTokens, s.reason = request.PromptTokens-int(affinityHitShare*float64(sharedTokens)), "home"
 		}
-		if fetched := s.pendingTokens - (request.PromptTokens - sourceTokens); source != nil && source != e && fetched >= minAffinityTokens {
+		if fetched := s.pendingTokens - (request.PromptTokens - sourceTokens); source != nil && source != e && fetched >= minFetchTokens {
 			s.fetchSource = source
 			s.pendingTokens -= fetched
 			s.cost = fetchWeight * float64(fetched)
@@ -97,7 +102,7 @@
 // number of tokens it holds. It prefers endpoints to which this daemon sent the parts, and
 // else takes the affinity endpoint.
 func (p *Pool) fetchSource(now time.Time, candidates []*endpoint, affinity *endpoint, sharedTokens int) (*endpoint, int) {
-	if sharedTokens < minAffinityTokens {
+	if sharedTokens < minFetchTokens {
 		return nil, 0
 	}
 	var best *endpoint
