Predicted wait and sample in large fleets: by what a daemon can know there

And a daemon that had sent the common head of a prompt everywhere compared all endpoints instead of a sample, so that all took the one that was the least loaded. Change: the composition of a reported backlog is taken from the daemon's own requests at all endpoints of that group; only endpoints with most of the shared parts are compared beside the sample.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -342,6 +342,32 @@
 			Expect(p.Pick(now, urgent).PredictedWait).To(BeZero())
 		})
 
+		// Load pattern: a burst before 67 daemons, each of which has few requests of its own at any
+		// one endpoint.
+		It("counts only the urgent part of a backlog that other daemons report", func() {
+			p := newPool(3)
+			first := p.Pick(now, longRequest(0))
+			first.ResponseStarted(now.Add(17000 * perToken))
+			first.Done(now, balance.Succeeded)
+			reported := balance.Load{Running: 30, PendingTokens: 500000}
+			p.SetRemoteLoad(map[balance.EndpointKey]balance.Load{balance.KeyOf("e0"): reported, balance.KeyOf("e1"): reported, balance.KeyOf("e2"): reported}, 67)
+			for i, priority := range []int{1, 2, 2, 2} {
+				request := longRequest(i)
+				request.Priority, request.Exclude = priority, map[string]bool{"e1": true, "e2": true}
+				p.Pick(now, request)
+			}
+			wait := func(priority int) time.Duration {
+				request := longRequest(100)
+				request.Priority, request.Exclude = priority, map[string]bool{"e0": true}
+				c := p.Pick(now, request)
+				defer c.Done(now, balance.Neutral)
+				return c.PredictedWait
+			}
+			all := wait(2)
+			Expect(all).To(BeNumerically(">", 2*time.Second))
+			Expect(wait(1)).To(BeNumerically("~", all/4, all/10))
+		})
+
 		It("does not count queueing as prefill time", func() {
 			wait := func(slowAnswers int) time.Duration {
 				p := newPool(1)
--- a/internal/balance/sample.go
+++ b/internal/balance/sample.go
@@ -4,7 +4,7 @@
 // daemons see the same endpoint as the least loaded. If each chose it, hundreds of requests
 // would pile up there, and after the next exchange all daemons would move to another endpoint
 // at once, away from the cached prompt parts. Each choice therefore compares a few endpoints
-// drawn at random, plus those that hold shared parts of the prompt.
+// drawn at random, plus those that hold most of the shared parts of the prompt.
 
 const (
 	// sampleSize is the number of endpoints drawn from each group, reserved and general. The
--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -64,10 +64,11 @@
 	source, sourceTokens := p.fetchSource(now, candidates, affinity, sharedTokens)
 	interactive := request.interactive()
 	drawn := newSample(candidates, p.daemons)
+	minCached := max(minAffinityTokens, sharedTokens/2)
 	var best scoredEndpoint
 	for i, e := range candidates {
-		if !drawn.draw(e, p.random.Float64) && e != affinity && p.cachedTokens[i] == 0 {
-			continue
+		if !drawn.draw(e, p.random.Float64) && e != affinity && p.cachedTokens[i] < minCached {
+			continue // A cached head alone is common; see Load pattern in sample.go.
 		}
 		s := scoredEndpoint{endpoint: e, pendingTokens: request.PromptTokens, reason: "load"}
 		// This daemon may have sent only the first shared parts to the affinity endpoint; others
--- a/internal/balance/wait.go
+++ b/internal/balance/wait.go
@@ -6,7 +6,9 @@
 // Every request that joins a backlog longer than its latency target is late, and delays those
 // behind it. The wait is predicted without the request's own size, so that large and small
 // requests of one kind are treated alike, and covers only the tokens that the engine prefills
-// first.
+// first: the engine prefills more urgent prompts before less urgent ones. Other daemons report
+// their backlog without priorities, so its composition is taken from this daemon's own requests
+// to all endpoints of the same kind; those to one endpoint are too few in a large fleet.
 
 const (
 	// idleTimeRise is the factor by which a slower observation raises the idle token time, so
@@ -55,9 +57,25 @@
 	}
 }
 
+// groupBacklog returns this daemon's backlog at all endpoints that are reserved, or at all that
+// are not.
+func (p *Pool) groupBacklog(reserved bool) backlog {
+	var sum backlog
+	for _, e := range p.order {
+		if e.reserved != reserved {
+			continue
+		}
+		for priority, tokens := range e.pendingByPriority {
+			sum[priority] += tokens
+		}
+	}
+	return sum
+}
+
 // predictWait returns the expected time before the prompt of a new request of this priority is
 // prefilled.
 func (p *Pool) predictWait(e *endpoint, priority int) time.Duration {
-	tokens := float64(e.pendingTokens+e.remote.PendingTokens) * e.pendingByPriority.shareUpTo(priority)
+	group := p.groupBacklog(e.reserved)
+	tokens := float64(e.pendingTokens+e.remote.PendingTokens) * group.shareUpTo(priority)
 	return time.Duration(float64(p.idleTokenTime) * tokens)
 }
