Refusal: a shorter wait is the limit while all endpoints are as long behind

Change: the shorter limit applies only while the mean wait over the endpoints is beyond it, too, and is a tenth of the longest timeout of all that is not more urgent. A spec's less urgent route now has a timeout of a minute, since its 5 s would make both requests wait beyond the new limit; load and check are unchanged.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -183,6 +183,9 @@
 
 	// PredictedWait is the predicted time before the endpoint starts to prefill the prompt.
 	PredictedWait time.Duration
+	// MeanWait is the mean of the predicted waits at all endpoints that are reserved, or at all
+	// that are not, whichever the chosen one is.
+	MeanWait time.Duration
 	// FetchFrom is the address of an endpoint from which cached shared parts of the prompt can
 	// be fetched, or "".
 	FetchFrom string
@@ -217,8 +220,9 @@
 	c := &Choice{
 		Endpoint: e.Endpoint, Reason: best.reason, Score: best.cost, Candidates: len(candidates),
 		pool: p, endpoint: e, pendingTokens: best.pendingTokens, parts: parts, pickedAt: now,
-		PredictedWait: p.predictWait(e, request.Priority), priority: request.Priority, interactive: request.interactive(),
+		priority: request.Priority, interactive: request.interactive(),
 	}
+	c.PredictedWait, c.MeanWait = p.predictWait(e, request.Priority)
 	if best.fetchSource != nil {
 		c.FetchFrom = best.fetchSource.Address
 	}
--- a/internal/balance/wait.go
+++ b/internal/balance/wait.go
@@ -57,25 +57,37 @@
 	}
 }
 
-// groupBacklog returns this daemon's backlog at all endpoints that are reserved, or at all that
-// are not.
-func (p *Pool) groupBacklog(reserved bool) backlog {
-	var sum backlog
+// groupBacklog is the backlog at all endpoints that are reserved, or at all that are not.
+type groupBacklog struct {
+	endpoints int
+	// tokens is the backlog from all daemons, and own this daemon's part of it, by priority.
+	tokens int
+	own    backlog
+}
+
+func (p *Pool) groupBacklog(reserved bool) groupBacklog {
+	var g groupBacklog
 	for _, e := range p.order {
 		if e.reserved != reserved {
 			continue
 		}
+		g.endpoints++
+		g.tokens += e.pendingTokens + e.remote.PendingTokens
+		if e.pendingTokens == 0 {
+			continue
+		}
 		for priority, tokens := range e.pendingByPriority {
-			sum[priority] += tokens
+			g.own[priority] += tokens
 		}
 	}
-	return sum
+	return g
 }
 
 // predictWait returns the expected time before the prompt of a new request of this priority is
-// prefilled.
-func (p *Pool) predictWait(e *endpoint, priority int) time.Duration {
+// prefilled at e, and the mean of that time over all endpoints of its group.
+func (p *Pool) predictWait(e *endpoint, priority int) (atEndpoint, mean time.Duration) {
 	group := p.groupBacklog(e.reserved)
-	tokens := float64(e.pendingTokens+e.remote.PendingTokens) * group.shareUpTo(priority)
-	return time.Duration(float64(p.idleTokenTime) * tokens)
+	tokenTime := float64(p.idleTokenTime) * group.own.shareUpTo(priority)
+	atEndpoint = time.Duration(tokenTime * float64(e.pendingTokens+e.remote.PendingTokens))
+	return atEndpoint, time.Duration(tokenTime * float64(group.tokens) / float64(max(1, group.endpoints)))
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -32,9 +32,6 @@
 	refusedRetryJitter = 250 * time.Millisecond
 	// suspendedRetryJitter spreads the retries of content that crashed endpoints.
 	suspendedRetryJitter = time.Second
-	// maxWaitFactor bounds the predicted wait behind other prompts, in latency targets; see
-	// overloaded.
-	maxWaitFactor = 1.0
 	// maxPlacements bounds the endpoints that are tried for one request, including refusals
 	// and failed connections.
 	maxPlacements = 4
@@ -273,18 +270,6 @@
 	return choice
 }
 
-// overloaded refuses a new request whose predicted wait at the best endpoint is too long both
-// for its own latency target and for those of all requests that are not more urgent: these
-// must be refused first. The request has not been sent to any endpoint yet.
-func (j *job) overloaded(choice *balance.Choice) *failure.Failure {
-	maxWait := time.Duration(maxWaitFactor * float64(j.table.LongestTarget(j.service, j.urgency)))
-	if j.placements > 1 || j.route.Target <= 0 || choice.PredictedWait <= maxWait {
-		return nil
-	}
-	retryDelay := retryAfter(choice.PredictedWait-maxWait, time.Until(j.deadline), rand.Float64())
-	return failure.New(failure.Overloaded, "the prompts ahead take longer to read than the latency target allows").WithRetryAfter(retryDelay)
-}
-
 // retryDenialReason returns why no further attempt may be made, or "" if one may.
 func (j *job) retryDenialReason(outcome attemptOutcome) string {
 	switch {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -378,11 +378,28 @@
 		Expect(e.received()).To(BeEmpty(), "a refused request has not run")
 	})
 
+	// Load pattern: the same wait at one endpoint of several, and at all.
+	It("refuses behind a shorter backlog while the wait is as long at all endpoints", func() {
+		s := spec()
+		s.Routes[1].Target = time.Second
+		e, other := newEndpoint(ok("fine")), newEndpoint(ok("fine"))
+		fx := newFixture(s, e, other)
+		now := time.Now()
+		c := fx.pool.Pick(now, balance.Request{PromptTokens: 20000})
+		c.ResponseStarted(now.Add(100 * time.Millisecond))
+		c.Done(now, balance.Succeeded)
+		for range 12 {
+			fx.pool.Pick(now, balance.Request{PromptTokens: 20000}) // Well below the target at each, and beyond a tenth of the timeout.
+		}
+		Expect(fx.call("/unsafe/x", names.PromptSize, "1000,10").StatusCode).To(Equal(http.StatusTooManyRequests))
+		Expect(append(e.received(), other.received()...)).To(BeEmpty())
+	})
+
 	// Load pattern: the same backlog ahead of requests with a short and with a long target.
 	It("does not refuse a more urgent request while it accepts a less urgent one", func() {
 		s := spec()
 		s.Routes[0].Target, s.Routes[0].Priority = time.Second, 1
-		s.Routes[1].Target, s.Routes[1].Priority = 10*time.Second, 2
+		s.Routes[1].Target, s.Routes[1].Priority, s.Routes[1].Timeout = 10*time.Second, 2, time.Minute
 		e := newEndpoint(ok("fine"))
 		fx := newFixture(s, e)
 		c := fx.pool.Pick(time.Now(), balance.Request{PromptTokens: 20000})
--- a/internal/routetable/table.go
+++ b/internal/routetable/table.go
@@ -122,7 +122,8 @@
 	routesByHost    map[string][]*Route
 	workspacesByKey map[string]*Workspace
 	urgency         map[rank]int
-	longestTargets  longestTargets
+	longestTargets  longestDurations
+	longestTimeouts longestDurations
 	tightestPauses  tightestPauses
 }
 
@@ -135,7 +136,8 @@
 		workspacesByKey: make(map[string]*Workspace),
 		urgency:         assignUrgencies(spec),
 	}
-	t.longestTargets = findLongestTargets(spec, t.urgency)
+	t.longestTargets = findLongest(spec, t.urgency, func(r *Route) time.Duration { return r.Target })
+	t.longestTimeouts = findLongest(spec, t.urgency, func(r *Route) time.Duration { return r.Timeout })
 	t.tightestPauses = findTightestPauses(spec)
 	for i := range spec.Routes {
 		route := &spec.Routes[i]
--- a/internal/routetable/table_test.go
+++ b/internal/routetable/table_test.go
@@ -123,6 +123,10 @@
 		last := table.Urgency(&spec.Workspaces[1], &spec.Routes[2])
 		Expect(table.LongestTarget("llm", last)).To(Equal(100 * time.Millisecond))
 		Expect(table.LongestTarget("unknown", 0)).To(BeZero())
+		spec.Routes[1].Timeout, spec.Routes[2].Timeout = 9*time.Second, 4*time.Second
+		table = routetable.New(spec)
+		Expect(table.LongestTimeout("llm", table.Urgency(&spec.Workspaces[0], &spec.Routes[0]))).To(Equal(9 * time.Second))
+		Expect(table.LongestTimeout("llm", last)).To(Equal(4 * time.Second))
 	})
 
 	It("tells which routes tolerate longer pauses than the tightest one to the same service", func() {
--- a/internal/routetable/urgency.go
+++ b/internal/routetable/urgency.go
@@ -54,22 +54,23 @@
 // the most urgent. The workspace is nil for anonymous callers.
 func (t *Table) Urgency(w *Workspace, r *Route) int { return t.urgency[rankOf(w, r)] }
 
-// longestTargets holds, by service and urgency, the longest latency target among the
-// requests that are not more urgent.
-type longestTargets map[string]*[urgencyLevels]time.Duration
+// longestDurations holds, by service and urgency, the longest duration of a kind, such as the
+// latency target, among the requests that are not more urgent.
+type longestDurations map[string]*[urgencyLevels]time.Duration
 
-func findLongestTargets(spec Spec, urgencyOf map[rank]int) longestTargets {
-	longest := make(longestTargets)
+// findLongest returns the longest of the durations that of returns for each route.
+func findLongest(spec Spec, urgencyOf map[rank]int, of func(*Route) time.Duration) longestDurations {
+	longest := make(longestDurations)
 	for i := range spec.Routes {
 		r := &spec.Routes[i]
 		for _, b := range r.Backends {
 			if longest[b.Service] == nil {
 				longest[b.Service] = new([urgencyLevels]time.Duration)
 			}
-			targets := longest[b.Service]
+			durations := longest[b.Service]
 			include := func(w *Workspace) {
 				u := urgencyOf[rankOf(w, r)]
-				targets[u] = max(targets[u], r.Target)
+				durations[u] = max(durations[u], of(r))
 			}
 			include(nil)
 			for j := range spec.Workspaces {
@@ -77,9 +78,9 @@
 			}
 		}
 	}
-	for _, targets := range longest {
+	for _, durations := range longest {
 		for u := urgencyLevels - 2; u >= 0; u-- {
-			targets[u] = max(targets[u], targets[u+1])
+			durations[u] = max(durations[u], durations[u+1])
 		}
 	}
 	return longest
@@ -89,9 +90,19 @@
 // not more urgent than urgency. A request with a shorter predicted wait must not be refused,
 // because a less urgent request would still be accepted. It returns 0 for an unknown service.
 func (t *Table) LongestTarget(service string, urgency int) time.Duration {
-	targets := t.longestTargets[service]
-	if targets == nil {
+	return t.longestTargets.get(service, urgency)
+}
+
+// LongestTimeout returns the longest timeout among the requests to a service that are not more
+// urgent than urgency, or 0 for an unknown service. Routes without a timeout don't count.
+func (t *Table) LongestTimeout(service string, urgency int) time.Duration {
+	return t.longestTimeouts.get(service, urgency)
+}
+
+func (l longestDurations) get(service string, urgency int) time.Duration {
+	durations := l[service]
+	if durations == nil {
 		return 0
 	}
-	return targets[urgency]
+	return durations[urgency]
 }
