directory: a first list of unknown era takes the era of the next one

Found while reading the diff: after a first list from a daemon of an older build, numbers of all later eras counted as comparable. Test failed first.

--- a/internal/balance/reservation.go
+++ b/internal/balance/reservation.go
@@ -30,8 +30,8 @@
 	targetUtilization = 0.7
 	// resizeInterval is the time between adjustments of the number of reserved endpoints, and
 	// interactiveWeight the weight of a new count in the moving average of running interactive
-	// requests. Both limit how often the number changes, as each change moves some prompt parts to other
-	// affinity endpoints.
+	// requests. Both limit how often the number changes, as each change moves some prompt parts
+	// to other affinity endpoints.
 	resizeInterval    = time.Second
 	interactiveWeight = 0.3
 	// bulkOnReservedPenalty is the cost of a request that is not interactive at a reserved
--- a/internal/directory/delta.go
+++ b/internal/directory/delta.go
@@ -78,6 +78,9 @@
 		c.completeSince = version
 		clear(c.numbers)
 	}
+	if c.completeSince.Era == 0 {
+		c.completeSince.Era = version.Era // The first list came from a daemon that sends no era.
+	}
 	for id := range c.pending {
 		c.numbers[id] = version.Number
 	}
--- a/internal/directory/version_test.go
+++ b/internal/directory/version_test.go
@@ -1,12 +1,14 @@
 package directory_test
 
 import (
+	"fmt"
 	"testing"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"github.com/primrosewell/primrosewell/internal/directory"
+	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
 func TestVersionOrder(t *testing.T) {
@@ -20,6 +22,21 @@
 	g.Expect(directory.Latest(v(1, 9), v(0, 9))).To(Equal(v(1, 9)), "neither is newer")
 }
 
+// The first list came from a daemon of an older build, which sends no era.
+func TestDeltaAcrossErasAfterAnUnknownOne(t *testing.T) {
+	g := NewWithT(t)
+	d := directory.New()
+	assign := func(era, number int64) {
+		d.Put(routetable.Endpoint{ID: fmt.Sprint(era, number), Service: "s"})
+		d.AssignVersion(directory.Version{Era: era, Number: number})
+	}
+	assign(0, 10)
+	assign(1, 20)
+	g.Expect(d.DeltaSince(directory.Version{Era: 1, Number: 20}).Full).To(BeFalse())
+	assign(2, 15)
+	g.Expect(d.DeltaSince(directory.Version{Era: 1, Number: 20}).Full).To(BeTrue(), "the numbers of another era can't be compared")
+}
+
 // Among versions of known eras the order is total, so that all daemons settle on one list.
 func TestVersionOrderIsTotal(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
