platform: a response that states no era ends neither a watch nor a list

Found while reading the diff: one response without the header (from an intermediary) would have made the watcher list again after each poll. Test failed first (a list whose second page states none).

--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -212,7 +212,7 @@
 		if err != nil {
 			return err
 		}
-		if event.Era != list.Era {
+		if !platform.SameEra(event.Era, list.Era) {
 			return errEraEnded
 		}
 		if event.Type != platform.Bookmark {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -152,7 +152,7 @@
 		if after == "" {
 			list.Version, list.Era = page.Version, response.era
 		}
-		if response.era != list.Era {
+		if !SameEra(response.era, list.Era) {
 			return List{}, r.newError(Unavailable, oops.Errorf("the list began in era %d and continues in era %d", list.Era, response.era))
 		}
 		list.Items = append(list.Items, page.Items...)
--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -32,6 +32,10 @@
 	}
 }
 
+// SameEra reports whether versions of two eras are comparable. An unknown era, 0, is taken for
+// the same as any other.
+func SameEra(a, b int64) bool { return a == 0 || b == 0 || a == b }
+
 // eraOf returns the era stated in a response, or 0 if it states none.
 func (c *Client) eraOf(header http.Header) int64 {
 	dialect, ok := c.options.Dialect.(EraDialect)
