--- a/internal/balance/sample_test.go
+++ b/internal/balance/sample_test.go
@@ -75,7 +75,7 @@
 			return balance.Request{PromptTokens: 1460, Parts: []balance.PromptPart{{ID: "common", Tokens: 350}, {ID: fmt.Sprint("own", i), Tokens: 1110}}}
 		}
 		warmUp := request(-1)
-		maxPlaced, used := placeBurst(&warmUp, request, 1)
+		maxPlaced, used := placeBurst(&warmUp, request, 2)
 		Expect(maxPlaced).To(BeNumerically("<=", slots-runningPerEndpoint), "no endpoint gets more requests than it has free slots")
 		Expect(used).To(BeNumerically(">=", 4))
 	})
