A refusal and a placement state what decided them: the mean wait, the limit, the group

Found while reading the diff: since the shorter limit the log lacked two inputs of the decision, and the refusal's text named the latency target even where a tenth of the timeout was the limit.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -183,6 +183,8 @@
 
 	// PredictedWait is the predicted time before the endpoint starts to prefill the prompt.
 	PredictedWait time.Duration
+	// Interactive is set if the request belongs on a reserved endpoint; see reservation.go.
+	Interactive bool
 	// MeanWait is the mean of the predicted waits at all endpoints that are reserved, or at all
 	// that are not, whichever the chosen one is.
 	MeanWait time.Duration
@@ -194,7 +196,6 @@
 	endpoint       *endpoint
 	pendingTokens  int
 	priority       int
-	interactive    bool
 	parts          []hashedPart
 	pickedAt       time.Time
 	pendingRemoved bool
@@ -220,14 +221,14 @@
 	c := &Choice{
 		Endpoint: e.Endpoint, Reason: best.reason, Score: best.cost, Candidates: len(candidates),
 		pool: p, endpoint: e, pendingTokens: best.pendingTokens, parts: parts, pickedAt: now,
-		priority: request.Priority, interactive: request.interactive(),
+		priority: request.Priority, Interactive: request.interactive(),
 	}
 	c.PredictedWait, c.MeanWait = p.predictWait(e, request.Priority)
 	if best.fetchSource != nil {
 		c.FetchFrom = best.fetchSource.Address
 	}
 	e.running++
-	if c.interactive {
+	if c.Interactive {
 		e.runningInteractive++
 	}
 	e.addPending(c.priority, c.pendingTokens)
@@ -269,7 +270,7 @@
 		c.endpoint.addPending(c.priority, -c.pendingTokens)
 	}
 	c.endpoint.running--
-	if c.interactive {
+	if c.Interactive {
 		c.endpoint.runningInteractive--
 	}
 	c.endpoint.health.observeResult(now, result)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -265,7 +265,7 @@
 	j.f.Log.WithFields(logrus.Fields{
 		"event": "placement", "request_id": j.id, "route": j.route.Name, "service": j.service, "endpoint": choice.ID,
 		"reason": choice.Reason, "score": int(choice.Score), "alternatives": choice.Candidates, "send": j.placements,
-		"priority": j.urgency, "table_version": j.table.Version(), "endpoints_version": j.f.EndpointsVersion(), "left": j.deadline.Sub(now), "wait": choice.PredictedWait,
+		"priority": j.urgency, "table_version": j.table.Version(), "endpoints_version": j.f.EndpointsVersion(), "left": j.deadline.Sub(now), "wait": choice.PredictedWait, "mean_wait": choice.MeanWait, "interactive": choice.Interactive,
 	}).Info("endpoint chosen")
 	return choice
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -391,7 +391,10 @@
 		for range 12 {
 			fx.pool.Pick(now, balance.Request{PromptTokens: 20000}) // Well below the target at each, and beyond a tenth of the timeout.
 		}
-		Expect(fx.call("/unsafe/x", names.PromptSize, "1000,10").StatusCode).To(Equal(http.StatusTooManyRequests))
+		r := fx.call("/unsafe/x", names.PromptSize, "1000,10")
+		Expect(r.StatusCode).To(Equal(http.StatusTooManyRequests))
+		body, _ := readBody(r)
+		Expect(body).To(ContainSubstring("limit of 500ms"), "a tenth of the timeout")
 		Expect(append(e.received(), other.received()...)).To(BeEmpty())
 	})
 
--- a/internal/forward/overload.go
+++ b/internal/forward/overload.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -49,5 +50,5 @@
 		return nil
 	}
 	retryDelay := retryAfter(choice.PredictedWait-limit, time.Until(j.deadline), rand.Float64())
-	return failure.New(failure.Overloaded, "the prompts ahead take longer to read than the latency target allows").WithRetryAfter(retryDelay)
+	return failure.New(failure.Overloaded, fmt.Sprintf("the predicted wait behind other prompts, %s, is beyond the limit of %s", choice.PredictedWait, limit)).WithRetryAfter(retryDelay)
 }
