--- a/internal/directory/version.go
+++ b/internal/directory/version.go
@@ -1,6 +1,10 @@
 package directory
 
-import "cmp"
+import (
+	"cmp"
+
+	"github.com/primrosewell/primrosewell/internal/platform"
+)
 
 // Version orders the endpoint lists of all daemons: first by era, then by number.
 type Version struct {
@@ -16,15 +20,15 @@
 func (v Version) After(other Version) bool { return v.compare(other) > 0 }
 
 func (v Version) compare(other Version) int {
-	if v.Era == 0 || other.Era == 0 {
+	if v.SameEra(other) {
 		return cmp.Compare(v.Number, other.Number)
 	}
-	return cmp.Or(cmp.Compare(v.Era, other.Era), cmp.Compare(v.Number, other.Number))
+	return cmp.Compare(v.Era, other.Era)
 }
 
 // SameEra reports whether the numbers of both versions are comparable.
 func (v Version) SameEra(other Version) bool {
-	return v.Era == 0 || other.Era == 0 || v.Era == other.Era
+	return platform.SameEra(v.Era, other.Era)
 }
 
 // Latest returns the newer of two versions, and a if neither is newer.
--- a/internal/gateway/endpointlist.go
+++ b/internal/gateway/endpointlist.go
@@ -13,10 +13,10 @@
 // missing entries since the platform's last change.
 const removalBits = 16
 
-// endpointList is the list of endpoints and its version. The version orders the lists of
-// all gateways: it holds the platform's era, and its number combines the platform's version
-// with the count of missing entries removed since. While this gateway does not watch the platform, or can't read it, it
-// accepts newer lists from peers. It is safe for concurrent use.
+// endpointList is the list of endpoints and its version. The version orders the lists of all
+// gateways: it holds the platform's era, and its number combines the platform's version with
+// the count of missing entries removed since. While this gateway does not watch the platform,
+// or can't read it, it accepts newer lists from peers. It is safe for concurrent use.
 type endpointList struct {
 	directory *directory.Directory
 	// onChange is called after each change of the directory, and onNewVersion after each
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -129,8 +129,8 @@
 
 // List implements Store. It reads the pages one after the other and returns the version of the
 // first, so that a watch from that version misses no change. It fails if the platform's era
-// changes in between. If a rate limit refuses a later page,
-// List requests that page again, since starting over would cost more calls.
+// changes in between. If a rate limit refuses a later page, List requests that page again,
+// since starting over would cost more calls.
 func (c *Client) List(ctx context.Context, collection, prefix string) (List, error) {
 	var list List
 	after, pageRetries := "", 0
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -47,8 +47,8 @@
 	return w, nil
 }
 
-// openWatch sends the request and returns the body and the era of the response. The timeout applies only until
-// the response header arrives.
+// openWatch sends the request and returns the body and the era of the response. The timeout
+// applies only until the response header arrives.
 func (c *Client) openWatch(ctx context.Context, cancel context.CancelFunc, r call) (io.ReadCloser, int64, error) {
 	timer := time.AfterFunc(c.options.Timeout, cancel)
 	defer timer.Stop()
