claim: a forwarded claim in transit is barred once its origin has decided without it

Cause: the origin of a forwarded claim gave up on the forward, was answered by an append of its own (refused, held, mismatched, or granted and released) and another request used the key in between; the copy in transit was then granted, to a request that nobody dispatches or releases. The writer checks whether the forwarder still waits before it reads the head, so a read that takes as long as the forward is enough; a suspended writer is too. docs/design/at-most-once.md knew one of the three cases and left it.

--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -24,6 +24,7 @@
 	markUncertain(claims)
 	if err != nil || len(results) != len(claims) {
 		s.log.metrics.forwardErrors.Inc(1)
+		s.raiseFence(claims)
 		return claims
 	}
 	var remaining []*pending
@@ -34,6 +35,7 @@
 		}
 		s.deliver([]*pending{p}, results[i:i+1])
 	}
+	s.raiseFence(remaining)
 	return remaining
 }
 
--- a/internal/claim/forward_test.go
+++ b/internal/claim/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -111,6 +112,53 @@
 		Expect(outcome).To(Equal(Granted))
 	})
 
+	DescribeTable("does not grant a forwarded claim that arrives after its origin has decided", func(decide func(origin, other *Log, transit *delayedForwarder)) {
+		transit := &delayedForwarder{}
+		origin := newLog(Options{Store: server.Store(), Daemon: "o2", Forwarder: transit})
+		other := newLog(Options{Store: server.Store(), Daemon: "other"})
+		decide(origin, other, transit)
+		_, last := mustClaim(other, newClaim("last", "k", "d"))
+		other.Release(last)
+		mustClaim(other, newClaim("after", "after", "d")) // Appended after the release.
+		for _, claims := range transit.delayed() {
+			_, _ = writer.Serve(context.Background(), claims)
+		}
+		outcome, holder := mustClaim(writer, newClaim("next", "k", "d"))
+		Expect(outcome).To(Equal(Granted), "held by %s", holder.RequestID)
+	},
+		Entry("that its caller no longer waits for it", func(origin, _ *Log, transit *delayedForwarder) {
+			mustClaim(origin, newClaim("warm", "warm2", "d"))
+			ctx, cancel := context.WithCancel(context.Background())
+			left := make(chan struct{})
+			transit.onForward = func() { cancel(); <-left }
+			_, _, err := origin.Claim(ctx, newClaim("r1", "k", "d"))
+			Expect(failure.CodeOf(err)).To(Equal(failure.ClientGone))
+			transit.onForward = nil
+			close(left)
+			mustClaim(origin, newClaim("r2", "other", "d"))
+		}),
+		Entry("that another request holds the key", func(origin, other *Log, _ *delayedForwarder) {
+			_, holder := mustClaim(other, newClaim("holder", "k", "d"))
+			expectHeldBy(origin, "k", "holder")
+			other.Release(holder)
+			mustClaim(other, newClaim("released", "released", "d"))
+		}),
+		Entry("to hold the key, and has released it", func(origin, _ *Log, _ *delayedForwarder) {
+			outcome, holder := mustClaim(origin, newClaim("r1", "k", "d"))
+			Expect(outcome).To(Equal(Granted))
+			origin.Release(holder)
+			mustClaim(origin, newClaim("r2", "other", "d"))
+		}),
+	)
+
+	It("grants a later forwarded claim of an origin whose earlier one was lost", func() {
+		forward.lostReplies.Store(1)
+		mustClaim(origin, newClaim("r1", "k1", "d"))
+		outcome, _ := mustClaim(origin, newClaim("r2", "k2", "d"))
+		Expect(outcome).To(Equal(Granted))
+		expectHeldBy(writer, "k2", "r2")
+	})
+
 	DescribeTable("decides locally when a result does not fit the claim", func(alterResults func([]Result)) {
 		forward.alterResults = alterResults
 		outcome, _ := mustClaim(origin, newClaim("r1", "k", "d"))
@@ -138,6 +186,31 @@
 	})
 })
 
+// delayedForwarder keeps the claims in transit, beyond the end of the call.
+type delayedForwarder struct {
+	onForward func()
+	mu        sync.Mutex
+	transit   [][]Claim
+}
+
+func (*delayedForwarder) Local(int) bool { return false }
+
+func (d *delayedForwarder) Forward(_ context.Context, _ int, claims []Claim) ([]Result, error) {
+	if d.onForward != nil {
+		d.onForward()
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.transit = append(d.transit, claims)
+	return nil, context.DeadlineExceeded
+}
+
+func (d *delayedForwarder) delayed() [][]Claim {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.transit
+}
+
 // timeoutForwarder ends each call early, while the usual writer still works on it.
 type timeoutForwarder struct{ *localForwarder }
 
--- a/internal/claim/head.go
+++ b/internal/claim/head.go
@@ -26,16 +26,18 @@
 	Epoch int64 `json:"epoch"`
 	// Segments hold the entries before the tail, oldest first.
 	Segments []segmentRef `json:"seals,omitempty"`
+	// Fences bar claims that were forwarded and may still be in transit.
+	Fences []fence `json:"fences,omitempty"`
 	// Count is the number of entries in the tail as encoded.
 	Count int `json:"n"`
 	// tail holds the newest entries, oldest first.
 	tail []line
 }
 
-// encode returns a line with the epoch and the segments, and a line for each entry of the
+// encode returns a line with the epoch, the segments and the fences, and a line for each entry of the
 // tail.
 func (h *head) encode() ([]byte, error) {
-	first, err := json.Marshal(head{Epoch: h.Epoch, Segments: h.Segments, Count: len(h.tail)})
+	first, err := json.Marshal(head{Epoch: h.Epoch, Segments: h.Segments, Fences: h.Fences, Count: len(h.tail)})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/claim/log.go
+++ b/internal/claim/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -167,7 +168,7 @@
 // second call for the same request gets Held.
 func (l *Log) Claim(ctx context.Context, c Claim) (Outcome, Claim, error) {
 	started := l.now()
-	c.Daemon, c.Incarnation, c.Nonce = l.options.Daemon, l.options.Incarnation, l.nonce.Add(1)
+	c.Daemon, c.Incarnation, c.Nonce = l.options.Daemon, l.options.Incarnation, math.MaxUint64 // The longest one, to validate.
 	c.Deadline = time.Time{}
 	if err := validateClaim(c); err != nil {
 		return "", Claim{}, err
@@ -186,6 +187,7 @@
 	if result.Outcome != Granted {
 		return result.Outcome, result.Holder, nil
 	}
+	c = p.request.claim
 	c.Deadline = started.Add(l.options.MaxDispatchDelay)
 	if !c.Fresh(l.now()) {
 		l.Release(c)
--- a/internal/claim/plan.go
+++ b/internal/claim/plan.go
@@ -34,7 +34,10 @@
 	results, entries := decide(s.head.Epoch, retentionEpochs, latest, requests)
 	p := &plan{
 		results: results,
-		next:    &head{Epoch: s.head.Epoch, Segments: slices.Clone(s.head.Segments), tail: slices.Clone(s.head.tail)},
+		next:    &head{Epoch: s.head.Epoch, Segments: slices.Clone(s.head.Segments), Fences: s.head.Fences, tail: slices.Clone(s.head.tail)},
+	}
+	if s.fenceNonce > 0 {
+		p.next.Fences = withFence(s.head.Fences, s.log.options.Incarnation, s.fenceNonce, s.head.Epoch)
 	}
 	if err := s.compact(ctx, p, now); err != nil {
 		s.unconfirmed = append(s.unconfirmed, p.createdSegments...)
@@ -135,4 +138,5 @@
 	p.droppedSegments = append(p.droppedSegments, expired...)
 	h.Segments = kept
 	h.tail = lo.Filter(h.tail, func(l line, _ int) bool { return !l.expired(h.Epoch, retentionEpochs) })
+	h.Fences = lo.Reject(h.Fences, func(f fence, _ int) bool { return entry{Epoch: f.Epoch}.expired(h.Epoch, retentionEpochs) })
 }
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -29,6 +29,9 @@
 	minVersion   int64
 	// index is the position of each key's latest entry in the head's tail.
 	index map[string]int
+	// fenceNonce is the highest nonce among the claims that were forwarded to the usual
+	// writer and came back undecided.
+	fenceNonce uint64
 	// epochSeenAt is when this daemon first saw the head's epoch.
 	epochSeenAt time.Time
 	filters     map[string]*bloom.BloomFilter
@@ -49,12 +52,16 @@
 }
 
 // enqueue hands a request to the shard's goroutine; it returns false if the queue is full.
+// It gives a claim of this daemon its nonce, so that nonces rise in the order of the queue.
 func (s *shard) enqueue(p *pending) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.queue) >= maxQueue {
 		return false
 	}
+	if c := &p.request.claim; !p.request.release && !p.forwarded {
+		c.Nonce = s.log.nonce.Add(1)
+	}
 	s.queue = append(s.queue, p)
 	select {
 	case s.wake <- struct{}{}:
@@ -157,7 +164,7 @@
 			return batch, err
 		}
 	}
-	batch = s.resolveUncertain(batch)
+	batch = s.dropBarred(s.resolveUncertain(batch))
 	if len(batch) == 0 {
 		return nil, nil
 	}
