balance: loads count as different only beyond what the fleet has sent since the last exchange

Cause: all daemons compare the same old loads, so the least loaded of eight reserved endpoints gets every request that draws it, a quarter of them. Adopted: the number of requests alone.

--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -52,6 +52,7 @@
 	// endpoints are engines.
 	hasPrompts  bool
 	reservation reservation
+	recent      recentRequests
 	// idleTokenTime is the time to prefill one prompt token at an idle endpoint.
 	idleTokenTime idleTokenTime
 	// medianLatency is the median of the endpoints' unit latencies, computed at medianAt.
@@ -232,6 +233,7 @@
 		e.runningInteractive++
 	}
 	e.addPending(c.priority, c.pendingTokens)
+	p.recent.add(now, e)
 	e.health.requestSent(now)
 	e.cache.touch(now, parts)
 	return c
--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -65,6 +65,7 @@
 	interactive := request.interactive()
 	drawn := newSample(candidates, p.daemons)
 	minCached := max(minAffinityTokens, sharedTokens/2)
+	unreported := p.unreportedWork(now)
 	var best scoredEndpoint
 	for i, e := range candidates {
 		if !drawn.draw(e, p.random.Float64) && e != affinity && p.cachedTokens[i] < minCached {
@@ -89,6 +90,7 @@
 		}
 		s.cost += p.cost(now, e, s.pendingTokens, median)
 		s.cost += p.reservationPenalty(e, interactive)
+		s.cost += unreported[groupOf(e)] * p.random.Float64()
 		if best.endpoint == nil || s.cost < best.cost {
 			best = s
 		}
