--- a/internal/command/bench.go
+++ b/internal/command/bench.go
@@ -12,13 +12,13 @@
 	"github.com/primrosewell/primrosewell/internal/bench"
 )
 
-// benchGroup returns the commands "bench decisions" and "bench rounds".
+// benchGroup returns the commands "bench decisions", "bench rounds" and "bench day".
 func benchGroup(std streams) subcommands.Command {
 	return &group{
 		name:     "bench",
 		synopsis: "measure the decisions, and show measured rounds",
 		std:      std,
-		members:  []subcommands.Command{&benchDecisions{std: std}, &roundsCommand{std: std}},
+		members:  []subcommands.Command{&benchDecisions{std: std}, &roundsCommand{std: std}, &dayCommand{std: std}},
 	}
 }
 
