--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -24,6 +24,7 @@
 	"github.com/primrosewell/primrosewell/internal/quarantine"
 	"github.com/primrosewell/primrosewell/internal/retry"
 	"github.com/primrosewell/primrosewell/internal/routetable"
+	"github.com/primrosewell/primrosewell/internal/standin/relay"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
 )
 
@@ -33,6 +34,8 @@
 // fakeEndpoint runs one script per request, in order, and the last one for all further requests.
 type fakeEndpoint struct {
 	listener net.Listener
+	// relay, if set, is between the forwarder and the endpoint.
+	relay    *relay.Relay
 	mu       sync.Mutex
 	scripts  []script
 	requests []*http.Request
@@ -57,6 +60,22 @@
 	return e
 }
 
+// behindRelay puts a relay before the endpoint. Call it before newFixture.
+func (e *fakeEndpoint) behindRelay() *fakeEndpoint {
+	r, err := relay.New(context.Background(), e.listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(r.Close)
+	e.relay = r
+	return e
+}
+
+func (e *fakeEndpoint) address() string {
+	if e.relay != nil {
+		return e.relay.Address()
+	}
+	return e.listener.Addr().String()
+}
+
 func (e *fakeEndpoint) serve(conn net.Conn) {
 	e.mu.Lock()
 	e.accepted++
@@ -156,7 +175,7 @@
 	fx := &fixture{pool: balance.NewPool("dc", rand.New(rand.NewPCG(1, 1))), table: routetable.New(spec)}
 	var endpointList []routetable.Endpoint
 	for i, e := range endpoints {
-		endpointList = append(endpointList, routetable.Endpoint{ID: fmt.Sprint("e", i), Service: "svc", Address: e.listener.Addr().String(), DataCentre: "dc", Slots: 8})
+		endpointList = append(endpointList, routetable.Endpoint{ID: fmt.Sprint("e", i), Service: "svc", Address: e.address(), DataCentre: "dc", Slots: 8})
 	}
 	fx.pool.Update(time.Now(), endpointList)
 	names := headers.Default()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +44,8 @@
 	delay   time.Duration
 	refuses bool
 	conns   map[net.Conn]struct{}
+	// clients are the open connections from clients, in the order in which they were opened.
+	clients []net.Conn
 	closed  bool
 	// forwardedBytes counts both directions together.
 	forwardedBytes int64
@@ -98,6 +101,27 @@
 	}
 }
 
+// ChooseShare chooses a share of the connections from clients that are open now, spread evenly
+// over the order in which they were opened. It returns their number and a function that resets
+// them, so that connections opened after the choice are left alone.
+func (r *Relay) ChooseShare(share float64) (count int, resetChosen func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var chosen []net.Conn
+	due := 0.0
+	for _, c := range r.clients {
+		if due += share; due >= 1 {
+			due--
+			chosen = append(chosen, c)
+		}
+	}
+	return len(chosen), func() {
+		for _, c := range chosen {
+			reset(c)
+		}
+	}
+}
+
 // reset closes a connection so that the peer sees a TCP reset instead of an orderly close.
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -148,6 +172,9 @@
 	if !r.track(client) {
 		return
 	}
+	r.mu.Lock()
+	r.clients = append(r.clients, client)
+	r.mu.Unlock()
 	server, err := new(net.Dialer).Dial("tcp", r.target)
 	if err != nil {
 		return
@@ -181,6 +208,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.conns, c)
+	r.clients = slices.DeleteFunc(r.clients, func(client net.Conn) bool { return client == c })
 }
 
 func (r *Relay) copyBytes(from io.Reader, to io.Writer, d Direction, ended chan<- struct{}) {
--- a/internal/standin/relay/relay_test.go
+++ b/internal/standin/relay/relay_test.go
@@ -46,4 +46,48 @@
 		r.Restore()
 		Eventually(lines).Should(Receive(Equal("two")))
 	})
+
+	It("resets a share of the connections that were open when it was chosen", func() {
+		echo, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(echo.Close)
+		go func() {
+			for {
+				c, err := echo.Accept()
+				if err != nil {
+					return
+				}
+				go func() { _, _ = io.Copy(c, c) }()
+			}
+		}()
+		r, err := relay.New(context.Background(), echo.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(r.Close)
+		// exchange reports whether a connection still carries a line and its echo.
+		exchange := func(c net.Conn) bool {
+			_, _ = io.WriteString(c, "line\n")
+			line, err := bufio.NewReader(c).ReadString('\n')
+			return err == nil && line == "line\n"
+		}
+		open := func() net.Conn {
+			c, err := net.Dial("tcp", r.Address())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			Expect(exchange(c)).To(BeTrue())
+			return c
+		}
+		conns := []net.Conn{open(), open(), open(), open()}
+		count, resetChosen := r.ChooseShare(0.5)
+		Expect(count).To(Equal(2))
+		later := open()
+		resetChosen()
+		left := 0
+		for _, c := range conns {
+			if exchange(c) {
+				left++
+			}
+		}
+		Expect(left).To(Equal(2))
+		Expect(exchange(later)).To(BeTrue())
+	})
 })
