--- a/internal/balance/overload.go
+++ b/internal/balance/overload.go
@@ -8,12 +8,12 @@
 // Load pattern: for several seconds more prompts arrive than the engines prefill, so that every
 // endpoint has a long backlog. Another endpoint with a shorter one then gains a request little,
 // as it waits there too, while each shared part that is read a second time delays all requests
-// of the pool. What decides how many of them end in time is how few tokens are read, so the
-// differences between backlogs count less the longer the median backlog is. The median, since a few
-// long backlogs are hot spots, which requests should leave.
+// of the pool. How few tokens are read then decides how many of them end in time, so the
+// differences between backlogs count less the longer the median backlog is. The mean would be
+// long with one hot spot, which requests should leave.
 
-// overloadWait is the median wait behind other prompts at which a difference between two backlogs
-// counts half. It is the time in which a backlog that a short burst leaves behind drains.
+// overloadWait is the median wait behind other prompts at which a difference between two
+// backlogs counts half. A short burst leaves less than that behind.
 const overloadWait = 200 * time.Millisecond
 
 // loadWeight returns the weight of an endpoint's load in its cost: 1 while no prompt waits, and
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -19,8 +19,7 @@
 	Daemon      string `json:"m"`
 	Incarnation string `json:"i"`
 	// Nonce is unique to one call of Log.Claim within the incarnation, and rises in the order in
-	// which the claims of a shard are decided or forwarded. A forwarded claim
-	// keeps it.
+	// which the claims of a shard are decided or forwarded. A forwarded claim keeps it.
 	Nonce uint64 `json:"n,omitempty"`
 	// Deadline is set on a granted claim: the dispatch must begin before it, by the
 	// holder's own clock. It is neither stored nor forwarded.
