forward: logs and metrics tell whole answers from mixed ones

An attempt's line says how many requests its connection carried, what preceded the response, whether it echoed the request's id, and how many bytes of an incomplete event the attempt found and left; attempts that complete a request after another one have a line too. Counters: skipped_responses, unidentified_responses, incomplete_events. No change of logic.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -49,6 +49,7 @@
 
 // attempt sends the request to the chosen endpoint and handles its response.
 func (j *job) attempt(choice *balance.Choice) attemptOutcome {
+	j.trace = attemptTrace{carried: len(j.events.pending)}
 	conn, err := j.f.Dialer.Get(j.ctx, choice.Address, j.id, min(dialTimeout, time.Until(j.deadline)))
 	if err != nil {
 		if j.ctx.Err() != nil {
@@ -63,11 +64,13 @@
 	stop := context.AfterFunc(j.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	response, err := conn.Exchange(j.encodeHeader(choice), j.request.Body, j.f.Headers.RequestID, j.id)
+	j.trace.connectionUses = conn.Uses()
 	if err != nil {
 		_ = conn.Close()
 		return j.exchangeFailed(err, "before an answer")
 	}
 	defer response.Release(j.f.Dialer, choice.Address)
+	j.trace.recordResponse(response)
 	choice.ResponseStarted(time.Now())
 	return j.handleResponse(choice, response)
 }
--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -40,9 +40,19 @@
 	m.scope.Tagged(map[string]string{"route": route, "outcome": string(outcome), "reason": reason}).Counter("answers").Inc(1)
 }
 
-// countAttempt counts an attempt at an endpoint by its result.
-func (m metrics) countAttempt(service string, result balance.Result) {
+// countAttempt counts an attempt at an endpoint by its result, and what was unusual about it.
+func (m metrics) countAttempt(service string, result balance.Result, trace attemptTrace) {
 	m.scope.Tagged(map[string]string{"service": service, "result": result.String()}).Counter("attempts").Inc(1)
+	ofService := m.scope.Tagged(map[string]string{"service": service})
+	if trace.skipped > 0 {
+		ofService.Counter("skipped_responses").Inc(int64(trace.skipped))
+	}
+	if trace.unidentified {
+		ofService.Counter("unidentified_responses").Inc(1)
+	}
+	if trace.incomplete > 0 {
+		ofService.Counter("incomplete_events").Inc(1)
+	}
 }
 
 // recordWait records the wait predicted when an endpoint was chosen.
@@ -95,13 +105,18 @@
 	}
 }
 
-// logAttempt logs an attempt that did not complete the request.
+// logAttempt logs an attempt that did not complete the request, one that completed it after
+// another, and one whose response was unusual.
 func (j *job) logAttempt(choice *balance.Choice, outcome attemptOutcome) {
+	message := "attempt failed"
 	if outcome.done && outcome.failure == nil {
-		return
+		if j.placements == 1 && !j.trace.unusual() {
+			return
+		}
+		message = "attempt completed"
 	}
-	j.f.Log.WithFields(logrus.Fields{
-		"event": "attempt", "request_id": j.id, "service": j.service, "endpoint": choice.ID, "address": choice.Address,
+	j.f.Log.WithFields(j.trace.fields()).WithFields(logrus.Fields{
+		"event": "attempt", "request_id": j.id, "service": j.service, "endpoint": choice.ID, "address": choice.Address, "send": j.placements,
 		"ran": outcome.mayHaveRun, "status": outcome.status, "cause": outcome.cause, "left": time.Until(j.deadline),
-	}).Info("attempt failed")
+	}).Info(message)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -119,7 +119,9 @@
 	// errorResponse is an endpoint's error response, kept while another attempt is made.
 	errorResponse *errorResponse
 	events        eventSplitter
-	status        int
+	// trace describes the current attempt.
+	trace  attemptTrace
+	status int
 	// firstEvent and lastEvent are the times at which events were forwarded.
 	firstEvent   time.Time
 	lastEvent    time.Time
@@ -232,7 +234,7 @@
 		outcome := j.attempt(choice)
 		choice.Done(time.Now(), outcome.result)
 		j.logAttempt(choice, outcome)
-		j.f.metrics.countAttempt(j.service, outcome.result)
+		j.f.metrics.countAttempt(j.service, outcome.result, j.trace)
 		if outcome.result == balance.Broken {
 			j.f.crashProber.reportBroken(choice, j.digest)
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -42,6 +42,7 @@
 		return nil
 	}
 	j.recordEvent(time.Now())
+	j.trace.forwarded += len(data)
 	if j.writer.Started() {
 		return j.writer.WriteChunk(data)
 	}
@@ -74,6 +75,7 @@
 // streamFailed decides whether a broken stream may continue at another endpoint.
 func (j *job) streamFailed(err error) attemptOutcome {
 	outcome := j.exchangeFailed(err, "within a stream")
+	j.trace.incomplete = len(j.events.pending)
 	if outcome.done || !j.writer.Started() {
 		return outcome
 	}
--- a/internal/httpio/dial.go
+++ b/internal/httpio/dial.go
@@ -55,6 +55,9 @@
 	c.sendCount++
 }
 
+// Uses returns the number of requests sent on the connection.
+func (c *Conn) Uses() int { return c.sendCount }
+
 // Dialer opens connections to endpoints and pools idle ones by address. It is safe for
 // concurrent use.
 type Dialer struct {
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -36,6 +36,10 @@
 	Body   io.Reader
 	// Length is the length of the body in bytes, or negative if it is not known in advance.
 	Length int
+	// Identified is set if the response echoes the request's id.
+	Identified bool
+	// Skipped is the number of responses to other requests that came before this one.
+	Skipped int
 
 	conn *Conn
 	// headRequest is set for responses to HEAD, which state a length but have no body.
@@ -81,8 +85,10 @@
 		response.setBody()
 		echoed := string(response.Header.Peek(idField))
 		if echoed == "" || echoed == id {
+			response.Identified = echoed == id
 			return nil
 		}
+		response.Skipped++
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
 			return err
 		}
