--- /dev/null
+++ b/internal/forward/mixed_test.go
@@ -0,0 +1,70 @@
+package forward_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// brokenStream sends the bytes of a stream as one chunk and closes the connection.
+func brokenStream(data string) script {
+	return func(r *http.Request, _ string, conn net.Conn) bool {
+		return streamOf(false, data)(r, "", conn)
+	}
+}
+
+// inTurn answers the n-th request of a caller with the n-th script, whichever endpoint gets it.
+func inTurn(endpoints int, scripts ...script) []*fakeEndpoint {
+	next := make(chan script, len(scripts))
+	for _, s := range scripts {
+		next <- s
+	}
+	list := make([]*fakeEndpoint, endpoints)
+	for i := range list {
+		list[i] = newEndpoint(func(r *http.Request, body string, conn net.Conn) bool { return (<-next)(r, body, conn) })
+	}
+	return list
+}
+
+var _ = Describe("A resumable stream whose endpoint breaks off", func() {
+	const events = 3
+	whole := event(1) + event(2) + event(3)
+
+	// rest sends the events that follow the request's Last-Event-Id.
+	rest := func(r *http.Request, _ string, conn net.Conn) bool {
+		var last int
+		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
+		var ids []int
+		for n := last + 1; n <= events; n++ {
+			ids = append(ids, n)
+		}
+		return streamOf(true, "", ids...)(r, "", conn)
+	}
+
+	// The first attempt leaves an incomplete event before anything was sent to the caller.
+	It("is not joined to the incomplete event of the attempt before, wherever that broke off", func() {
+		for cut := 1; cut < len(whole); cut++ {
+			r := newFixture(spec(), inTurn(2, brokenStream(whole[:cut]), rest)...).call("/resume/x")
+			Expect(r).NotTo(BeNil(), "cut after %d bytes", cut)
+			body, complete := readBody(r)
+			Expect(body).To(Equal(whole), "cut after %d bytes", cut)
+			Expect(complete).To(BeTrue(), "cut after %d bytes", cut)
+		}
+	})
+
+	It("is not joined to an incomplete event if an attempt in between could not connect", func() {
+		unreachable := newEndpoint(closeWithoutResponse)
+		Expect(unreachable.listener.Close()).To(Succeed())
+		for cut := 1; cut < len(event(1)); cut++ {
+			endpoints := append(inTurn(2, brokenStream(whole[:cut]), rest), unreachable)
+			body, complete := readBody(newFixture(spec(), endpoints...).call("/resume/x"))
+			Expect(body).To(Equal(whole), "cut after %d bytes", cut)
+			Expect(complete).To(BeTrue())
+			Expect(strings.Count(body, "id: 1\n")).To(Equal(1))
+		}
+	})
+})
