Versions of endpoints and resumed streams are decoded and logged; no decision uses them yet

Logs could not tell whether a stream went on at the version that began it: registrations were read without the version of the endpoint's software, and no line said that a request resumes a stream.

--- a/internal/directory/delta.go
+++ b/internal/directory/delta.go
@@ -62,7 +62,8 @@
 	for _, number := range []int64{int64(e.Slots), int64(e.WarmUp), e.StartedAt} {
 		encoded = binary.LittleEndian.AppendUint64(encoded, uint64(number))
 	}
-	return xxhash.Sum64(append(encoded, lo.Ternary[byte](e.Draining, 1, 0)))
+	encoded = append(encoded, lo.Ternary[byte](e.Draining, 1, 0))
+	return xxhash.Sum64(append(encoded, e.Version...)) // Last: without a version it is the hash of older daemons.
 }
 
 // AssignVersion assigns the list version to all changes since the last call. It reports
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -268,10 +268,23 @@
 		"event": "placement", "request_id": j.id, "route": j.route.Name, "service": j.service, "endpoint": choice.ID,
 		"reason": choice.Reason, "score": int(choice.Score), "alternatives": choice.Candidates, "send": j.placements,
 		"priority": j.urgency, "table_version": j.table.Version(), "endpoints_version": j.f.EndpointsVersion(), "left": j.deadline.Sub(now), "wait": choice.PredictedWait, "mean_wait": choice.MeanWait, "interactive": choice.Interactive,
-	}).Info("endpoint chosen")
+	}).WithFields(j.resumption(choice)).Info("endpoint chosen")
 	return choice
 }
 
+// resumption returns the log fields of a placement that continues a stream: the version of the
+// endpoint, the last event that the caller has, and the request that brought the first one.
+func (j *job) resumption(choice *balance.Choice) logrus.Fields {
+	last := j.lastEventID
+	if last == "" {
+		last = string(j.request.Header.Peek(j.f.Headers.LastEventID))
+	}
+	if last == "" {
+		return nil
+	}
+	return logrus.Fields{"version": choice.Version, "last_event": last, "resumes": string(j.request.Header.Peek(j.f.Headers.Resumes))}
+}
+
 // retryDenialReason returns why no further attempt may be made, or "" if one may.
 func (j *job) retryDenialReason(outcome attemptOutcome) string {
 	switch {
--- a/internal/gateway/native.go
+++ b/internal/gateway/native.go
@@ -53,6 +53,7 @@
 	Draining   bool          `json:"draining"`
 	WarmUp     time.Duration `json:"cold_for"`
 	StartedAt  int64         `json:"born"`
+	Version    string        `json:"version"`
 }
 
 // DecodeEndpoint implements adapter.Source.
@@ -66,6 +67,6 @@
 	}
 	return routetable.Endpoint{
 		ID: id, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: e.Slots,
-		Draining: e.Draining, WarmUp: e.WarmUp, StartedAt: e.StartedAt,
+		Draining: e.Draining, WarmUp: e.WarmUp, StartedAt: e.StartedAt, Version: e.Version,
 	}, nil
 }
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -29,6 +29,11 @@
 	// LastEventID is the ID of the last event that the caller received; the response resumes
 	// after it.
 	LastEventID string `json:"last_event_id"`
+	// Resumes names the request whose response began the stream that the caller resumes.
+	Resumes string `json:"resumes"`
+	// Leaving is set by an endpoint that shuts down on all its responses; it is not forwarded
+	// to callers.
+	Leaving string `json:"leaving"`
 	// NotRun is set by an endpoint on the response to a request that it did not run.
 	NotRun string `json:"not_run"`
 	// ResponseSignature must be present on every successful response of an endpoint.
@@ -46,6 +51,6 @@
 		RequestID: "Primrosewell-Request-Id", Deadline: "Primrosewell-Deadline-Ms", APIKey: "Primrosewell-Key",
 		Workspace: "Primrosewell-Workspace", Endpoint: "Primrosewell-Endpoint", Priority: "Primrosewell-Priority",
 		PromptSize: "Primrosewell-Prompt-Size", PromptParts: "Primrosewell-Prompt-Parts",
-		LastEventID: "Last-Event-Id", NotRun: "Primrosewell-Not-Run",
+		LastEventID: "Last-Event-Id", Resumes: "Primrosewell-Resumes", NotRun: "Primrosewell-Not-Run", Leaving: "Primrosewell-Leaving",
 	}
 }
--- a/internal/routetable/endpoint.go
+++ b/internal/routetable/endpoint.go
@@ -17,4 +17,7 @@
 	// StartedAt is the process start time in Unix milliseconds; a restarted endpoint may keep
 	// its ID.
 	StartedAt int64 `json:"Born"`
+	// Version is the version of the endpoint's software. Endpoints of several versions may
+	// serve side by side; what two versions write in a stream doesn't fit together.
+	Version string `json:",omitempty"`
 }
