forward: failing specs for streams that look whole and are not

An unframed stream whose connection closes within an event, a framed one with bytes behind its last event, and a resumed one whose second response is no event stream: each reaches the caller as complete.

--- a/internal/forward/mixed_test.go
+++ b/internal/forward/mixed_test.go
@@ -77,8 +77,67 @@
 			reply(500, signatureField, "broken"), brokenStream(event(1)), reply(404, signatureField, "missing"))...)
 		Expect(strings.Count(fx.rawCall("/resume/x"), "HTTP/1.1 ")).To(Equal(1))
 	})
+
+	It("goes on after the last whole event if its connection closes within one and states no length", func() {
+		for cut := 1; cut < len(whole); cut++ {
+			r := newFixture(spec(), inTurn(2, unframedStream(whole[:cut]), rest)...).call("/resume/x")
+			body, complete := readBody(r)
+			if strings.HasSuffix(whole[:cut], "\n\n") {
+				Expect(whole).To(HavePrefix(body), "whole as far as its protocol tells")
+				continue
+			}
+			Expect(body).To(Equal(whole), "closed after %d bytes", cut)
+			Expect(complete).To(BeTrue(), "closed after %d bytes", cut)
+		}
+	})
+
+	It("keeps what follows its last event if its framing ends there", func() {
+		for _, tail := range []string{"data: unfinished", ": comment\n"} {
+			r := newFixture(spec(), newEndpoint(streamOf(true, tail, 1, 2))).call("/resume/x")
+			body, complete := readBody(r)
+			Expect(body).To(Equal(event(1) + event(2) + tail))
+			Expect(complete).To(BeTrue())
+		}
+	})
+
+	It("does not end with a response that is no event stream", func() {
+		r := newFixture(threeAttempts(), inTurn(3, brokenStream(event(1)), ok("{}"), rest)...).call("/resume/x")
+		body, complete := readBody(r)
+		Expect(body).To(Equal(whole))
+		Expect(complete).To(BeTrue())
+
+		r = newFixture(spec(), inTurn(2, brokenStream(event(1)), ok("{}"))...).call("/resume/x")
+		body, complete = readBody(r)
+		Expect(body).To(Equal(event(1)))
+		Expect(complete).To(BeFalse(), "no attempt is left")
+	})
+})
+
+var _ = Describe("A stream that may not be resumed", func() {
+	It("does not look whole if its connection closes within an event and it states no length", func() {
+		for _, received := range []string{"id: 1\nda", event(1) + "id: 2", event(1) + "id: 2\ndata: e2\n"} {
+			r := newFixture(spec(), newEndpoint(unframedStream(received))).call("/stream/x")
+			body, complete := readBody(r)
+			Expect(received).To(HavePrefix(body))
+			Expect(complete).To(BeFalse(), received)
+		}
+	})
+
+	It("is whole if its connection closes after an event and it states no length", func() {
+		body, complete := readBody(newFixture(spec(), newEndpoint(unframedStream(event(1)+event(2)))).call("/stream/x"))
+		Expect(body).To(Equal(event(1) + event(2)))
+		Expect(complete).To(BeTrue())
+	})
 })
 
+// unframedStream sends a stream without a length, which ends when the connection closes.
+func unframedStream(data string) script {
+	return func(r *http.Request, _ string, conn net.Conn) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sContent-Type: text/event-stream\r\nConnection: close\r\n\r\n%s", requestIDField, r.Header.Get(requestIDField), signatureField, data)
+		return false
+	}
+}
+
 // threeAttempts is spec with three attempts for resumable streams.
 func threeAttempts() routetable.Spec {
 	s := spec()
