forward: a stream without a length whose connection closes within an event has broken off

A caller could get a stream that ended within an event, or without the event that was cut, with the end of a whole answer: a connection that closes is the regular end of a response without a length, and the bytes of the last event were sent on (or, on a route that may be resumed, dropped) before the end.

Now such a stream goes on at another endpoint if it may be resumed, and otherwise ends without its end. A response that is no event stream keeps the rule of its protocol: closed is whole, reset is not.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -170,7 +170,11 @@
 // shouldStream reports whether a response is forwarded as it arrives instead of being
 // buffered first.
 func (a *attempt) shouldStream(response *httpio.Response) bool {
-	return a.writer.Started() || bytes.HasPrefix(response.Header.ContentType(), []byte("text/event-stream")) || response.Length > maxBufferedBody
+	return a.writer.Started() || isEventStream(response) || response.Length > maxBufferedBody
+}
+
+func isEventStream(response *httpio.Response) bool {
+	return bytes.HasPrefix(response.Header.ContentType(), []byte("text/event-stream"))
 }
 
 // discard reads the rest of a small response, so that its connection can be reused.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -9,46 +9,79 @@
 	"github.com/primrosewell/primrosewell/internal/httpio"
 )
 
+// errWithinEvent means that a stream ended within an event.
+var errWithinEvent = errors.New("the connection closed within an event")
+
+// stream is a response that is forwarded as it arrives.
+type stream struct {
+	*attempt
+	response *httpio.Response
+	status   int
+	fields   []httpio.Field
+	// position tells whether the bytes received end with a complete event.
+	position eventPosition
+}
+
 // forwardStream forwards events as they arrive. Nothing is sent to the caller before the first
 // one, so until then a repeatable request can be retried in full at another endpoint; later, a
 // resumable stream continues at another endpoint after its last complete event.
 func (a *attempt) forwardStream(response *httpio.Response) attemptOutcome {
-	fields := a.responseFields(response)
-	status := response.Header.StatusCode()
+	s := &stream{attempt: a, response: response, status: response.Header.StatusCode(), fields: a.responseFields(response)}
 	buffer := make([]byte, copyBufferSize)
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
-			if writeErr := a.relay(status, fields, buffer[:n]); writeErr != nil {
+			if writeErr := s.relay(buffer[:n]); writeErr != nil {
 				return a.callerDisconnected(true)
 			}
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, io.EOF):
-			return a.finishStream(status, fields)
-		default:
+		case !errors.Is(err, io.EOF):
 			return a.streamFailed(err)
+		case s.brokeOff():
+			return a.streamFailed(errWithinEvent)
+		default:
+			return s.finish()
 		}
 	}
 }
 
 // relay sends received bytes to the caller; for a resumable stream only complete events.
-func (a *attempt) relay(status int, fields []httpio.Field, data []byte) error {
-	if a.route.Resumable {
-		data = a.events.push(data)
-		a.lastEventID = a.events.lastID
+func (s *stream) relay(data []byte) error {
+	s.position.push(data)
+	if s.route.Resumable {
+		data = s.events.push(data)
+		s.lastEventID = s.events.lastID
 	}
 	if len(data) == 0 {
 		return nil
 	}
-	a.recordEvent(time.Now())
-	a.trace.forwarded += len(data)
-	if a.writer.Started() {
-		return a.writer.WriteChunk(data)
+	s.recordEvent(time.Now())
+	s.trace.forwarded += len(data)
+	if s.writer.Started() {
+		return s.writer.WriteChunk(data)
 	}
-	a.status = status
-	return a.writer.StartStream(status, fields, data)
+	s.job.status = s.status
+	return s.writer.StartStream(s.status, s.fields, data)
+}
+
+// brokeOff reports whether a stream that has ended is incomplete although its framing allows the
+// end: it has no length, and its connection was closed within an event.
+func (s *stream) brokeOff() bool {
+	return s.response.EndsWithConnection() && isEventStream(s.response) && s.position.withinEvent()
+}
+
+// finish ends the caller's stream. A stream without events still gets its header.
+func (s *stream) finish() attemptOutcome {
+	s.recordCompletion()
+	if !s.writer.Started() {
+		s.job.status = s.status
+		if err := s.writer.StartStream(s.status, s.fields, nil); err != nil {
+			return s.callerDisconnected(true)
+		}
+	}
+	return s.writeOutcome(s.writer.Finish())
 }
 
 // recordEvent records the time of the first event and the longest pause between events.
@@ -61,18 +94,6 @@
 	j.lastEvent = now
 }
 
-// finishStream ends the caller's stream. A stream without events still gets its header.
-func (a *attempt) finishStream(status int, fields []httpio.Field) attemptOutcome {
-	a.recordCompletion()
-	if !a.writer.Started() {
-		a.status = status
-		if err := a.writer.StartStream(status, fields, nil); err != nil {
-			return a.callerDisconnected(true)
-		}
-	}
-	return a.writeOutcome(a.writer.Finish())
-}
-
 // streamFailed decides whether a broken stream may continue at another endpoint.
 func (a *attempt) streamFailed(err error) attemptOutcome {
 	outcome := a.exchangeFailed(err, "within a stream")
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -134,6 +134,10 @@
 	}
 }
 
+// EndsWithConnection reports whether the body has no length and ends when the endpoint closes
+// the connection.
+func (response *Response) EndsWithConnection() bool { return response.Length < -1 }
+
 // trackEOF wraps r so that the response is marked complete when r returns io.EOF.
 func (response *Response) trackEOF(r io.Reader) io.Reader {
 	return &eofTracker{r: r, response: response}
