forward: what follows the last event of a stream that ends is part of the answer

On routes that may be resumed the bytes behind the last complete event were dropped at the end of the stream, also if the framing said that the response was whole: the caller got a complete answer without them.

The spec failed before: the body lacked "data: unfinished". The bytes are now sent before the end of the stream.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -58,6 +58,11 @@
 		return nil
 	}
 	s.recordEvent(time.Now())
+	return s.write(data)
+}
+
+// write sends data to the caller, after the header if that has not been sent.
+func (s *stream) write(data []byte) error {
 	s.trace.forwarded += len(data)
 	if s.writer.Started() {
 		return s.writer.WriteChunk(data)
@@ -75,9 +80,8 @@
 // finish ends the caller's stream. A stream without events still gets its header.
 func (s *stream) finish() attemptOutcome {
 	s.recordCompletion()
-	if !s.writer.Started() {
-		s.job.status = s.status
-		if err := s.writer.StartStream(s.status, s.fields, nil); err != nil {
+	if rest := s.events.pending; len(rest) > 0 || !s.writer.Started() {
+		if err := s.write(rest); err != nil {
 			return s.callerDisconnected(true)
 		}
 	}
