forward: only an event stream continues an event stream

A caller could get a stream that ended as complete before its last event: a response of any other type to the attempt that was to continue the stream was read as events, found to hold none, and its end was taken for the end of the stream.

The spec failed before: body of one event instead of three. Such an attempt now counts as broken and the next one is tried. A response that is no event stream on a route that may be resumed is forwarded as it is instead of being split into events.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -155,6 +155,8 @@
 		return a.handleErrorStatus(response, status)
 	case len(response.Header.ContentEncoding()) > 0 || (h.ResponseSignature != "" && len(response.Header.Peek(h.ResponseSignature)) == 0):
 		return attemptOutcome{mayHaveRun: true, result: balance.Broken, status: status, cause: "not an answer of the endpoint"}
+	case a.writer.Started() && !isEventStream(response):
+		return attemptOutcome{mayHaveRun: true, result: balance.Broken, status: status, cause: "not the rest of a stream"}
 	case a.shouldStream(response):
 		return a.forwardStream(response)
 	}
@@ -170,7 +172,7 @@
 // shouldStream reports whether a response is forwarded as it arrives instead of being
 // buffered first.
 func (a *attempt) shouldStream(response *httpio.Response) bool {
-	return a.writer.Started() || isEventStream(response) || response.Length > maxBufferedBody
+	return isEventStream(response) || response.Length > maxBufferedBody
 }
 
 func isEventStream(response *httpio.Response) bool {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -18,6 +18,8 @@
 	response *httpio.Response
 	status   int
 	fields   []httpio.Field
+	// resumable is set if the stream can continue at another endpoint.
+	resumable bool
 	// position tells whether the bytes received end with a complete event.
 	position eventPosition
 }
@@ -26,7 +28,10 @@
 // one, so until then a repeatable request can be retried in full at another endpoint; later, a
 // resumable stream continues at another endpoint after its last complete event.
 func (a *attempt) forwardStream(response *httpio.Response) attemptOutcome {
-	s := &stream{attempt: a, response: response, status: response.Header.StatusCode(), fields: a.responseFields(response)}
+	s := &stream{
+		attempt: a, response: response, status: response.Header.StatusCode(), fields: a.responseFields(response),
+		resumable: a.route.Resumable && isEventStream(response),
+	}
 	buffer := make([]byte, copyBufferSize)
 	for {
 		n, err := response.Body.Read(buffer)
@@ -38,9 +43,9 @@
 		switch {
 		case err == nil:
 		case !errors.Is(err, io.EOF):
-			return a.streamFailed(err)
+			return s.failed(err)
 		case s.brokeOff():
-			return a.streamFailed(errWithinEvent)
+			return s.failed(errWithinEvent)
 		default:
 			return s.finish()
 		}
@@ -50,7 +55,7 @@
 // relay sends received bytes to the caller; for a resumable stream only complete events.
 func (s *stream) relay(data []byte) error {
 	s.position.push(data)
-	if s.route.Resumable {
+	if s.resumable {
 		data = s.events.push(data)
 		s.lastEventID = s.events.lastID
 	}
@@ -98,14 +103,14 @@
 	j.lastEvent = now
 }
 
-// streamFailed decides whether a broken stream may continue at another endpoint.
-func (a *attempt) streamFailed(err error) attemptOutcome {
-	outcome := a.exchangeFailed(err, "within a stream")
-	a.trace.incomplete = len(a.events.pending)
-	if outcome.done || !a.writer.Started() {
+// failed decides whether a broken stream may continue at another endpoint.
+func (s *stream) failed(err error) attemptOutcome {
+	outcome := s.exchangeFailed(err, "within a stream")
+	s.trace.incomplete = len(s.events.pending)
+	if outcome.done || !s.writer.Started() {
 		return outcome
 	}
-	if !a.route.Resumable {
+	if !s.resumable {
 		outcome.done = true
 		outcome.failure = failure.New(failure.EndpointFailed, "the stream broke off")
 	}
