forward: an event without an end is not buffered beyond 256 KiB

An endpoint may send bytes without end. On routes that may be resumed an event is buffered until it is complete, so that such a stream took memory until the request's deadline. The spec failed before: the stream ended at the deadline with one event of three. Now it counts as broken at the limit and goes on at another endpoint.

--- a/internal/forward/mixed_test.go
+++ b/internal/forward/mixed_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -91,6 +92,24 @@
 		}
 	})
 
+	It("goes on elsewhere after an event without an end, which is not kept in memory", func() {
+		var written atomic.Int64
+		endless := func(r *http.Request, _ string, conn net.Conn) bool {
+			unframedStream(event(1)+"id: 2\ndata: ")(r, "", conn)
+			for junk := make([]byte, 64<<10); ; {
+				n, err := conn.Write(junk)
+				written.Add(int64(n))
+				if err != nil {
+					return false
+				}
+			}
+		}
+		body, complete := readBody(newFixture(spec(), inTurn(2, endless, rest)...).call("/resume/x"))
+		Expect(body).To(Equal(whole))
+		Expect(complete).To(BeTrue())
+		Expect(written.Load()).To(BeNumerically("<", 16<<20), "the limit and the buffers of the connection")
+	})
+
 	It("keeps what follows its last event if its framing ends there", func() {
 		for _, tail := range []string{"data: unfinished", ": comment\n"} {
 			r := newFixture(spec(), newEndpoint(streamOf(true, tail, 1, 2))).call("/resume/x")
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -9,8 +9,14 @@
 	"github.com/primrosewell/primrosewell/internal/httpio"
 )
 
-// errWithinEvent means that a stream ended within an event.
-var errWithinEvent = errors.New("the connection closed within an event")
+// maxEventBytes bounds an event of a resumable stream, which is buffered until it is complete.
+const maxEventBytes = 256 << 10
+
+// Reasons for which a stream counts as broken although its connection did not fail.
+var (
+	errWithinEvent = errors.New("the connection closed within an event")
+	errEventTooBig = errors.New("an event exceeds the buffer limit")
+)
 
 // stream is a response that is forwarded as it arrives.
 type stream struct {
@@ -41,6 +47,8 @@
 			}
 		}
 		switch {
+		case len(s.events.pending) > maxEventBytes:
+			return s.failed(errEventTooBig)
 		case err == nil:
 		case !errors.Is(err, io.EOF):
 			return s.failed(err)
