--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -35,7 +35,9 @@
 type fakeEndpoint struct {
 	listener net.Listener
 	// relay, if set, is between the forwarder and the endpoint.
-	relay    *relay.Relay
+	relay *relay.Relay
+	// version is the version of the endpoint's software.
+	version  string
 	mu       sync.Mutex
 	scripts  []script
 	requests []*http.Request
@@ -175,7 +177,7 @@
 	fx := &fixture{pool: balance.NewPool("dc", rand.New(rand.NewPCG(1, 1))), table: routetable.New(spec)}
 	var endpointList []routetable.Endpoint
 	for i, e := range endpoints {
-		endpointList = append(endpointList, routetable.Endpoint{ID: fmt.Sprint("e", i), Service: "svc", Address: e.address(), DataCentre: "dc", Slots: 8})
+		endpointList = append(endpointList, routetable.Endpoint{ID: fmt.Sprint("e", i), Service: "svc", Address: e.address(), DataCentre: "dc", Slots: 8, Version: e.version})
 	}
 	fx.pool.Update(time.Now(), endpointList)
 	names := headers.Default()
