forward, balance: a stream that breaks off within an answer goes on only at the version that began it

Cause: the software version of endpoints was not known to placement, and a continuation was placed like a new request.

A request for an endpoint can name the version; after a stream's first event every further attempt does. If none is left, the stream ends without its end, and its caller may resume it.

--- a/internal/balance/filter.go
+++ b/internal/balance/filter.go
@@ -9,7 +9,7 @@
 	available := p.candidates[:0]
 	var nextAvailable *endpoint
 	for _, e := range p.order {
-		if request.Exclude[e.ID] {
+		if !request.allows(e) {
 			continue
 		}
 		if e.health.available(now) {
@@ -26,3 +26,8 @@
 	p.candidates = available
 	return available
 }
+
+// allows reports whether the request may be sent to the endpoint if its health permits.
+func (r Request) allows(e *endpoint) bool {
+	return !r.Exclude[e.ID] && (r.Version == nil || e.Version == *r.Version)
+}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -33,6 +33,8 @@
 	TolerantOfPauses bool
 	// Priority is the request's priority in the engine's queue; 0 is served first.
 	Priority int
+	// Version, if set, is the only software version of an endpoint that may get the request.
+	Version *string
 	// Exclude holds the ids of the endpoints that this request has already tried.
 	Exclude map[string]bool
 }
@@ -203,8 +205,8 @@
 	pendingRemoved bool
 }
 
-// Pick chooses an endpoint and adds the request to its load. It returns nil if Exclude leaves
-// no endpoint.
+// Pick chooses an endpoint and adds the request to its load. It returns nil if Exclude and
+// Version leave no endpoint.
 func (p *Pool) Pick(now time.Time, request Request) *Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -120,7 +120,10 @@
 	errorResponse *errorResponse
 	// lastEventID is the id of the last complete event that the caller received, or "".
 	lastEventID string
-	status      int
+	// version is the software version of the endpoint that began the caller's stream, at which
+	// alone it may go on, or nil before its first event.
+	version *string
+	status  int
 	// firstEvent and lastEvent are the times at which events were forwarded.
 	firstEvent   time.Time
 	lastEvent    time.Time
@@ -224,7 +227,7 @@
 	for {
 		choice := j.place(pool)
 		if choice == nil {
-			return j.exhausted("no further endpoint")
+			return j.exhausted(j.noEndpointReason())
 		}
 		if f := j.overloaded(choice); f != nil {
 			choice.Done(time.Now(), balance.Neutral)
@@ -255,7 +258,7 @@
 func (j *job) place(pool *balance.Pool) *balance.Choice {
 	now := time.Now()
 	choice := pool.Pick(now, balance.Request{
-		PromptTokens: j.promptTokens, Parts: j.promptParts, Priority: j.urgency, Exclude: j.triedEndpoints,
+		PromptTokens: j.promptTokens, Parts: j.promptParts, Priority: j.urgency, Exclude: j.triedEndpoints, Version: j.version,
 		TolerantOfPauses: j.table.TolerantOfPauses(j.service, j.route),
 	})
 	if choice == nil {
@@ -272,6 +275,14 @@
 	return choice
 }
 
+// noEndpointReason says why there was no endpoint for an attempt.
+func (j *job) noEndpointReason() string {
+	if j.version != nil {
+		return "no further endpoint of version " + strconv.Quote(*j.version)
+	}
+	return "no further endpoint"
+}
+
 // resumption returns the log fields of a placement that continues a stream: the version of the
 // endpoint, the last event that the caller has, and the request that brought the first one.
 func (j *job) resumption(choice *balance.Choice) logrus.Fields {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -80,7 +80,7 @@
 	if s.writer.Started() {
 		return s.writer.WriteChunk(data)
 	}
-	s.job.status = s.status
+	s.job.status, s.job.version = s.status, &s.choice.Version
 	return s.writer.StartStream(s.status, s.fields, data)
 }
 
