forward, resume: a stream that its caller resumes goes on only at the version that began it

Cause: a request that resumes a stream was placed like a new one; no gateway knew where a stream of another one had begun.

Both forward specs failed before (v1 then v2 in one stream; 200 for a stream of unknown beginning beside two versions).

Fix: gateways remember the version that sent the first event, and while a service has had several versions within a minute they announce it to three peers by rendezvous hashing, within 20 ms and before the stream's end at the latest. A gateway that doesn't know a stream asks up to six peers, twice, 25 ms each; it does not ask where only one version has served for a minute. A stream that nobody knows is refused with 503 (it has not run) if several versions are possible. Messages travel with the gossip, in a form that older gateways read as plain state.

--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -10,6 +10,7 @@
 	"github.com/primrosewell/primrosewell/internal/balance"
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/resume"
 )
 
 // latencyBuckets are the bounds of the latency histograms: 1 ms to about 16 s.
@@ -55,6 +56,11 @@
 	}
 }
 
+// countResumed counts a stream that its caller resumes.
+func (m metrics) countResumed(verdict resume.Verdict) {
+	m.scope.Tagged(map[string]string{"verdict": string(verdict)}).Counter("resumed_streams").Inc(1)
+}
+
 // recordWait records the wait predicted when an endpoint was chosen.
 func (m metrics) recordWait(wait time.Duration) { m.predictedWait.RecordDuration(wait) }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -21,6 +21,7 @@
 	"github.com/primrosewell/primrosewell/internal/headers"
 	"github.com/primrosewell/primrosewell/internal/httpio"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
+	"github.com/primrosewell/primrosewell/internal/resume"
 	"github.com/primrosewell/primrosewell/internal/retry"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
@@ -61,6 +62,8 @@
 	EndpointsVersion func() int64
 	Dialer           *httpio.Dialer
 	Budget           *retry.SharedBudget
+	// Streams remembers at which version each stream began.
+	Streams *resume.Tracker
 	// Register records which content crashes endpoints.
 	Register *quarantine.Register
 	Log      *logrus.Logger
@@ -120,6 +123,8 @@
 	errorResponse *errorResponse
 	// lastEventID is the id of the last complete event that the caller received, or "".
 	lastEventID string
+	// streamID is the id of the request that the first event of the caller's stream answered.
+	streamID string
 	// version is the software version of the endpoint that began the caller's stream, at which
 	// alone it may go on, or nil before its first event.
 	version *string
@@ -168,7 +173,7 @@
 	j.deadline = j.request.Arrived.Add(j.timeout())
 	j.promptTokens, j.promptParts = parsePrompt(string(j.request.Header.Peek(j.f.Headers.PromptSize)), string(j.request.Header.Peek(j.f.Headers.PromptParts)))
 	j.service = j.route.PickBackend(rand.Float64())
-	return nil
+	return j.resumeStream()
 }
 
 // authenticate finds the workspace of the API key; anonymous routes need none.
@@ -271,7 +276,7 @@
 		"event": "placement", "request_id": j.id, "route": j.route.Name, "service": j.service, "endpoint": choice.ID,
 		"reason": choice.Reason, "score": int(choice.Score), "alternatives": choice.Candidates, "send": j.placements,
 		"priority": j.urgency, "table_version": j.table.Version(), "endpoints_version": j.f.EndpointsVersion(), "left": j.deadline.Sub(now), "wait": choice.PredictedWait, "mean_wait": choice.MeanWait, "interactive": choice.Interactive,
-	}).WithFields(j.resumption(choice)).Info("endpoint chosen")
+	}).WithFields(j.continuation(choice)).Info("endpoint chosen")
 	return choice
 }
 
@@ -283,19 +288,6 @@
 	return "no further endpoint"
 }
 
-// resumption returns the log fields of a placement that continues a stream: the version of the
-// endpoint, the last event that the caller has, and the request that brought the first one.
-func (j *job) resumption(choice *balance.Choice) logrus.Fields {
-	last := j.lastEventID
-	if last == "" {
-		last = string(j.request.Header.Peek(j.f.Headers.LastEventID))
-	}
-	if last == "" {
-		return nil
-	}
-	return logrus.Fields{"version": choice.Version, "last_event": last, "resumes": string(j.request.Header.Peek(j.f.Headers.Resumes))}
-}
-
 // retryDenialReason returns why no further attempt may be made, or "" if one may.
 func (j *job) retryDenialReason(outcome attemptOutcome) string {
 	switch {
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/primrosewell/primrosewell/internal/headers"
 	"github.com/primrosewell/primrosewell/internal/httpio"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
+	"github.com/primrosewell/primrosewell/internal/resume"
 	"github.com/primrosewell/primrosewell/internal/retry"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 	"github.com/primrosewell/primrosewell/internal/standin/relay"
@@ -168,18 +169,20 @@
 type fixture struct {
 	address string
 	pool    *balance.Pool
+	streams *resume.Tracker
 	table   *routetable.Table
 	server  *httpio.Server
 	closing atomic.Bool
 }
 
 func newFixture(spec routetable.Spec, endpoints ...*fakeEndpoint) *fixture {
-	fx := &fixture{pool: balance.NewPool("dc", rand.New(rand.NewPCG(1, 1))), table: routetable.New(spec)}
+	fx := &fixture{streams: resume.NewTracker(), pool: balance.NewPool("dc", rand.New(rand.NewPCG(1, 1))), table: routetable.New(spec)}
 	var endpointList []routetable.Endpoint
 	for i, e := range endpoints {
 		endpointList = append(endpointList, routetable.Endpoint{ID: fmt.Sprint("e", i), Service: "svc", Address: e.address(), DataCentre: "dc", Slots: 8, Version: e.version})
 	}
 	fx.pool.Update(time.Now(), endpointList)
+	fx.streams.Observe(time.Now(), endpointList)
 	names := headers.Default()
 	names.ResponseSignature = "Seal"
 	names.Reserved = []string{"Hold"}
@@ -192,6 +195,7 @@
 		Dialer:           httpio.NewDialer(),
 		Budget:           retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50, Margin: 1}, 1),
 
+		Streams:  fx.streams,
 		Register: quarantine.New(quarantine.Config{BlockThreshold: 3, CompletionTTL: 30 * time.Second, ProbeInterval: time.Second, MaxFailedProbes: 3}),
 		Log:      telemetry.SilentLogger(),
 		Scope:    tally.NoopScope,
--- /dev/null
+++ b/internal/forward/resume.go
@@ -0,0 +1,59 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/resume"
+	"github.com/primrosewell/primrosewell/internal/routetable"
+)
+
+// resumeStream finds the service and the version at which a stream that its caller resumes
+// began, and refuses it if they are not known.
+func (j *job) resumeStream() *failure.Failure {
+	last := string(j.request.Header.Peek(j.f.Headers.LastEventID))
+	if !j.route.Resumable || last == "" {
+		return nil
+	}
+	j.streamID = string(j.request.Header.Peek(j.f.Headers.Resumes))
+	found := j.f.Streams.Resolve(j.ctx, j.streamID, j.service)
+	allowed := found.Verdict != resume.Unknown && slices.ContainsFunc(j.route.Backends, func(b routetable.Backend) bool { return b.Service == found.Service })
+	j.f.Log.WithFields(logrus.Fields{
+		"event": "resume", "request_id": j.id, "resumes": j.streamID, "last_event": last, "route": j.route.Name, "service": found.Service, "version": found.Version,
+		"verdict": found.Verdict, "allowed": allowed, "recent": found.Recent, "asked": found.Asked, "answered": found.Answered,
+	}).Info("a caller resumes a stream")
+	j.f.metrics.countResumed(found.Verdict)
+	if !allowed {
+		retryDelay := refusedRetryAfter + rand.N(refusedRetryJitter)
+		return failure.New(failure.NoEndpoint, "it is not known which version of an endpoint began the stream").WithRetryAfter(retryDelay)
+	}
+	j.service, j.version = found.Service, &found.Version
+	return nil
+}
+
+// streamBegan records where the caller's stream began. It is called before the first event is
+// sent.
+func (j *job) streamBegan(choice *balance.Choice) {
+	j.version = &choice.Version
+	if !j.route.Resumable {
+		return
+	}
+	if j.streamID == "" {
+		j.streamID = j.id
+	}
+	j.f.Streams.Began(time.Now(), j.streamID, resume.Origin{Service: j.service, Version: choice.Version}, j.deadline)
+}
+
+// continuation returns the log fields of a placement that continues a stream: the version of
+// the endpoint, the last event that this gateway sent, and the request that brought the first.
+func (j *job) continuation(choice *balance.Choice) logrus.Fields {
+	if j.version == nil {
+		return nil
+	}
+	return logrus.Fields{"version": choice.Version, "last_event": j.lastEventID, "resumes": j.streamID}
+}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -80,7 +80,8 @@
 	if s.writer.Started() {
 		return s.writer.WriteChunk(data)
 	}
-	s.job.status, s.job.version = s.status, &s.choice.Version
+	s.job.status = s.status
+	s.streamBegan(s.choice)
 	return s.writer.StartStream(s.status, s.fields, data)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/gossip"
 	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/resume"
 	"github.com/primrosewell/primrosewell/internal/retry"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
 )
@@ -56,6 +57,7 @@
 	directory    *directory.Directory
 	endpointList *endpointList
 	pools        *pools
+	streams      *resume.Tracker
 	members      *gossip.Members
 	server       *httpio.Server
 	draining     atomic.Bool
@@ -75,12 +77,12 @@
 	g := &Gateway{
 		settings: settings, options: options, log: options.Log, drainRequested: make(chan struct{}), pushRequested: make(chan struct{}, 1),
 		started: time.Now(), peerWait: peerWaitMin + rand.N(peerWaitJitter),
-		directory: directory.New(),
-		members:   gossip.NewMembers(time.Now(), settings.Peers.Address, settings.Peers.seedAddresses()),
+		directory: directory.New(), streams: resume.NewTracker(),
+		members: gossip.NewMembers(time.Now(), settings.Peers.Address, settings.Peers.seedAddresses()),
 	}
 	g.tableHolder = &tableHolder{source: options.Adapter.Source, log: options.Log, onInstall: g.pushToPeers}
 	g.pools = newPools(settings.VM.DataCentre, g.directory)
-	g.endpointList = &endpointList{directory: g.directory, onChange: g.pools.Refresh, onNewVersion: g.pushToPeers, log: options.Log, platformUnavailable: true}
+	g.endpointList = &endpointList{directory: g.directory, onChange: g.refreshPools, onNewVersion: g.pushToPeers, log: options.Log, platformUnavailable: true}
 	g.injector = do.New()
 	provide(g)
 	server, err := do.Invoke[*httpio.Server](g.injector)
@@ -144,6 +146,12 @@
 	return (g.tableHolder.Table() == nil || g.endpointList.Version().Number == 0) && now.Sub(g.started) > g.peerWait
 }
 
+// refreshPools updates what depends on the list of endpoints.
+func (g *Gateway) refreshPools() {
+	g.streams.Observe(time.Now(), g.directory.Endpoints())
+	g.pools.Refresh()
+}
+
 // pushToPeers triggers an immediate message to the peers.
 func (g *Gateway) pushToPeers() {
 	select {
@@ -162,5 +170,6 @@
 		g.updateGauges(metrics.Scope, budget, time.Now())
 		dialer.CloseExpired()
 		g.endpointList.Expire(time.Now())
+		g.streams.Expire(time.Now())
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -35,8 +35,8 @@
 		Node: g.settings.VM.ID, DataCentre: g.settings.VM.DataCentre, Address: address, Port: g.settings.Peers.GossipPort, Members: g.members,
 		TableVersion: g.tableHolder.Version, ListVersion: g.endpointList.Version, Loads: g.pools.OwnLoad, Log: g.log,
 		Watching: g.shouldWatch, PlatformUnreachable: g.endpointList.PlatformUnreachable, Leaving: g.draining.Load,
-		Register: do.MustInvoke[*quarantine.Register](g.injector),
-		Delta:    func() []byte { return publisher.RecentDelta(time.Now()) }, OnDelta: syncer.ReceiveDelta, Changed: g.pushRequested,
+		Register: do.MustInvoke[*quarantine.Register](g.injector), Streams: g.streams,
+		Delta: func() []byte { return publisher.RecentDelta(time.Now()) }, OnDelta: syncer.ReceiveDelta, Changed: g.pushRequested,
 		OnUpdate: func(now time.Time, newer bool) {
 			if loadThrottle.Due(now) {
 				live, _ := g.members.Live(now)
@@ -53,7 +53,9 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "peers' datagram socket")
 	}
+	g.streams.SetTransport(exchange)
 	go exchange.Run(ctx)
+	go g.streams.Run(ctx)
 	listener, err := listen(ctx, joinPort(g.settings.Peers.Address, g.settings.Peers.FetchPort))
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "peers' listener")
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -87,6 +87,7 @@
 		Dialer:           do.MustInvoke[*httpio.Dialer](i),
 		Budget:           do.MustInvoke[*retry.SharedBudget](i),
 
+		Streams:  g.streams,
 		Register: do.MustInvoke[*quarantine.Register](i),
 		Log:      g.log,
 		Scope:    metrics.Scope,
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -67,6 +67,8 @@
 	// Register holds the evidence against requests that crash endpoints; it is shared with
 	// the rest of the daemon.
 	Register *quarantine.Register
+	// Streams remembers where streams began; it is shared with the rest of the daemon.
+	Streams StreamTracker
 	// Delta returns the recent changes for peers that were up to date shortly before, or nil
 	// if there are none. In a large fleet, a watcher calls it at each interval and on each
 	// change.
@@ -322,6 +324,9 @@
 
 // handleMessage processes a received message.
 func (g *Gossip) handleMessage(now time.Time, message Message) {
+	if g.handleStreams(now, message) {
+		return
+	}
 	switch {
 	case len(message.AggregatedLoads) > 0:
 		g.Members.StoreAggregatedLoads(now, message.AggregatedLoads)
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -214,6 +214,19 @@
 	return addresses
 }
 
+// LiveAddresses returns the addresses of the peers that are not lost.
+func (m *Members) LiveAddresses() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	addresses := make([]string, 0, len(m.peers))
+	for address, p := range m.peers {
+		if !p.lost {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // broadcastTargets returns all peers, sorted by address.
 func (m *Members) broadcastTargets() []broadcastTarget {
 	m.mu.Lock()
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/primrosewell/primrosewell/internal/directory"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
+	"github.com/primrosewell/primrosewell/internal/resume"
 )
 
 const (
@@ -70,6 +71,11 @@
 	Crashes []quarantine.Entry `cbor:"10,keyasint,omitempty"`
 	// KnownAddresses are the IP addresses of some daemons that the sender knows.
 	KnownAddresses []string `cbor:"8,keyasint,omitempty"`
+	// StreamOrigins, StreamQuery and StreamAnswer are about streams that may be resumed, each in
+	// a datagram of its own. Older daemons read the rest of such a message only.
+	StreamOrigins []resume.Record `cbor:"21,keyasint,omitempty"`
+	StreamQuery   *resume.Query   `cbor:"22,keyasint,omitempty"`
+	StreamAnswer  *resume.Answer  `cbor:"23,keyasint,omitempty"`
 }
 
 // listVersion returns the version of the sender's endpoint list.
--- /dev/null
+++ b/internal/resume/tracker_test.go
@@ -0,0 +1,250 @@
+package resume
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
+	"pgregory.net/rapid"
+
+	"github.com/primrosewell/primrosewell/internal/routetable"
+)
+
+// simulatedFleet connects trackers without a network.
+type simulatedFleet struct {
+	mu       sync.Mutex
+	trackers map[string]*Tracker
+	// silent are the addresses that get no messages although others take them for live.
+	silent map[string]bool
+	// lose, if set, says whether a message is lost.
+	lose func() bool
+}
+
+// link is the transport of one tracker of a simulatedFleet.
+type link struct {
+	fleet *simulatedFleet
+	self  string
+}
+
+func newSimulatedFleet(n int) *simulatedFleet {
+	f := &simulatedFleet{trackers: make(map[string]*Tracker), silent: make(map[string]bool)}
+	for i := range n {
+		f.start(fmt.Sprint("10.0.0.", i+1))
+	}
+	return f
+}
+
+func (f *simulatedFleet) start(address string) *Tracker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := NewTracker()
+	t.SetTransport(link{f, address})
+	f.trackers[address] = t
+	delete(f.silent, address)
+	return t
+}
+
+// stop makes a gateway silent before its peers notice.
+func (f *simulatedFleet) stop(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent[address] = true
+}
+
+func (f *simulatedFleet) observe(now time.Time, endpoints ...routetable.Endpoint) {
+	for _, t := range f.trackers {
+		t.Observe(now, endpoints)
+	}
+}
+
+// peer returns the tracker that receives a message, or nil if it is lost.
+func (f *simulatedFleet) peer(address string) *Tracker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent[address] || f.lose != nil && f.lose() {
+		return nil
+	}
+	return f.trackers[address]
+}
+
+func (l link) LivePeers() []string {
+	l.fleet.mu.Lock()
+	defer l.fleet.mu.Unlock()
+	return lo.Without(lo.Keys(l.fleet.trackers), l.self)
+}
+
+func (l link) Announce(records []Record, to []string) {
+	for _, address := range to {
+		if t := l.fleet.peer(address); t != nil {
+			t.HandleAnnouncement(time.Now(), records)
+		}
+	}
+}
+
+func (l link) Ask(query Query, to []string) {
+	for _, address := range to {
+		if t := l.fleet.peer(address); t != nil {
+			answer := t.HandleQuery(time.Now(), query)
+			if asker := l.fleet.peer(l.self); asker != nil {
+				asker.HandleAnswer(answer)
+			}
+		}
+	}
+}
+
+func endpointOf(version string) routetable.Endpoint {
+	return routetable.Endpoint{ID: "e-" + version, Service: "svc", Version: version}
+}
+
+func inOneMinute() time.Time { return time.Now().Add(time.Minute) }
+
+var _ = Describe("A stream that its caller resumes", func() {
+	ctx := context.Background()
+	v1 := Origin{"svc", "v1"}
+
+	It("goes on at the version that began it, at any gateway", func() {
+		f := newSimulatedFleet(8)
+		f.observe(time.Now(), endpointOf("v1"), endpointOf("v2"))
+		f.trackers["10.0.0.1"].Began(time.Now(), "a", v1, inOneMinute())
+		f.trackers["10.0.0.1"].flush()
+		for address, t := range f.trackers {
+			Expect(t.Resolve(ctx, "a", "svc").Origin).To(Equal(v1), address)
+		}
+	})
+
+	It("goes on there after the gateway that began it and two more were lost", func() {
+		f := newSimulatedFleet(8)
+		f.observe(time.Now(), endpointOf("v1"), endpointOf("v2"))
+		f.trackers["10.0.0.1"].Began(time.Now(), "a", v1, inOneMinute())
+		f.trackers["10.0.0.1"].flush()
+		f.stop("10.0.0.1")
+		for _, address := range owners(KeyOf("a"), link{f, "10.0.0.1"}.LivePeers(), 2) {
+			f.stop(address)
+		}
+		asker, _ := lo.Find(lo.Keys(f.trackers), func(a string) bool { return !f.silent[a] })
+		Expect(f.trackers[asker].Resolve(ctx, "a", "svc").Origin).To(Equal(v1))
+	})
+
+	It("goes on there if the second version was listed after its first event", func() {
+		f := newSimulatedFleet(4)
+		f.observe(time.Now(), endpointOf("v1"))
+		f.trackers["10.0.0.1"].Began(time.Now(), "a", v1, inOneMinute())
+		f.observe(time.Now(), endpointOf("v1"), endpointOf("v2"))
+		f.trackers["10.0.0.1"].flush()
+		f.stop("10.0.0.1")
+		Expect(f.trackers["10.0.0.2"].Resolve(ctx, "a", "svc").Origin).To(Equal(v1))
+	})
+
+	It("does not go on if nobody knows its beginning and several versions served recently", func() {
+		f := newSimulatedFleet(4)
+		f.observe(time.Now(), endpointOf("v1"), endpointOf("v2"))
+		f.observe(time.Now(), endpointOf("v2"))
+		Expect(f.trackers["10.0.0.1"].Resolve(ctx, "a", "svc").Verdict).To(Equal(Unknown))
+	})
+
+	It("does not go on at a gateway that has just started if a peer saw another version recently", func() {
+		f := newSimulatedFleet(4)
+		f.observe(time.Now(), endpointOf("v1"), endpointOf("v2"))
+		f.observe(time.Now(), endpointOf("v2"))
+		restarted := f.start("10.0.0.1")
+		restarted.Observe(time.Now(), []routetable.Endpoint{endpointOf("v2")})
+		Expect(restarted.Resolve(ctx, "a", "svc").Verdict).To(Equal(Unknown))
+	})
+
+	It("goes on without a question if only one version has served for a long time", func() {
+		f := newSimulatedFleet(4)
+		f.observe(time.Now().Add(-2*Window), endpointOf("v1"))
+		resolution := f.trackers["10.0.0.1"].Resolve(ctx, "a", "svc")
+		Expect(resolution.Verdict).To(Equal(OnlyVersion))
+		Expect(resolution.Version).To(Equal("v1"))
+		Expect(resolution.Asked).To(BeZero())
+	})
+
+	It("goes on if all gateways have just started and list one version", func() {
+		f := newSimulatedFleet(4)
+		f.observe(time.Now(), endpointOf("v1"))
+		Expect(f.trackers["10.0.0.1"].Resolve(ctx, "a", "svc").Verdict).To(Equal(OnlyVersion))
+	})
+})
+
+var _ = Describe("The registry", func() {
+	It("drops streams that have ended, and bounds its memory", func() {
+		var r registry
+		now := time.Now()
+		for i := range 3 * registryShards * maxShardEntries {
+			r.put(now, Key(i), registered{until: now.Add(time.Second)})
+		}
+		held := func() (n int) {
+			for i := range r.shards {
+				n += len(r.shards[i].entries)
+			}
+			return n
+		}
+		Expect(held()).To(Equal(registryShards * maxShardEntries))
+		Expect(r.put(now, 1<<40, registered{until: now.Add(time.Second)})).To(BeFalse())
+		r.expire(now.Add(time.Second))
+		Expect(held()).To(BeZero())
+	})
+})
+
+// TestNoStreamGoesOnAtAnotherVersion draws releases, restarts, lost messages and resumptions,
+// and checks that a stream is never resumed at a version other than the one that began it.
+func TestNoStreamGoesOnAtAnotherVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { rapid.Check(withoutDeadline{t}, checkOrigins) })
+}
+
+// withoutDeadline is a test in a bubble, where rapid can't ask for its deadline.
+type withoutDeadline struct{ *testing.T }
+
+func (withoutDeadline) Deadline() (time.Time, bool) { return time.Time{}, false }
+
+func checkOrigins(t *rapid.T) {
+	f := newSimulatedFleet(rapid.IntRange(2, 9).Draw(t, "gateways"))
+	addresses := lo.Keys(f.trackers)
+	listed := []string{"v1"}
+	observe := func() {
+		f.observe(time.Now(), lo.Map(listed, func(v string, _ int) routetable.Endpoint { return endpointOf(v) })...)
+	}
+	observe()
+	origins := make(map[string]Origin)
+	pick := func() *Tracker { return f.trackers[rapid.SampledFrom(addresses).Draw(t, "gateway")] }
+	for step := range rapid.IntRange(1, 25).Draw(t, "steps") {
+		switch rapid.IntRange(0, 5).Draw(t, "action") {
+		case 0, 1:
+			id, gateway := fmt.Sprint("s", step), pick()
+			origins[id] = Origin{"svc", rapid.SampledFrom(listed).Draw(t, "version")}
+			gateway.Began(time.Now(), id, origins[id], inOneMinute())
+			if rapid.Bool().Draw(t, "announced") {
+				gateway.flush()
+			}
+		case 2: // A version appears, or one of several is removed.
+			version := rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "changed")
+			if lo.Contains(listed, version) && len(listed) > 1 {
+				listed = lo.Without(listed, version)
+			} else {
+				listed = lo.Union(listed, []string{version})
+			}
+			observe()
+		case 3: // A gateway restarts; one that others still know is left.
+			if len(addresses) > 2 {
+				f.start(rapid.SampledFrom(addresses[1:]).Draw(t, "restarted"))
+				observe()
+			}
+		default:
+			if len(origins) == 0 {
+				continue
+			}
+			id := rapid.SampledFrom(lo.Keys(origins)).Draw(t, "stream")
+			r := pick().Resolve(context.Background(), id, "svc")
+			if r.Verdict != Unknown && r.Origin != origins[id] {
+				t.Fatalf("stream %s began at %v and was resumed at %v: %s", id, origins[id], r.Origin, r.Verdict)
+			}
+		}
+	}
+}
