forward: events are dropped as repeated only until a stream goes on, not from a stream that never broke

A caller could get a stream without some of its events, with the end of a whole one: on routes that may be resumed each event whose id did not follow the id before was dropped, also in the first and only response.

The spec failed before: "id: 1 ... id: 2" instead of "id: 1 ... id: 1 ... id: 2". Now a response repeats events only until one follows the last event that the caller has; from there on it is forwarded as it is.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -13,6 +13,9 @@
 	// lastID is the id of the last complete event that the caller received, also from earlier
 	// attempts, or "" before the first.
 	lastID string
+	// continued is set once an event has followed lastID; until then the stream may repeat events
+	// that the caller has.
+	continued bool
 }
 
 // push appends received bytes and returns the events that they complete, without those
@@ -26,12 +29,13 @@
 			return out
 		}
 		event := s.pending[:end]
-		if id := eventID(event); id == "" || follows(id, s.lastID) {
-			out = append(out, event...)
-			if id != "" {
-				s.lastID = id
-			}
+		id := eventID(event)
+		if id != "" && (s.continued || follows(id, s.lastID)) {
+			s.lastID, s.continued = id, true
+		} else if id != "" {
+			event = nil
 		}
+		out = append(out, event...)
 		s.pending = append(s.pending[:0:0], s.pending[end:]...)
 	}
 }
