forward: the unfinished last event of a stream is not sent to a caller that has that event

A caller could get an event twice: the bytes behind the last complete event are sent at the end of a stream, and they were not checked for an event that an earlier endpoint had completed. It needs an endpoint that repeats events and ends its stream within one.

The spec failed before: "id: 2\ndata: e2\n" behind events 1 and 2. The rest now goes through the same check as complete events.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -45,3 +45,10 @@
 		Expect(complete).To(BeTrue())
 	})
 })
+
+var _ = Describe("A stream that continues at another endpoint", func() {
+	It("does not end with a part of an event that the caller already has", func() {
+		body, _ := answerBody(newFixture(spec(), inTurn(2, brokenStream(event(1)+event(2)), framedStream("id: 2\ndata: e2\n"))...), "/resume/x")
+		Expect(body).To(Equal(event(1) + event(2)))
+	})
+})
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -30,16 +30,29 @@
 		}
 		event := s.pending[:end]
 		id := eventID(event)
-		if id != "" && (s.continued || follows(id, s.lastID)) {
-			s.lastID, s.continued = id, true
-		} else if id != "" {
-			event = nil
+		if !s.repeated(id) {
+			out = append(out, event...)
+			if id != "" {
+				s.lastID, s.continued = id, true
+			}
 		}
-		out = append(out, event...)
 		s.pending = append(s.pending[:0:0], s.pending[end:]...)
 	}
 }
 
+// rest returns the incomplete event at the end of the stream, unless the caller has that event.
+func (s *eventSplitter) rest() []byte {
+	if s.repeated(eventID(s.pending)) {
+		return nil
+	}
+	return s.pending
+}
+
+// repeated reports whether the caller received the event with this id in an earlier attempt.
+func (s *eventSplitter) repeated(id string) bool {
+	return id != "" && !s.continued && !follows(id, s.lastID)
+}
+
 // eventPosition follows the bytes of a stream.
 type eventPosition struct {
 	// tail holds the last bytes, as many as the longest end of an event.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -93,7 +93,7 @@
 // finish ends the caller's stream. A stream without events still gets its header.
 func (s *stream) finish() attemptOutcome {
 	s.recordCompletion()
-	if rest := s.events.pending; len(rest) > 0 || !s.writer.Started() {
+	if rest := s.events.rest(); len(rest) > 0 || !s.writer.Started() {
 		if err := s.write(rest); err != nil {
 			return s.callerDisconnected(true)
 		}
