forward: a stream whose events have no ids is not continued at another endpoint

A caller could get an event twice: after an event without an id the caller's position is unknown, and the next endpoint began after the last event that had one, or at the beginning.

The specs failed before: "data: a" twice, the second time from the next endpoint, and the stream ended as whole. Now a stream that broke after such an event ends without its end. Comments and version lines don't count: the specs for them passed before and pass now.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -51,4 +52,46 @@
 		body, _ := answerBody(newFixture(spec(), inTurn(2, brokenStream(event(1)+event(2)), framedStream("id: 2\ndata: e2\n"))...), "/resume/x")
 		Expect(body).To(Equal(event(1) + event(2)))
 	})
+
+	It("does not repeat events without an id", func() {
+		first, rest := "data: a\n\n", "data: b\n\n"
+		body, complete := answerBody(newFixture(spec(), inTurn(2, brokenStream(first+"da"), framedStream(first+rest))...), "/resume/x")
+		Expect(body).To(Equal(first))
+		Expect(complete).To(BeFalse(), "there is no id to go on after")
+	})
+
+	It("does not repeat an event without an id after one with an id", func() {
+		first := event(1) + "data: a\n\n"
+		body, complete := answerBody(newFixture(spec(), inTurn(2, brokenStream(first+"da"), framedStream("data: a\n\n"+event(2)))...), "/resume/x")
+		Expect(body).To(Equal(first))
+		Expect(complete).To(BeFalse())
+	})
+
+	It("continues after comments, with CR LF and with version lines", func() {
+		crlf := func(s string) string { return strings.ReplaceAll(s, "\n", "\r\n") }
+		versioned := "weight-versions: 3\n" + event(1) + event(2) + "weight-versions: 4\n" + event(3)
+		for _, stream := range []string{crlf(event(1) + event(2) + event(3)), versioned, crlf(versioned)} {
+			first, rest, _ := strings.Cut(stream, "id: 2")
+			second := "id: 2" + rest
+			for cut := len(first); cut < strings.Index(stream, "e2"); cut++ {
+				body, complete := answerBody(newFixture(spec(), inTurn(2, brokenStream(": hello\n\n"+stream[:cut]), framedStream(": hello\n\n"+second))...), "/resume/x")
+				Expect(strings.ReplaceAll(body, ": hello\n\n", "")).To(Equal(stream), "cut at %d", cut)
+				Expect(complete).To(BeTrue())
+			}
+		}
+	})
+
+	// The first endpoint's error response is kept while the stream is tried at two others.
+	It("does not end as complete with an error response, whichever came first", func() {
+		for _, scripts := range [][]script{
+			{reply(500, signatureField, "broken"), brokenStream(event(1)), reply(500, signatureField, "again")},
+			{brokenStream(event(1)), reply(500, signatureField, "broken"), reply(404, signatureField, "missing")},
+			{brokenStream(event(1)), reply(503, signatureField, "no"), closeWithoutResponse},
+			{brokenStream(event(1)), refuseNotRun(), refuseNotRun(), refuseNotRun()},
+		} {
+			raw := newFixture(threeAttempts(), inTurn(4, scripts...)...).rawCall("/resume/x")
+			Expect(strings.Count(raw, "HTTP/1.1 ")).To(Equal(1), raw)
+			Expect(raw).NotTo(HaveSuffix("0\r\n\r\n"))
+		}
+	})
 })
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -16,6 +16,9 @@
 	// continued is set once an event has followed lastID; until then the stream may repeat events
 	// that the caller has.
 	continued bool
+	// unnumbered is set once an event without an id was returned: no id tells an endpoint to go on
+	// after it.
+	unnumbered bool
 }
 
 // push appends received bytes and returns the events that they complete, without those
@@ -34,6 +37,8 @@
 			out = append(out, event...)
 			if id != "" {
 				s.lastID, s.continued = id, true
+			} else if hasData(event) {
+				s.unnumbered = true
 			}
 		}
 		s.pending = append(s.pending[:0:0], s.pending[end:]...)
@@ -97,6 +102,11 @@
 	return ""
 }
 
+// hasData reports whether an event has data, which a comment has not.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // follows reports whether id comes after last. Ids are increasing numbers; ids that are not
 // numbers only have to differ.
 func follows(id, last string) bool {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -118,7 +118,7 @@
 	if outcome.done || !s.writer.Started() {
 		return outcome
 	}
-	if !s.resumable {
+	if !s.resumable || s.events.unnumbered {
 		outcome.done = true
 		outcome.failure = failure.New(failure.EndpointFailed, "the stream broke off")
 	}
