forward: a failing spec for a whole stream with an event beyond the buffer limit

A large event can't be told from an endless one while it is buffered; either the limit is a documented limit of events, or the bytes beyond it are forwarded and the stream no longer goes on elsewhere. No decision here.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -45,6 +45,13 @@
 		Expect(body).To(Equal(stream))
 		Expect(complete).To(BeTrue())
 	})
+
+	It("is whole with an event larger than the buffer for incomplete events", func() {
+		stream := event(1) + "id: 2\ndata: " + strings.Repeat("x", 300<<10) + "\n\n" + event(3)
+		body, complete := answerBody(newFixture(spec(), newEndpoint(framedStream(stream))), "/resume/x")
+		Expect(complete).To(BeTrue(), "%d of %d bytes", len(body), len(stream))
+		Expect(body).To(Equal(stream))
+	})
 })
 
 var _ = Describe("A stream that continues at another endpoint", func() {
