forward: a failing spec for a response of unknown length that is larger than the response buffer

A whole response of 300 KiB in chunks, or one that ends with its connection, gets 502, and the endpoint counts as broken; with a Content-Length the same body is forwarded. The body is read into a bounded buffer unless its length is known.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -102,3 +103,25 @@
 		}
 	})
 })
+
+var _ = Describe("A response of unknown length that is no event stream", func() {
+	large := strings.Repeat("x", 300<<10)
+
+	It("is forwarded if it is larger than the response buffer", func() {
+		chunked := func(r *http.Request, _ string, conn net.Conn) bool {
+			_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", requestIDField, r.Header.Get(requestIDField), signatureField, len(large), large)
+			return err == nil
+		}
+		unframed := func(r *http.Request, _ string, conn net.Conn) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%sConnection: close\r\n\r\n%s", requestIDField, r.Header.Get(requestIDField), signatureField, large)
+			return false
+		}
+		for _, s := range []script{chunked, unframed} {
+			r := newFixture(spec(), newEndpoint(s)).call("/unsafe/x")
+			Expect(r.StatusCode).To(Equal(http.StatusOK))
+			body, complete := readBody(r)
+			Expect(body).To(Equal(large))
+			Expect(complete).To(BeTrue())
+		}
+	})
+})
