forward: a failing spec for a refusal whose body does not end

An endpoint that reports that it has not run a request, and whose body then stops, holds the request until its deadline (3 s, 503) although another endpoint is free. The body is read only so that the connection can be reused.

--- a/internal/forward/continuation_test.go
+++ b/internal/forward/continuation_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -125,3 +127,20 @@
 		}
 	})
 })
+
+var _ = Describe("An endpoint that has not run a request", func() {
+	It("does not hold the request with a body that has no end", func() {
+		open := make(chan struct{})
+		DeferCleanup(func() { close(open) })
+		unfinished := func(r *http.Request, _ string, conn net.Conn) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\n"+requestIDField+": "+r.Header.Get(requestIDField)+"\r\nPrimrosewell-Not-Run: 1\r\nContent-Length: 9\r\n\r\nfu")
+			select {
+			case <-open:
+			case <-time.After(10 * time.Second):
+			}
+			return false
+		}
+		r := newFixture(spec(), inTurn(2, unfinished, ok("done"))...).call("/unsafe/x")
+		Expect(r.StatusCode).To(Equal(http.StatusOK))
+	})
+})
