--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -13,6 +13,12 @@
 	// lastID is the id of the last complete event that the caller received, also from earlier
 	// attempts, or "" before the first.
 	lastID string
+	// continued is set once an event has followed lastID; until then the stream may repeat events
+	// that the caller has.
+	continued bool
+	// unnumbered is set once an event without an id was returned: no id tells an endpoint to go on
+	// after it.
+	unnumbered bool
 }
 
 // push appends received bytes and returns the events that they complete, without those
@@ -26,16 +32,32 @@
 			return out
 		}
 		event := s.pending[:end]
-		if id := eventID(event); id == "" || follows(id, s.lastID) {
+		id := eventID(event)
+		if !s.repeated(id) {
 			out = append(out, event...)
 			if id != "" {
-				s.lastID = id
+				s.lastID, s.continued = id, true
+			} else if hasData(event) {
+				s.unnumbered = true
 			}
 		}
 		s.pending = append(s.pending[:0:0], s.pending[end:]...)
 	}
 }
 
+// rest returns the incomplete event at the end of the stream, unless the caller has that event.
+func (s *eventSplitter) rest() []byte {
+	if s.repeated(eventID(s.pending)) {
+		return nil
+	}
+	return s.pending
+}
+
+// repeated reports whether the caller received the event with this id in an earlier attempt.
+func (s *eventSplitter) repeated(id string) bool {
+	return id != "" && !s.continued && !follows(id, s.lastID)
+}
+
 // eventPosition follows the bytes of a stream.
 type eventPosition struct {
 	// tail holds the last bytes, as many as the longest end of an event.
@@ -80,6 +102,11 @@
 	return ""
 }
 
+// hasData reports whether an event has data, which a comment has not.
+func hasData(event []byte) bool {
+	return bytes.HasPrefix(event, []byte("data")) || bytes.Contains(event, []byte("\ndata"))
+}
+
 // follows reports whether id comes after last. Ids are increasing numbers; ids that are not
 // numbers only have to differ.
 func follows(id, last string) bool {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -94,7 +94,7 @@
 // finish ends the caller's stream. A stream without events still gets its header.
 func (s *stream) finish() attemptOutcome {
 	s.recordCompletion()
-	if rest := s.events.pending; len(rest) > 0 || !s.writer.Started() {
+	if rest := s.events.rest(); len(rest) > 0 || !s.writer.Started() {
 		if err := s.write(rest); err != nil {
 			return s.callerDisconnected(true)
 		}
@@ -119,7 +119,7 @@
 	if outcome.done || !s.writer.Started() {
 		return outcome
 	}
-	if !s.resumable {
+	if !s.resumable || s.events.unnumbered {
 		outcome.done = true
 		outcome.failure = failure.New(failure.EndpointFailed, "the stream broke off")
 	}
