forward: a response of unknown length that is larger than the buffer is forwarded as it arrives

A caller got 502 for a whole answer of over 256 KiB without a length, and the endpoint counted as broken.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -161,7 +161,11 @@
 		return a.forwardStream(response)
 	}
 	body, err := readBounded(response.Body, maxBufferedBody)
-	if err != nil {
+	switch {
+	case errors.Is(err, errBodyTooLong):
+		response.Body = io.MultiReader(bytes.NewReader(body), response.Body)
+		return a.forwardStream(response)
+	case err != nil:
 		return a.exchangeFailed(err, "within an answer")
 	}
 	a.status = status
@@ -280,11 +284,12 @@
 
 var errBodyTooLong = errors.New("the response body exceeds the buffer limit")
 
-// readBounded reads r to its end and fails if it holds more than limit bytes.
+// readBounded reads r to its end. If r holds more than limit bytes, it fails and returns what it
+// has read.
 func readBounded(r io.Reader, limit int) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
 	if err == nil && len(body) > limit {
-		return nil, errBodyTooLong
+		return body, errBodyTooLong
 	}
 	return body, err
 }
