balance: an endpoint that says that it leaves gets no new request, whatever a list says

Callers could have requests sent to an endpoint for seconds after it had answered that it leaves (DRAIN): nothing in the choice of an endpoint knew this state, only the registration's Draining, which comes through the platform.

A choice that isn't sent ends with the result NotSent: health stays as it was, and of the cached parts only those go that this choice had added.

--- a/internal/balance/cache.go
+++ b/internal/balance/cache.go
@@ -31,10 +31,15 @@
 	return partCache{lastUse: lastUse}
 }
 
-func (c partCache) touch(now time.Time, parts []hashedPart) {
+// touch records a use of the parts and returns those that were not tracked before.
+func (c partCache) touch(now time.Time, parts []hashedPart) (added []hashedPart) {
 	for _, part := range parts {
+		if !c.lastUse.Contains(part.hash) {
+			added = append(added, part)
+		}
 		c.lastUse.Add(part.hash, now)
 	}
+	return added
 }
 
 func (c partCache) remove(parts []hashedPart) {
@@ -43,6 +48,15 @@
 	}
 }
 
+// removeUnused removes parts that were last used at usedAt, by a request that was not run.
+func (c partCache) removeUnused(usedAt time.Time, parts []hashedPart) {
+	for _, part := range parts {
+		if lastUse, found := c.lastUse.Peek(part.hash); found && lastUse.Equal(usedAt) {
+			c.lastUse.Remove(part.hash)
+		}
+	}
+}
+
 // clear drops all parts, as the process behind the endpoint restarts with an empty cache.
 func (c partCache) clear() { c.lastUse.Purge() }
 
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -25,10 +25,12 @@
 	Unreachable
 	// Misrouted means that another endpoint now answers at the address.
 	Misrouted
+	// NotSent means that the endpoint was withdrawn between the choice and the send.
+	NotSent
 )
 
 // resultNames holds the metric label of each Result.
-var resultNames = [...]string{"good", "neutral", "failed", "full", "broken", "unreachable", "stranger"}
+var resultNames = [...]string{"good", "neutral", "failed", "full", "broken", "unreachable", "stranger", "not_sent"}
 
 // String returns the metric label of the result.
 func (r Result) String() string { return resultNames[r] }
@@ -117,7 +119,7 @@
 		h.ejectFor(now, fullEjection)
 	case Misrouted:
 		h.ejectFor(now, misroutedEjection)
-	case Neutral:
+	case Neutral, NotSent:
 	}
 }
 
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -43,8 +43,10 @@
 	mu         sync.Mutex
 	dataCentre string
 	random     *rand.Rand
-	endpoints  map[string]*endpoint
-	order      []*endpoint
+	// endpoints holds all listed endpoints by id; order those of them that don't leave.
+	endpoints map[string]*endpoint
+	order     []*endpoint
+	leaving   leavingInstances
 	// daemons is the number of daemons that send requests to these endpoints, including this
 	// one.
 	daemons int
@@ -106,14 +108,17 @@
 
 // NewPool returns a pool without endpoints. dataCentre is that of this daemon.
 func NewPool(dataCentre string, random *rand.Rand) *Pool {
-	return &Pool{dataCentre: dataCentre, random: random, endpoints: make(map[string]*endpoint)}
+	return &Pool{dataCentre: dataCentre, random: random, endpoints: make(map[string]*endpoint), leaving: make(leavingInstances)}
 }
 
-// Update replaces the set of usable endpoints. An endpoint that stays in the set keeps its
-// state unless its address or process start time changed.
+// Update replaces the set of listed endpoints. An endpoint that stays in the set keeps its
+// state unless its address or process start time changed. Those that leave get no requests.
 func (p *Pool) Update(now time.Time, listed []routetable.Endpoint) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	for _, e := range p.endpoints {
+		p.leaving.keep(now, e.Endpoint) // It was listed until now.
+	}
 	next := make(map[string]*endpoint, len(listed))
 	p.order = p.order[:0]
 	for _, l := range listed {
@@ -126,11 +131,14 @@
 		}
 		e.Endpoint = l
 		next[l.ID] = e
-		p.order = append(p.order, e)
+		p.leaving.keep(now, l)
+		if !p.leaving.has(l) {
+			p.order = append(p.order, e)
+		}
 	}
 	p.endpoints = next
-	p.reservation.size = reservedCount(len(p.order), p.slots(), p.reservation.running)
-	p.assignReserved()
+	p.leaving.expire(now)
+	p.resetReservation()
 }
 
 func (p *Pool) slots() int {
@@ -141,7 +149,7 @@
 	return slots
 }
 
-// Size returns the number of usable endpoints.
+// Size returns the number of listed endpoints that don't leave.
 func (p *Pool) Size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -164,7 +172,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	loads := make(map[EndpointKey]Load)
-	for _, e := range p.order {
+	for _, e := range p.endpoints {
 		if e.running > 0 {
 			loads[e.key] = Load{Running: e.running, PendingTokens: e.pendingTokens}
 		}
@@ -191,14 +199,17 @@
 	// that are not, whichever the chosen one is.
 	MeanWait time.Duration
 	// FetchFrom is the address of an endpoint from which cached shared parts of the prompt can
-	// be fetched, or "".
+	// be fetched, or "". See CurrentFetchFrom.
 	FetchFrom string
 
-	pool           *Pool
-	endpoint       *endpoint
-	pendingTokens  int
-	priority       int
-	parts          []hashedPart
+	pool          *Pool
+	endpoint      *endpoint
+	fetchSource   *endpoint
+	pendingTokens int
+	priority      int
+	parts         []hashedPart
+	// addedParts are those of parts that were not expected in the endpoint's cache before.
+	addedParts     []hashedPart
 	pickedAt       time.Time
 	pendingRemoved bool
 }
@@ -227,7 +238,7 @@
 	}
 	c.PredictedWait, c.MeanWait = p.predictWait(e, request.Priority)
 	if best.fetchSource != nil {
-		c.FetchFrom = best.fetchSource.Address
+		c.fetchSource, c.FetchFrom = best.fetchSource, best.fetchSource.Address
 	}
 	e.running++
 	if c.Interactive {
@@ -236,7 +247,7 @@
 	e.addPending(c.priority, c.pendingTokens)
 	p.recent.add(now, e)
 	e.health.requestSent(now)
-	e.cache.touch(now, parts)
+	c.addedParts = e.cache.touch(now, parts)
 	return c
 }
 
@@ -277,7 +288,11 @@
 		c.endpoint.runningInteractive--
 	}
 	c.endpoint.health.observeResult(now, result)
-	if result != Succeeded {
+	switch result {
+	case Succeeded:
+	case NotSent:
+		c.endpoint.cache.removeUnused(c.pickedAt, c.addedParts)
+	default:
 		c.endpoint.cache.remove(c.parts)
 	}
 }
@@ -301,9 +316,11 @@
 
 // Stats is a summary of a pool for metrics.
 type Stats struct {
-	// Endpoints counts the usable endpoints, and Ejected those of them that get no requests at
-	// the moment because they are ejected or being probed.
+	// Endpoints counts the listed endpoints that don't leave, and Ejected those of them that
+	// get no requests at the moment because they are ejected or being probed.
 	Endpoints, Ejected int
+	// Leaving counts the listed endpoints that leave.
+	Leaving int
 	// Running counts this daemon's requests in progress; PendingTokens is the sum of their
 	// prompt tokens that are not prefilled yet.
 	Running, PendingTokens int
@@ -313,11 +330,13 @@
 func (p *Pool) Stats(now time.Time) Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := Stats{Endpoints: len(p.order)}
+	s := Stats{Endpoints: len(p.order), Leaving: len(p.endpoints) - len(p.order)}
 	for _, e := range p.order {
 		if !e.health.available(now) {
 			s.Ejected++
 		}
+	}
+	for _, e := range p.endpoints {
 		s.Running += e.running
 		s.PendingTokens += e.pendingTokens
 	}
--- a/internal/balance/reservation.go
+++ b/internal/balance/reservation.go
@@ -98,6 +98,12 @@
 	return max(minSize, min(size, int(math.Round(maxReservedShare*float64(n)))))
 }
 
+// resetReservation recomputes the reservation for a changed set of endpoints.
+func (p *Pool) resetReservation() {
+	p.reservation.size = reservedCount(len(p.order), p.slots(), p.reservation.running)
+	p.assignReserved()
+}
+
 // assignReserved marks the reserved endpoints, which are the first ones in a ranking that all
 // daemons share. Daemons that disagree on the number thus differ only in the last few.
 func (p *Pool) assignReserved() {
