balance: an endpoint that refuses with a time to come back gets no request until then

Endpoints that had answered 503 with Retry-After got this daemon's requests again after 150 ms (BUDGET): the refusal was taken for a full endpoint and its Retry-After was not kept.

Pool.Backoff and Choice.Backoff keep every request from the process until the time has passed: new ones, retries, the fallback while all are ejected, fetch sources, and through Choice.Withdrawn those placed before. A later answer extends the time, up to an hour from then; no result, crash probe, ejection or list shortens it, and it outlasts the endpoint's absence from the list. The process is known by id and start time as for leaving. The result BackedOff is no fault: no ejection, no failure, no part dropped that the refused request had not added. The part's next affinity endpoint stands in meanwhile. Endpoints in backoff don't count in the mean wait and the median backlog, which they would lower though nothing can be sent there.

Many daemons get such an answer at about the same time and see the endpoint idle when its time ends. For a second after it, the endpoint takes part in a growing share of a daemon's choices, from one in as many as there are daemons, unless there is no other endpoint: then a refusal would cost callers more, and SpreadReturn has spread those that were refused. Shortage gives the time until the first endpoint takes requests again.

In the schedules, steps in time are of up to 3 s: those of an hour met the end of the memory of leaving processes, which has its own spec.

--- a/internal/balance/filter.go
+++ b/internal/balance/filter.go
@@ -7,22 +7,30 @@
 
 // filter returns the endpoints that may get the request. If health rules out all of them, it
 // returns the one whose ejection ends first, so that a wrong suspicion of the whole pool does
-// not reject every request. Leaving endpoints are never returned.
+// not reject every request. Endpoints that leave or are in backoff are never returned.
 func (p *Pool) filter(now time.Time, request Request) []*endpoint {
 	available := p.candidates[:0]
 	var nextAvailable *endpoint
+	var returning []*endpoint
 	for _, e := range p.order {
-		if !request.permits(e) {
+		if e.backedOff() || !request.permits(e) {
 			continue
 		}
 		if e.health.available(now) {
-			available = append(available, e)
+			if p.admitsReturn(now, e) {
+				available = append(available, e)
+			} else {
+				returning = append(returning, e)
+			}
 			continue
 		}
 		if nextAvailable == nil || e.health.ejectedUntil.Before(nextAvailable.health.ejectedUntil) {
 			nextAvailable = e
 		}
 	}
+	if len(available) == 0 {
+		available = append(available, returning...)
+	}
 	if len(available) == 0 && nextAvailable != nil {
 		available = append(available, nextAvailable)
 	}
--- a/internal/balance/health.go
+++ b/internal/balance/health.go
@@ -27,10 +27,12 @@
 	Misrouted
 	// NotSent means that the endpoint was withdrawn between the choice and the send.
 	NotSent
+	// BackedOff means that the endpoint refused the request and asked for no others for a while.
+	BackedOff
 )
 
 // resultNames holds the metric label of each Result.
-var resultNames = [...]string{"good", "neutral", "failed", "full", "broken", "unreachable", "stranger", "not_sent"}
+var resultNames = [...]string{"good", "neutral", "failed", "full", "broken", "unreachable", "stranger", "not_sent", "backed_off"}
 
 // String returns the metric label of the result.
 func (r Result) String() string { return resultNames[r] }
@@ -119,7 +121,7 @@
 		h.ejectFor(now, fullEjection)
 	case Misrouted:
 		h.ejectFor(now, misroutedEjection)
-	case Neutral, NotSent:
+	case Neutral, NotSent, BackedOff:
 	}
 }
 
--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -75,29 +75,32 @@
 	NotWithdrawn Withdrawal = iota
 	// Leaving means that its process said that it leaves.
 	Leaving
+	// InBackoff means that its process asked for no requests for a time that has not passed.
+	InBackoff
 )
 
-// Withdrawn returns whether and why the endpoint gets no new requests.
-func (p *Pool) Withdrawn(e routetable.Endpoint) Withdrawal {
+// Withdrawn returns whether and why the endpoint gets no requests now, including health checks
+// and probes.
+func (p *Pool) Withdrawn(now time.Time, e routetable.Endpoint) Withdrawal {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.withdrawn(e)
-}
-
-func (p *Pool) withdrawn(e routetable.Endpoint) Withdrawal {
 	if p.leaving.has(e) {
 		return Leaving
 	}
+	p.endBackoffs(now)
+	if b := p.backoffs.of(e); b != nil && !b.ended {
+		return InBackoff
+	}
 	return NotWithdrawn
 }
 
 // Withdrawn returns whether and why the endpoint was withdrawn after it was chosen. The choice
 // then ends with the result Withdrawn instead of a request.
-func (c *Choice) Withdrawn() Withdrawal { return c.pool.Withdrawn(c.Endpoint) }
+func (c *Choice) Withdrawn(now time.Time) Withdrawal { return c.pool.Withdrawn(now, c.Endpoint) }
 
 // CurrentFetchFrom returns FetchFrom, or "" if its endpoint was withdrawn after the choice.
-func (c *Choice) CurrentFetchFrom() string {
-	if c.fetchSource == nil || c.pool.Withdrawn(c.fetchSource.Endpoint) != NotWithdrawn {
+func (c *Choice) CurrentFetchFrom(now time.Time) string {
+	if c.fetchSource == nil || c.pool.Withdrawn(now, c.fetchSource.Endpoint) != NotWithdrawn {
 		return ""
 	}
 	return c.FetchFrom
--- a/internal/balance/leaving_test.go
+++ b/internal/balance/leaving_test.go
@@ -10,14 +10,20 @@
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
+// only returns a request that has tried all of nine endpoints but one.
+func only(id string) balance.Request {
+	request := balance.Request{Exclude: map[string]bool{}}
+	for _, e := range endpoints(9) {
+		request.Exclude[e.ID] = e.ID != id
+	}
+	return request
+}
+
 var _ = Describe("A leaving endpoint", func() {
 	now := time.Unix(1000, 0)
-	only := func(id string) balance.Request {
-		request := balance.Request{Exclude: map[string]bool{}}
-		for _, e := range endpoints(9) {
-			request.Exclude[e.ID] = e.ID != id
-		}
-		return request
+	shortage := func(p *balance.Pool) balance.Shortage {
+		reason, _ := p.Shortage(now)
+		return reason
 	}
 	// used returns the endpoints that get 40 requests in progress at once.
 	used := func(p *balance.Pool, at time.Time) map[string]int {
@@ -50,12 +56,12 @@
 		for last == nil || last.ID == affinity.ID {
 			last = p.Pick(now, longRequest(1))
 		}
-		Expect(last.CurrentFetchFrom()).To(Equal(affinity.Address))
-		Expect(affinity.Withdrawn()).To(Equal(balance.NotWithdrawn))
+		Expect(last.CurrentFetchFrom(now)).To(Equal(affinity.Address))
+		Expect(affinity.Withdrawn(now)).To(Equal(balance.NotWithdrawn))
 		p.MarkLeaving(now, affinity.Endpoint)
-		Expect(affinity.Withdrawn()).To(Equal(balance.Leaving))
-		Expect(last.Withdrawn()).To(Equal(balance.NotWithdrawn))
-		Expect(last.CurrentFetchFrom()).To(BeEmpty())
+		Expect(affinity.Withdrawn(now)).To(Equal(balance.Leaving))
+		Expect(last.Withdrawn(now)).To(Equal(balance.NotWithdrawn))
+		Expect(last.CurrentFetchFrom(now)).To(BeEmpty())
 		for range 40 {
 			c := p.Pick(now, longRequest(1))
 			Expect(c.ID).NotTo(Equal(affinity.ID))
@@ -65,16 +71,16 @@
 
 	It("is not the fallback when all other endpoints are ejected, and a refusal can say why", func() {
 		p := newPool(2)
-		Expect(p.Shortage()).To(Equal(balance.AllTried))
+		Expect(shortage(p)).To(Equal(balance.AllTried))
 		p.Pick(now, only("e1")).Done(now, balance.Unreachable)
 		p.MarkLeaving(now, endpoints(2)[0])
 		Expect(p.Pick(now, balance.Request{}).ID).To(Equal("e1"))
 		p.MarkLeaving(now, endpoints(2)[1])
 		Expect(p.Pick(now, balance.Request{})).To(BeNil())
 		Expect(p.Size()).To(BeZero())
-		Expect(p.Shortage()).To(Equal(balance.AllLeaving))
+		Expect(shortage(p)).To(Equal(balance.AllLeaving))
 		p.Update(now, nil)
-		Expect(p.Shortage()).To(Equal(balance.NoneListed))
+		Expect(shortage(p)).To(Equal(balance.NoneListed))
 	})
 
 	It("is not brought back by lists that name the same process", func() {
@@ -116,7 +122,7 @@
 		Expect(p.Stats(now).Leaving).To(Equal(1))
 		p.Update(now.Add(6*time.Hour), endpoints(3)[1:])
 		p.Update(now.Add(8*time.Hour), endpoints(3)[1:])
-		Expect(p.Withdrawn(endpoints(3)[0])).To(Equal(balance.NotWithdrawn))
+		Expect(p.Withdrawn(now, endpoints(3)[0])).To(Equal(balance.NotWithdrawn))
 	})
 
 	It("loses its parts to the next affinity endpoint at once", func() {
@@ -129,7 +135,7 @@
 	})
 })
 
-var _ = Describe("A choice that was not sent", func() {
+var _ = Describe("A choice that was not sent or not taken", func() {
 	It("leaves the endpoint's health and the parts cached before as they were", func() {
 		now := time.Unix(1000, 0)
 		p := newPool(1)
@@ -138,9 +144,9 @@
 		warm.Done(now, balance.Succeeded)
 		request := longRequest(1)
 		request.Parts[1].ID = "new"
-		for range 2 {
+		for _, result := range []balance.Result{balance.NotSent, balance.BackedOff} {
 			c := p.Pick(now.Add(time.Second), request)
-			c.Done(now.Add(time.Second), balance.NotSent)
+			c.Done(now.Add(time.Second), result)
 			Expect(c.Reason).To(Equal("cached"))
 		}
 		Expect(p.Stats(now.Add(time.Second)).Ejected).To(BeZero())
--- a/internal/balance/overload.go
+++ b/internal/balance/overload.go
@@ -17,11 +17,11 @@
 const overloadWait = 200 * time.Millisecond
 
 // loadWeight returns the weight of an endpoint's load in its cost: 1 while no prompt waits, and
-// falling with the median wait over the endpoints that are not reserved.
+// falling with the median wait over the endpoints that are neither reserved nor in backoff.
 func (p *Pool) loadWeight() float64 {
 	p.backlogs = p.backlogs[:0]
 	for _, e := range p.order {
-		if !e.reserved {
+		if !e.reserved && !e.backedOff() {
 			p.backlogs = append(p.backlogs, e.pendingTokens+e.remote.PendingTokens)
 		}
 	}
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -47,6 +47,7 @@
 	endpoints map[string]*endpoint
 	order     []*endpoint
 	leaving   leavingInstances
+	backoffs  backoffs
 	// daemons is the number of daemons that send requests to these endpoints, including this
 	// one.
 	daemons int
@@ -89,6 +90,8 @@
 	reserved bool
 	cache    partCache
 	health   health
+	// backoff is nil if the endpoint takes part in all choices.
+	backoff *backoff
 }
 
 // EndpointKey is a hash of an endpoint's id, short enough for messages between daemons. Among
@@ -108,7 +111,7 @@
 
 // NewPool returns a pool without endpoints. dataCentre is that of this daemon.
 func NewPool(dataCentre string, random *rand.Rand) *Pool {
-	return &Pool{dataCentre: dataCentre, random: random, endpoints: make(map[string]*endpoint), leaving: make(leavingInstances)}
+	return &Pool{dataCentre: dataCentre, random: random, endpoints: make(map[string]*endpoint), leaving: make(leavingInstances), backoffs: make(backoffs)}
 }
 
 // Update replaces the set of listed endpoints. An endpoint that stays in the set keeps its
@@ -129,7 +132,7 @@
 		if e.WarmUp != l.WarmUp {
 			e.warmUntil = now.Add(l.WarmUp)
 		}
-		e.Endpoint = l
+		e.Endpoint, e.backoff = l, p.backoffs.of(l)
 		next[l.ID] = e
 		p.leaving.keep(now, l)
 		if !p.leaving.has(l) {
@@ -214,8 +217,8 @@
 	pendingRemoved bool
 }
 
-// Pick chooses an endpoint and adds the request to its load. It returns nil if Exclude leaves
-// no endpoint.
+// Pick chooses an endpoint and adds the request to its load. It returns nil if Exclude,
+// leaving endpoints and backoffs leave none; see Shortage.
 func (p *Pool) Pick(now time.Time, request Request) *Choice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -224,6 +227,7 @@
 		p.assignReserved()
 	}
 	p.resizeReservation(now)
+	p.endBackoffs(now)
 	candidates := p.filter(now, request)
 	if len(candidates) == 0 {
 		return nil
@@ -290,7 +294,7 @@
 	c.endpoint.health.observeResult(now, result)
 	switch result {
 	case Succeeded:
-	case NotSent:
+	case NotSent, BackedOff:
 		c.endpoint.cache.removeUnused(c.pickedAt, c.addedParts)
 	default:
 		c.endpoint.cache.remove(c.parts)
@@ -319,8 +323,9 @@
 	// Endpoints counts the listed endpoints that don't leave, and Ejected those of them that
 	// get no requests at the moment because they are ejected or being probed.
 	Endpoints, Ejected int
-	// Leaving counts the listed endpoints that leave.
-	Leaving int
+	// Leaving counts the listed endpoints that leave, and InBackoff those of Endpoints that are
+	// in backoff.
+	Leaving, InBackoff int
 	// Running counts this daemon's requests in progress; PendingTokens is the sum of their
 	// prompt tokens that are not prefilled yet.
 	Running, PendingTokens int
@@ -330,11 +335,15 @@
 func (p *Pool) Stats(now time.Time) Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.endBackoffs(now)
 	s := Stats{Endpoints: len(p.order), Leaving: len(p.endpoints) - len(p.order)}
 	for _, e := range p.order {
 		if !e.health.available(now) {
 			s.Ejected++
 		}
+		if e.backedOff() {
+			s.InBackoff++
+		}
 	}
 	for _, e := range p.endpoints {
 		s.Running += e.running
--- a/internal/balance/schedule_test.go
+++ b/internal/balance/schedule_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -37,14 +38,21 @@
 	placed, sent []*balance.Choice
 	// leaving holds the latest start time of a process that said that it leaves, by id.
 	leaving map[string]int64
+	// quiet holds the end of the latest time for which a process asked for no requests, by id.
+	quiet map[string]quiet
 	// sources holds the entries that were listed at each address.
 	sources map[string][]routetable.Endpoint
 }
 
+type quiet struct {
+	startedAt int64
+	until     time.Time
+}
+
 func newSchedule(t *rapid.T) *schedule {
 	s := &schedule{
 		T: t, now: time.Unix(1000, 0), pool: balance.NewPool("dc", rand.New(rand.NewPCG(1, 2))),
-		leaving: map[string]int64{}, sources: map[string][]routetable.Endpoint{},
+		leaving: map[string]int64{}, quiet: map[string]quiet{}, sources: map[string][]routetable.Endpoint{},
 	}
 	s.pool.SetRemoteLoad(nil, rapid.SampledFrom([]int{0, 1, 5, 60}).Draw(t, "daemons"))
 	return s
@@ -60,6 +68,9 @@
 	if s.leaves(e) {
 		return "it leaves"
 	}
+	if q := s.quiet[e.ID]; e.StartedAt <= q.startedAt && s.now.Before(q.until) {
+		return "it wants none until " + q.until.String()
+	}
 	return ""
 }
 
@@ -121,11 +132,11 @@
 		return
 	}
 	forbidden := s.mustNotGet(choice.Endpoint)
-	withdrawn := choice.Withdrawn()
+	withdrawn := choice.Withdrawn(s.now)
 	if (withdrawn != balance.NotWithdrawn) != (forbidden != "") {
 		s.Fatalf("%v withdrawn: %v, expected: %q", choice.Endpoint, withdrawn, forbidden)
 	}
-	if source := choice.CurrentFetchFrom(); source != "" && !slices.ContainsFunc(s.sources[source], func(e routetable.Endpoint) bool { return s.mustNotGet(e) == "" }) {
+	if source := choice.CurrentFetchFrom(s.now); source != "" && !slices.ContainsFunc(s.sources[source], func(e routetable.Endpoint) bool { return s.mustNotGet(e) == "" }) {
 		s.Fatalf("a fetch from %s, whose endpoints must get no request", source)
 	}
 	if withdrawn != balance.NotWithdrawn {
@@ -145,17 +156,42 @@
 		s.leave(choice.Endpoint)
 		choice.MarkLeaving(s.now)
 	}
+	if rapid.IntRange(0, 4).Draw(s.T, "refuses") == 0 {
+		s.refuse(choice)
+		return
+	}
 	choice.Done(s.now, rapid.SampledFrom([]balance.Result{balance.Succeeded, balance.Failed, balance.Full, balance.Broken, balance.Unreachable, balance.Misrouted}).Draw(s.T, "result"))
 }
 
 func (s *schedule) leave(e routetable.Endpoint) { s.leaving[e.ID] = max(s.leaving[e.ID], e.StartedAt) }
 
+func (s *schedule) refuse(choice *balance.Choice) {
+	asked := rapid.SampledFrom([]time.Duration{-1, 0, 300 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}).Draw(s.T, "retry after")
+	if rapid.IntRange(0, 19).Draw(s.T, "absurd") == 0 {
+		asked = math.MaxInt64
+	}
+	choice.Backoff(s.now, asked)
+	choice.Done(s.now, balance.BackedOff)
+	if asked <= 0 {
+		return
+	}
+	next := quiet{startedAt: choice.StartedAt, until: s.now.Add(min(asked, time.Hour))}
+	known := s.quiet[choice.ID]
+	switch {
+	case known.startedAt > choice.StartedAt && s.now.Before(known.until):
+		return
+	case known.startedAt == choice.StartedAt && known.until.After(next.until):
+		return
+	}
+	s.quiet[choice.ID] = next
+}
+
 func (s *schedule) step() {
 	switch rapid.IntRange(0, 19).Draw(s.T, "step") {
 	case 0:
 		s.list()
 	case 1, 2:
-		s.now = s.now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(s.T, "ms")) * time.Millisecond)
+		s.now = s.now.Add(time.Duration(rapid.SampledFrom([]int{1, 100, 299, 1000, 3000}).Draw(s.T, "ms")) * time.Millisecond)
 	case 3:
 		if len(s.sent) > 0 {
 			s.sent[0].CrashProbeSucceeded(s.now)
@@ -178,8 +214,9 @@
 	}
 }
 
-// TestWithdrawalSchedules verifies on random schedules that an endpoint gets no request that it
-// has excluded by an earlier answer, and every request that it hasn't if no other can have it.
+// TestWithdrawalSchedules verifies on random schedules that no request is sent to a process that
+// has answered that it leaves, or that it wants none until later, and that a request is placed
+// if any other endpoint may have it.
 func TestWithdrawalSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSchedule(t)
--- a/internal/balance/scorer.go
+++ b/internal/balance/scorer.go
@@ -146,7 +146,7 @@
 }
 
 // affinityEndpoint returns the endpoint that all daemons with the same endpoint list prefer
-// for a part. Reserved endpoints are left out.
+// for a part. Reserved endpoints and those in backoff are left out.
 func (p *Pool) affinityEndpoint(part uint64, sharedTokens int) *endpoint {
 	if sharedTokens == 0 {
 		return nil
@@ -154,7 +154,7 @@
 	var best *endpoint
 	var rank uint64
 	for _, e := range p.order {
-		if e.reserved {
+		if e.reserved || e.backedOff() {
 			continue
 		}
 		if r := rendezvous(part, e.hash); best == nil || r > rank {
--- a/internal/balance/shortage.go
+++ b/internal/balance/shortage.go
@@ -1,5 +1,7 @@
 package balance
 
+import "time"
+
 // Shortage is why Pick found no endpoint.
 type Shortage int
 
@@ -10,17 +12,29 @@
 	NoneListed
 	// AllLeaving means that every listed endpoint leaves.
 	AllLeaving
+	// AllInBackoff means that every listed endpoint that doesn't leave is in backoff.
+	AllInBackoff
 )
 
-// Shortage returns why Pick has just found no endpoint.
-func (p *Pool) Shortage() Shortage {
+// Shortage returns why Pick has just found no endpoint, and for AllInBackoff the time until the
+// first of them takes requests again.
+func (p *Pool) Shortage(now time.Time) (reason Shortage, quiet time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	switch {
 	case len(p.endpoints) == 0:
-		return NoneListed
+		return NoneListed, 0
 	case len(p.order) == 0:
-		return AllLeaving
+		return AllLeaving, 0
+	}
+	p.endBackoffs(now)
+	for i, e := range p.order {
+		if !e.backedOff() {
+			return AllTried, 0
+		}
+		if left := e.backoff.until.Sub(now); i == 0 || left < quiet {
+			quiet = left
+		}
 	}
-	return AllTried
+	return AllInBackoff, quiet
 }
--- a/internal/balance/wait.go
+++ b/internal/balance/wait.go
@@ -57,7 +57,8 @@
 	}
 }
 
-// groupBacklog is the backlog at all endpoints that are reserved, or at all that are not.
+// groupBacklog is the backlog at all endpoints that are reserved, or at all that are not,
+// without those in backoff: no request waits there.
 type groupBacklog struct {
 	endpoints int
 	// tokens is the backlog from all daemons, and own this daemon's part of it, by priority.
@@ -68,7 +69,7 @@
 func (p *Pool) groupBacklog(reserved bool) groupBacklog {
 	var g groupBacklog
 	for _, e := range p.order {
-		if e.reserved != reserved {
+		if e.reserved != reserved || e.backedOff() {
 			continue
 		}
 		g.endpoints++
