balance: a pool reports when an endpoint begins and ends to leave or to be in backoff, and why

On-call could not have seen from logs when or why an endpoint was withdrawn. Pool.OnTransition gets one typed record for each beginning and end: the endpoint with id and start time, the state, the answer that decided it (success, failure, refusal, stream header, health check) or what ended it (time elapsed, replaced by a later process, forgotten), the time asked for and the end. MarkLeaving and Pool.Backoff take the cause. The report comes outside the pool's lock, so that a slow one delays no choice. An extended backoff is one state; its end carries the latest time asked for.

--- a/internal/balance/backoff.go
+++ b/internal/balance/backoff.go
@@ -21,10 +21,13 @@
 // backoff is the time for which a process gets no requests, because it said so. It is kept
 // until returnTime after its end.
 type backoff struct {
-	startedAt int64
-	until     time.Time
-	// ended is set once until has passed.
-	ended bool
+	routetable.Endpoint
+	since time.Time
+	// asked is the time that the latest refusal asked for.
+	asked time.Duration
+	until time.Time
+	// ended is set once until has passed, and replaced once a later process of the id was listed.
+	ended, replaced bool
 }
 
 // backoffs holds the backoff of the latest process that asked for one, by endpoint id. It
@@ -34,7 +37,7 @@
 // of returns the backoff of the endpoint's process, or nil. An entry of an earlier process of
 // the id would lead to the one that asked.
 func (b backoffs) of(e routetable.Endpoint) *backoff {
-	if known := b[e.ID]; known != nil && e.StartedAt <= known.startedAt {
+	if known := b[e.ID]; known != nil && e.StartedAt <= known.StartedAt {
 		return known
 	}
 	return nil
@@ -42,31 +45,39 @@
 
 // Backoff keeps all requests of this daemon from a process for d, which its refusal asked for.
 // A later call can extend that time and nothing can shorten it; a d of zero has no effect. The
-// attempt that was refused ends with the result BackedOff.
-func (p *Pool) Backoff(now time.Time, e routetable.Endpoint, d time.Duration) {
+// attempt that was refused ends with the result BackedOff. cause is the kind of the answer.
+func (p *Pool) Backoff(now time.Time, e routetable.Endpoint, d time.Duration, cause Cause) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.endBackoffs(now)
-	p.backOff(now, e, d)
+	p.backOff(now, e, d, cause)
 }
 
 // Backoff is Pool.Backoff for the endpoint of the choice.
-func (c *Choice) Backoff(now time.Time, d time.Duration) { c.pool.Backoff(now, c.Endpoint, d) }
+func (c *Choice) Backoff(now time.Time, d time.Duration) {
+	c.pool.Backoff(now, c.Endpoint, d, OnRefusal)
+}
 
-func (p *Pool) backOff(now time.Time, e routetable.Endpoint, d time.Duration) {
+func (p *Pool) backOff(now time.Time, e routetable.Endpoint, d time.Duration, cause Cause) {
 	if d <= 0 {
 		return
 	}
-	until := now.Add(min(d, maxBackoff))
+	next := &backoff{Endpoint: e, since: now, asked: d, until: now.Add(min(d, maxBackoff))}
 	known := p.backoffs[e.ID]
 	switch {
-	case known == nil || known.startedAt < e.StartedAt, known.startedAt > e.StartedAt && known.ended:
-		p.setBackoff(e.ID, &backoff{startedAt: e.StartedAt, until: until})
-	case known.startedAt > e.StartedAt:
-		// A late answer of an earlier process.
-	case until.After(known.until):
-		known.until, known.ended = until, false
+	case known == nil || known.ended:
+	case known.StartedAt > e.StartedAt:
+		return // A late answer of an earlier process.
+	case known.StartedAt < e.StartedAt:
+		p.endBackoff(now, known, Replaced)
+	default:
+		if next.until.After(known.until) {
+			known.asked, known.until = next.asked, next.until
+		}
+		return
 	}
+	p.setBackoff(e.ID, next)
+	p.noteTransition(Transition{Endpoint: e, State: StateBackoff, Begins: true, Cause: cause, At: now, Since: now, Asked: d, Until: next.until})
 }
 
 // setBackoff replaces or, if b is nil, deletes the backoff of an endpoint id.
@@ -83,13 +94,26 @@
 // endBackoffs ends the backoffs and the returns whose time has passed.
 func (p *Pool) endBackoffs(now time.Time) {
 	for id, b := range p.backoffs {
-		b.ended = b.ended || !now.Before(b.until)
+		if !b.ended && !now.Before(b.until) {
+			b.ended = true
+			p.endBackoff(now, b, Elapsed)
+		}
 		if b.ended && now.Sub(b.until) >= returnTime {
 			p.setBackoff(id, nil)
 		}
 	}
 }
 
+// endBackoff notes the end of the state, once. The backoff stays in force after its process was
+// replaced: an older list may still name it.
+func (p *Pool) endBackoff(now time.Time, b *backoff, cause Cause) {
+	if b.replaced {
+		return
+	}
+	b.replaced = cause == Replaced
+	p.noteTransition(Transition{Endpoint: b.Endpoint, State: StateBackoff, Cause: cause, At: now, Since: b.since, Asked: b.asked, Until: b.until})
+}
+
 // backedOff reports whether the endpoint gets no requests because it asked for none.
 func (e *endpoint) backedOff() bool { return e.backoff != nil && !e.backoff.ended }
 
--- a/internal/balance/backoff_test.go
+++ b/internal/balance/backoff_test.go
@@ -63,7 +63,7 @@
 		running[2].Done(now.Add(time.Second), balance.Broken)
 		running[2].CrashProbeSucceeded(now.Add(2 * time.Second))
 		Expect(p.Pick(now.Add(9*time.Second), only("e0"))).To(BeNil())
-		p.Backoff(now.Add(9*time.Second), endpoints(2)[0], 2*time.Second)
+		p.Backoff(now.Add(9*time.Second), endpoints(2)[0], 2*time.Second, balance.OnRefusal)
 		Expect(p.Pick(now.Add(10500*time.Millisecond), only("e0"))).To(BeNil())
 		Expect(p.Pick(now.Add(11*time.Second), only("e0"))).NotTo(BeNil())
 	})
@@ -71,7 +71,7 @@
 	It("is not the fallback when all others are ejected, nor a fetch source", func() {
 		p := newPool(9)
 		affinity := p.Pick(now, longRequest(1))
-		p.Backoff(now, affinity.Endpoint, time.Minute)
+		p.Backoff(now, affinity.Endpoint, time.Minute, balance.OnRefusal)
 		for range 20 {
 			c := p.Pick(now, longRequest(1))
 			Expect(c.ID).NotTo(Equal(affinity.ID))
@@ -87,7 +87,7 @@
 		p := newPool(3)
 		refuse(p, now, "e0", 5*time.Second)
 		refuse(p, now, "e1", 2*time.Second)
-		p.MarkLeaving(now, endpoints(3)[2])
+		p.MarkLeaving(now, endpoints(3)[2], balance.OnSuccess)
 		Expect(p.Pick(now.Add(time.Second), balance.Request{})).To(BeNil())
 		reason, quiet := shortage(p, now.Add(time.Second))
 		Expect(reason).To(Equal(balance.AllInBackoff))
@@ -122,7 +122,7 @@
 		listed[0].StartedAt = 2
 		p.Update(now, listed)
 		Expect(p.Pick(now, only("e0"))).NotTo(BeNil())
-		p.Backoff(now, endpoints(2)[0], time.Minute) // A late answer of the earlier process.
+		p.Backoff(now, endpoints(2)[0], time.Minute, balance.OnRefusal) // A late answer of the earlier process.
 		Expect(p.Pick(now, only("e0"))).NotTo(BeNil())
 	})
 
@@ -135,7 +135,7 @@
 			c.ResponseStarted(now.Add(100 * time.Millisecond))
 			c.Done(now, balance.Succeeded)
 			for i := range idle {
-				p.Backoff(now, endpoints(3 + idle)[3+i], time.Minute)
+				p.Backoff(now, endpoints(3 + idle)[3+i], time.Minute, balance.OnRefusal)
 			}
 			loads := map[balance.EndpointKey]balance.Load{}
 			for _, e := range endpoints(3) {
@@ -169,7 +169,7 @@
 				loads[balance.KeyOf(fmt.Sprintf("e%d", i))] = balance.Load{Running: 40}
 			}
 			p.SetRemoteLoad(loads, daemons)
-			p.Backoff(now, endpoints(pool)[0], time.Second)
+			p.Backoff(now, endpoints(pool)[0], time.Second, balance.OnRefusal)
 			for range 10 {
 				if p.Pick(now.Add(time.Second+elapsed), balance.Request{}).ID == "e0" {
 					returned++
--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -17,56 +17,73 @@
 
 // leavingInstance is the latest process of an endpoint id that leaves.
 type leavingInstance struct {
-	startedAt  int64
-	lastListed time.Time
+	routetable.Endpoint
+	since, lastListed time.Time
+	// replaced is set once a later process of the id was listed.
+	replaced bool
 }
 
 // leavingInstances holds the leaving processes by endpoint id.
-type leavingInstances map[string]leavingInstance
+type leavingInstances map[string]*leavingInstance
 
 // has reports whether the endpoint's process leaves. An earlier process of the same id has
 // ended, and its entry would lead to the leaving one.
 func (l leavingInstances) has(e routetable.Endpoint) bool {
 	instance, found := l[e.ID]
-	return found && e.StartedAt <= instance.startedAt
+	return found && e.StartedAt <= instance.StartedAt
 }
 
 // keep refreshes the entry of a listed process.
 func (l leavingInstances) keep(now time.Time, listed routetable.Endpoint) {
 	if l.has(listed) {
-		l[listed.ID] = leavingInstance{startedAt: l[listed.ID].startedAt, lastListed: now}
+		l[listed.ID].lastListed = now
 	}
 }
 
-// expire forgets processes that were last listed more than leavingRetention ago.
-func (l leavingInstances) expire(now time.Time) {
-	for id, instance := range l {
+// expireLeaving forgets processes that were last listed more than leavingRetention ago.
+func (p *Pool) expireLeaving(now time.Time) {
+	for id, instance := range p.leaving {
 		if now.Sub(instance.lastListed) > leavingRetention {
-			delete(l, id)
+			delete(p.leaving, id)
+			p.endLeaving(now, instance, Forgotten)
 		}
 	}
 }
 
 // MarkLeaving takes a process out for new requests, whatever later lists say. Requests that
-// run there are not affected.
-func (p *Pool) MarkLeaving(now time.Time, e routetable.Endpoint) {
+// run there are not affected. cause is the answer that said so.
+func (p *Pool) MarkLeaving(now time.Time, e routetable.Endpoint, cause Cause) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.markLeaving(now, e)
+	defer p.unlock()
+	p.markLeaving(now, e, cause)
 }
 
 // MarkLeaving is Pool.MarkLeaving for the endpoint of the choice.
-func (c *Choice) MarkLeaving(now time.Time) { c.pool.MarkLeaving(now, c.Endpoint) }
+func (c *Choice) MarkLeaving(now time.Time, cause Cause) { c.pool.MarkLeaving(now, c.Endpoint, cause) }
 
-func (p *Pool) markLeaving(now time.Time, e routetable.Endpoint) {
+func (p *Pool) markLeaving(now time.Time, e routetable.Endpoint, cause Cause) {
 	if p.leaving.has(e) {
 		return
 	}
-	p.leaving[e.ID] = leavingInstance{startedAt: e.StartedAt, lastListed: now}
+	if earlier := p.leaving[e.ID]; earlier != nil {
+		p.endLeaving(now, earlier, Replaced)
+	}
+	p.leaving[e.ID] = &leavingInstance{Endpoint: e, since: now, lastListed: now}
+	p.noteTransition(Transition{Endpoint: e, State: StateLeaving, Begins: true, Cause: cause, At: now, Since: now})
 	p.order = slices.DeleteFunc(p.order, func(listed *endpoint) bool { return p.leaving.has(listed.Endpoint) })
 	p.resetReservation()
 }
 
+// endLeaving notes the end of the state, once. The process stays known after it was replaced:
+// an older list may still name it.
+func (p *Pool) endLeaving(now time.Time, instance *leavingInstance, cause Cause) {
+	if instance.replaced {
+		return
+	}
+	instance.replaced = cause == Replaced
+	p.noteTransition(Transition{Endpoint: instance.Endpoint, State: StateLeaving, Cause: cause, At: now, Since: instance.since})
+}
+
 // Withdrawal is why an endpoint gets no new requests, whoever chose it and when.
 type Withdrawal int
 
@@ -83,7 +100,7 @@
 // and probes.
 func (p *Pool) Withdrawn(now time.Time, e routetable.Endpoint) Withdrawal {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	if p.leaving.has(e) {
 		return Leaving
 	}
--- a/internal/balance/leaving_test.go
+++ b/internal/balance/leaving_test.go
@@ -40,7 +40,7 @@
 	It("gets no new request, while those that run there stay in the load", func() {
 		p := newPool(3)
 		running := p.Pick(now, only("e0"))
-		p.Pick(now, only("e0")).MarkLeaving(now)
+		p.Pick(now, only("e0")).MarkLeaving(now, balance.OnSuccess)
 		Expect(used(p, now)).NotTo(HaveKey("e0"))
 		Expect(p.Pick(now, only("e0"))).To(BeNil())
 		Expect(p.OwnLoad()).To(HaveKeyWithValue(balance.KeyOf("e0"), balance.Load{Running: 2}))
@@ -58,7 +58,7 @@
 		}
 		Expect(last.CurrentFetchFrom(now)).To(Equal(affinity.Address))
 		Expect(affinity.Withdrawn(now)).To(Equal(balance.NotWithdrawn))
-		p.MarkLeaving(now, affinity.Endpoint)
+		p.MarkLeaving(now, affinity.Endpoint, balance.OnSuccess)
 		Expect(affinity.Withdrawn(now)).To(Equal(balance.Leaving))
 		Expect(last.Withdrawn(now)).To(Equal(balance.NotWithdrawn))
 		Expect(last.CurrentFetchFrom(now)).To(BeEmpty())
@@ -73,9 +73,9 @@
 		p := newPool(2)
 		Expect(shortage(p)).To(Equal(balance.AllTried))
 		p.Pick(now, only("e1")).Done(now, balance.Unreachable)
-		p.MarkLeaving(now, endpoints(2)[0])
+		p.MarkLeaving(now, endpoints(2)[0], balance.OnSuccess)
 		Expect(p.Pick(now, balance.Request{}).ID).To(Equal("e1"))
-		p.MarkLeaving(now, endpoints(2)[1])
+		p.MarkLeaving(now, endpoints(2)[1], balance.OnSuccess)
 		Expect(p.Pick(now, balance.Request{})).To(BeNil())
 		Expect(p.Size()).To(BeZero())
 		Expect(shortage(p)).To(Equal(balance.AllLeaving))
@@ -85,7 +85,7 @@
 
 	It("is not brought back by lists that name the same process", func() {
 		p := newPool(3)
-		p.MarkLeaving(now, endpoints(3)[0])
+		p.MarkLeaving(now, endpoints(3)[0], balance.OnSuccess)
 		for step, listed := range [][]routetable.Endpoint{endpoints(3), endpoints(3)[1:], endpoints(3), nil, endpoints(3)} {
 			p.Update(now.Add(time.Duration(step)*time.Minute), listed)
 			Expect(p.Pick(now.Add(time.Duration(step)*time.Minute), only("e0"))).To(BeNil(), "list %d", step)
@@ -101,7 +101,7 @@
 
 	It("does not keep a restarted process or another one at its address from being used", func() {
 		p := newPool(3)
-		p.MarkLeaving(now, endpoints(3)[0])
+		p.MarkLeaving(now, endpoints(3)[0], balance.OnSuccess)
 		listed := endpoints(3)
 		listed[0].ID = "e7"
 		p.Update(now, listed)
@@ -110,13 +110,13 @@
 		listed[0].StartedAt = 2
 		p.Update(now, listed)
 		Expect(used(p, now)).To(HaveKey("e0"))
-		p.MarkLeaving(now, endpoints(3)[0]) // A late answer of the earlier process.
+		p.MarkLeaving(now, endpoints(3)[0], balance.OnSuccess) // A late answer of the earlier process.
 		Expect(used(p, now)).To(HaveKey("e0"))
 	})
 
 	It("is remembered for as long as it is listed and an hour after, not for ever", func() {
 		p := newPool(3)
-		p.MarkLeaving(now, endpoints(3)[0])
+		p.MarkLeaving(now, endpoints(3)[0], balance.OnSuccess)
 		p.Update(now.Add(5*time.Hour), endpoints(3)[1:])
 		p.Update(now.Add(5*time.Hour+59*time.Minute), endpoints(3))
 		Expect(p.Stats(now).Leaving).To(Equal(1))
@@ -128,7 +128,7 @@
 	It("loses its parts to the next affinity endpoint at once", func() {
 		p := newPool(9)
 		first := p.Pick(now, longRequest(1))
-		p.MarkLeaving(now, first.Endpoint)
+		p.MarkLeaving(now, first.Endpoint, balance.OnSuccess)
 		second := p.Pick(now, longRequest(1))
 		Expect(second.Reason).To(Equal("home"))
 		Expect(second.ID).NotTo(Equal(first.ID))
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -48,6 +48,9 @@
 	order     []*endpoint
 	leaving   leavingInstances
 	backoffs  backoffs
+	// report gets the transitions, which are collected while mu is held.
+	report      func(Transition)
+	transitions []Transition
 	// daemons is the number of daemons that send requests to these endpoints, including this
 	// one.
 	daemons int
@@ -118,7 +121,7 @@
 // state unless its address or process start time changed. Those that leave get no requests.
 func (p *Pool) Update(now time.Time, listed []routetable.Endpoint) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	for _, e := range p.endpoints {
 		p.leaving.keep(now, e.Endpoint) // It was listed until now.
 	}
@@ -135,12 +138,13 @@
 		e.Endpoint, e.backoff = l, p.backoffs.of(l)
 		next[l.ID] = e
 		p.leaving.keep(now, l)
+		p.noteReplaced(now, l)
 		if !p.leaving.has(l) {
 			p.order = append(p.order, e)
 		}
 	}
 	p.endpoints = next
-	p.leaving.expire(now)
+	p.expireLeaving(now)
 	p.resetReservation()
 }
 
@@ -221,7 +225,7 @@
 // leaving endpoints and backoffs leave none; see Shortage.
 func (p *Pool) Pick(now time.Time, request Request) *Choice {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	if request.PromptTokens > 0 && !p.hasPrompts {
 		p.hasPrompts = true
 		p.assignReserved()
@@ -334,7 +338,7 @@
 // Stats returns a summary of the pool as of now.
 func (p *Pool) Stats(now time.Time) Stats {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.endBackoffs(now)
 	s := Stats{Endpoints: len(p.order), Leaving: len(p.endpoints) - len(p.order)}
 	for _, e := range p.order {
--- a/internal/balance/schedule_test.go
+++ b/internal/balance/schedule_test.go
@@ -40,10 +40,18 @@
 	leaving map[string]int64
 	// quiet holds the end of the latest time for which a process asked for no requests, by id.
 	quiet map[string]quiet
+	// begun holds the states that began and have not ended.
+	begun map[begunState]bool
 	// sources holds the entries that were listed at each address.
 	sources map[string][]routetable.Endpoint
 }
 
+type begunState struct {
+	id        string
+	startedAt int64
+	state     balance.State
+}
+
 type quiet struct {
 	startedAt int64
 	until     time.Time
@@ -52,12 +60,21 @@
 func newSchedule(t *rapid.T) *schedule {
 	s := &schedule{
 		T: t, now: time.Unix(1000, 0), pool: balance.NewPool("dc", rand.New(rand.NewPCG(1, 2))),
-		leaving: map[string]int64{}, quiet: map[string]quiet{}, sources: map[string][]routetable.Endpoint{},
+		leaving: map[string]int64{}, quiet: map[string]quiet{}, begun: map[begunState]bool{}, sources: map[string][]routetable.Endpoint{},
 	}
+	s.pool.OnTransition(s.transition)
 	s.pool.SetRemoteLoad(nil, rapid.SampledFrom([]int{0, 1, 5, 60}).Draw(t, "daemons"))
 	return s
 }
 
+func (s *schedule) transition(t balance.Transition) {
+	key := begunState{t.Endpoint.ID, t.Endpoint.StartedAt, t.State}
+	if s.begun[key] == t.Begins {
+		s.Fatalf("%v reported twice in a row", t)
+	}
+	s.begun[key] = t.Begins
+}
+
 func (s *schedule) leaves(e routetable.Endpoint) bool {
 	startedAt, found := s.leaving[e.ID]
 	return found && e.StartedAt <= startedAt
@@ -154,7 +171,7 @@
 	}
 	if rapid.IntRange(0, 9).Draw(s.T, "leaves") == 0 {
 		s.leave(choice.Endpoint)
-		choice.MarkLeaving(s.now)
+		choice.MarkLeaving(s.now, balance.OnFailure)
 	}
 	if rapid.IntRange(0, 4).Draw(s.T, "refuses") == 0 {
 		s.refuse(choice)
@@ -203,7 +220,7 @@
 	case 5:
 		if len(s.listed) > 0 && rapid.IntRange(0, 5).Draw(s.T, "health check") == 0 {
 			s.leave(s.listed[0])
-			s.pool.MarkLeaving(s.now, s.listed[0])
+			s.pool.MarkLeaving(s.now, s.listed[0], balance.OnHealthCheck)
 		}
 	case 6, 7, 8, 9, 10:
 		s.send()
@@ -216,7 +233,7 @@
 
 // TestWithdrawalSchedules verifies on random schedules that no request is sent to a process that
 // has answered that it leaves, or that it wants none until later, and that a request is placed
-// if any other endpoint may have it.
+// if any other endpoint may have it. Each state's beginning and end are reported in turn.
 func TestWithdrawalSchedules(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSchedule(t)
@@ -224,5 +241,13 @@
 		for range rapid.IntRange(20, 300).Draw(t, "steps") {
 			s.step()
 		}
+		s.pool.Update(s.now, nil)
+		s.pool.Update(s.now.Add(2*time.Hour), nil)
+		s.pool.Stats(s.now.Add(2 * time.Hour))
+		for state, begun := range s.begun {
+			if begun {
+				t.Fatalf("the end of %v was not reported", state)
+			}
+		}
 	})
 }
--- a/internal/balance/shortage.go
+++ b/internal/balance/shortage.go
@@ -20,7 +20,7 @@
 // first of them takes requests again.
 func (p *Pool) Shortage(now time.Time) (reason Shortage, quiet time.Duration) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	switch {
 	case len(p.endpoints) == 0:
 		return NoneListed, 0
