balance: a choice keeps a copy of its fetch source's entry, which a new list replaces meanwhile

CurrentFetchFrom read the entry of the source outside the pool's lock while Update wrote it: a torn id or start time could have let a fetch go to an endpoint that was withdrawn.

--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -117,7 +117,7 @@
 
 // CurrentFetchFrom returns FetchFrom, or "" if its endpoint was withdrawn after the choice.
 func (c *Choice) CurrentFetchFrom(now time.Time) string {
-	if c.fetchSource == nil || c.pool.Withdrawn(now, c.fetchSource.Endpoint) != NotWithdrawn {
+	if c.FetchFrom == "" || c.pool.Withdrawn(now, c.fetchSource) != NotWithdrawn {
 		return ""
 	}
 	return c.FetchFrom
--- a/internal/balance/leaving_test.go
+++ b/internal/balance/leaving_test.go
@@ -1,6 +1,7 @@
 package balance_test
 
 import (
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -69,6 +70,28 @@
 		}
 	})
 
+	// The data race was seen with -race only.
+	It("is withdrawn as the fetch source while the list is replaced", func() {
+		p := newPool(9)
+		first := p.Pick(now, longRequest(1))
+		choice := first
+		for choice.FetchFrom == "" {
+			choice = p.Pick(now, longRequest(1))
+		}
+		var updates sync.WaitGroup
+		updates.Go(func() {
+			for range 100 {
+				p.Update(now, endpoints(9))
+			}
+		})
+		for range 100 {
+			Expect(choice.CurrentFetchFrom(now)).To(Equal(first.Address))
+		}
+		updates.Wait()
+		p.MarkLeaving(now, first.Endpoint, balance.OnSuccess)
+		Expect(choice.CurrentFetchFrom(now)).To(BeEmpty())
+	})
+
 	It("is not the fallback when all other endpoints are ejected, and a refusal can say why", func() {
 		p := newPool(2)
 		Expect(shortage(p)).To(Equal(balance.AllTried))
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -211,7 +211,7 @@
 
 	pool          *Pool
 	endpoint      *endpoint
-	fetchSource   *endpoint
+	fetchSource   routetable.Endpoint
 	pendingTokens int
 	priority      int
 	parts         []hashedPart
@@ -246,7 +246,7 @@
 	}
 	c.PredictedWait, c.MeanWait = p.predictWait(e, request.Priority)
 	if best.fetchSource != nil {
-		c.fetchSource, c.FetchFrom = best.fetchSource, best.fetchSource.Address
+		c.fetchSource, c.FetchFrom = best.fetchSource.Endpoint, best.fetchSource.Address
 	}
 	e.running++
 	if c.Interactive {
