--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -112,7 +112,7 @@
 }
 
 // Withdrawn returns whether and why the endpoint was withdrawn after it was chosen. The choice
-// then ends with the result Withdrawn instead of a request.
+// then ends with the result NotSent and no request.
 func (c *Choice) Withdrawn(now time.Time) Withdrawal { return c.pool.Withdrawn(now, c.Endpoint) }
 
 // CurrentFetchFrom returns FetchFrom, or "" if its endpoint was withdrawn after the choice.
