--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -45,8 +45,14 @@
 	mu         sync.Mutex
 	dataCentre string
 	random     *rand.Rand
-	endpoints  map[string]*endpoint
-	order      []*endpoint
+	// endpoints holds all listed endpoints by id; order those of them that don't leave.
+	endpoints map[string]*endpoint
+	order     []*endpoint
+	leaving   leavingInstances
+	backoffs  backoffs
+	// report gets the transitions, which are collected while mu is held.
+	report      func(Transition)
+	transitions []Transition
 	// daemons is the number of daemons that send requests to these endpoints, including this
 	// one.
 	daemons int
@@ -89,6 +95,8 @@
 	reserved bool
 	cache    partCache
 	health   health
+	// backoff is nil if the endpoint takes part in all choices.
+	backoff *backoff
 }
 
 // EndpointKey is a hash of an endpoint's id, short enough for messages between daemons. Among
@@ -108,14 +116,17 @@
 
 // NewPool returns a pool without endpoints. dataCentre is that of this daemon.
 func NewPool(dataCentre string, random *rand.Rand) *Pool {
-	return &Pool{dataCentre: dataCentre, random: random, endpoints: make(map[string]*endpoint)}
+	return &Pool{dataCentre: dataCentre, random: random, endpoints: make(map[string]*endpoint), leaving: make(leavingInstances), backoffs: make(backoffs)}
 }
 
-// Update replaces the set of usable endpoints. An endpoint that stays in the set keeps its
-// state unless its address or process start time changed.
+// Update replaces the set of listed endpoints. An endpoint that stays in the set keeps its
+// state unless its address or process start time changed. Those that leave get no requests.
 func (p *Pool) Update(now time.Time, listed []routetable.Endpoint) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
+	for _, e := range p.endpoints {
+		p.leaving.keep(now, e.Endpoint) // It was listed until now.
+	}
 	next := make(map[string]*endpoint, len(listed))
 	p.order = p.order[:0]
 	for _, l := range listed {
@@ -126,13 +137,17 @@
 		if e.WarmUp != l.WarmUp {
 			e.warmUntil = now.Add(l.WarmUp)
 		}
-		e.Endpoint = l
+		e.Endpoint, e.backoff = l, p.backoffs.of(l)
 		next[l.ID] = e
-		p.order = append(p.order, e)
+		p.leaving.keep(now, l)
+		p.noteReplaced(now, l)
+		if !p.leaving.has(l) {
+			p.order = append(p.order, e)
+		}
 	}
 	p.endpoints = next
-	p.reservation.size = reservedCount(len(p.order), p.slots(), p.reservation.running)
-	p.assignReserved()
+	p.expireLeaving(now)
+	p.resetReservation()
 }
 
 func (p *Pool) slots() int {
@@ -143,7 +158,7 @@
 	return slots
 }
 
-// Size returns the number of usable endpoints.
+// Size returns the number of listed endpoints that don't leave.
 func (p *Pool) Size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -166,7 +181,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	loads := make(map[EndpointKey]Load)
-	for _, e := range p.order {
+	for _, e := range p.endpoints {
 		if e.running > 0 {
 			loads[e.key] = Load{Running: e.running, PendingTokens: e.pendingTokens}
 		}
@@ -193,28 +208,32 @@
 	// that are not, whichever the chosen one is.
 	MeanWait time.Duration
 	// FetchFrom is the address of an endpoint from which cached shared parts of the prompt can
-	// be fetched, or "".
+	// be fetched, or "". See CurrentFetchFrom.
 	FetchFrom string
 
-	pool           *Pool
-	endpoint       *endpoint
-	pendingTokens  int
-	priority       int
-	parts          []hashedPart
+	pool          *Pool
+	endpoint      *endpoint
+	fetchSource   routetable.Endpoint
+	pendingTokens int
+	priority      int
+	parts         []hashedPart
+	// addedParts are those of parts that were not expected in the endpoint's cache before.
+	addedParts     []hashedPart
 	pickedAt       time.Time
 	pendingRemoved bool
 }
 
-// Pick chooses an endpoint and adds the request to its load. It returns nil if Exclude and
-// Version leave no endpoint.
+// Pick chooses an endpoint and adds the request to its load. It returns nil if Exclude, Version,
+// leaving endpoints and backoffs leave none; see Shortage.
 func (p *Pool) Pick(now time.Time, request Request) *Choice {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	if request.PromptTokens > 0 && !p.hasPrompts {
 		p.hasPrompts = true
 		p.assignReserved()
 	}
 	p.resizeReservation(now)
+	p.endBackoffs(now)
 	candidates := p.filter(now, request)
 	if len(candidates) == 0 {
 		return nil
@@ -229,7 +248,7 @@
 	}
 	c.PredictedWait, c.MeanWait = p.predictWait(e, request.Priority)
 	if best.fetchSource != nil {
-		c.FetchFrom = best.fetchSource.Address
+		c.fetchSource, c.FetchFrom = best.fetchSource.Endpoint, best.fetchSource.Address
 	}
 	e.running++
 	if c.Interactive {
@@ -238,7 +257,7 @@
 	e.addPending(c.priority, c.pendingTokens)
 	p.recent.add(now, e)
 	e.health.requestSent(now)
-	e.cache.touch(now, parts)
+	c.addedParts = e.cache.touch(now, parts)
 	return c
 }
 
@@ -279,7 +298,11 @@
 		c.endpoint.runningInteractive--
 	}
 	c.endpoint.health.observeResult(now, result)
-	if result != Succeeded {
+	switch result {
+	case Succeeded:
+	case NotSent, BackedOff:
+		c.endpoint.cache.removeUnused(c.pickedAt, c.addedParts)
+	default:
 		c.endpoint.cache.remove(c.parts)
 	}
 }
@@ -303,9 +326,12 @@
 
 // Stats is a summary of a pool for metrics.
 type Stats struct {
-	// Endpoints counts the usable endpoints, and Ejected those of them that get no requests at
-	// the moment because they are ejected or being probed.
+	// Endpoints counts the listed endpoints that don't leave, and Ejected those of them that
+	// get no requests at the moment because they are ejected or being probed.
 	Endpoints, Ejected int
+	// Leaving counts the listed endpoints that leave, and InBackoff those of Endpoints that are
+	// in backoff.
+	Leaving, InBackoff int
 	// Running counts this daemon's requests in progress; PendingTokens is the sum of their
 	// prompt tokens that are not prefilled yet.
 	Running, PendingTokens int
@@ -314,12 +340,18 @@
 // Stats returns a summary of the pool as of now.
 func (p *Pool) Stats(now time.Time) Stats {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	s := Stats{Endpoints: len(p.order)}
+	defer p.unlock()
+	p.endBackoffs(now)
+	s := Stats{Endpoints: len(p.order), Leaving: len(p.endpoints) - len(p.order)}
 	for _, e := range p.order {
 		if !e.health.available(now) {
 			s.Ejected++
 		}
+		if e.backedOff() {
+			s.InBackoff++
+		}
+	}
+	for _, e := range p.endpoints {
 		s.Running += e.running
 		s.PendingTokens += e.pendingTokens
 	}
