httpio: a cancelled exchange does not change the deadline of the next request on its connection

A request whose caller stayed could fail because another caller closed its connection: a non-idempotent one then got 502, may have run.

Cause: forward made the cancellation of a request's context set a past deadline on the connection, in a goroutine of its own. The caller may close right after the last byte of its response; the connection was back in the pool by then, or got there before the goroutine ran, and the deadline hit the request that used it next.

Evidence: the spec failed before the check in Release (the next request on the connection: "i/o timeout").

Exchange now binds the context to the connection, and Release closes a connection whose cancellation has begun instead of pooling it: one in the pool can't have a cancellation left.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"io"
 	"strconv"
@@ -74,12 +73,9 @@
 	a.transmissions++
 	a.possibleRuns++ // Decremented again if the endpoint reports that it has not run the request.
 	_ = conn.SetDeadline(a.deadline)
-	stop := context.AfterFunc(a.ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	response, err := conn.Exchange(a.encodeHeader(), a.request.Body, a.f.Headers.RequestID, a.id)
+	response, err := conn.Exchange(a.ctx, a.encodeHeader(), a.request.Body, a.f.Headers.RequestID, a.id)
 	a.trace.connectionUses = conn.Uses()
 	if err != nil {
-		_ = conn.Close()
 		return a.exchangeFailed(err, "before an answer")
 	}
 	defer response.Release(a.f.Dialer, choice.Address)
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http/httputil"
@@ -42,6 +43,9 @@
 	Skipped int
 
 	conn *Conn
+	// stopCancel detaches the connection from the exchange's context, and returns false if
+	// that has been cancelled.
+	stopCancel func() bool
 	// headRequest is set for responses to HEAD, which state a length but have no body.
 	headRequest bool
 	writeResult chan error
@@ -52,14 +56,26 @@
 
 // Exchange sends a request, given as its header block and body, and reads the header of
 // the response whose field idField echoes id; a response without that field is accepted
-// too. After an error the endpoint may have run the request, and the caller must close
-// the connection.
-func (c *Conn) Exchange(head, body []byte, idField, id string) (*Response, error) {
+// too. Reads and writes fail once ctx is cancelled, until the response is released. After
+// an error the endpoint may have run the request, and the connection is closed.
+func (c *Conn) Exchange(ctx context.Context, head, body []byte, idField, id string) (*Response, error) {
 	response := &Response{conn: c, headRequest: bytes.HasPrefix(head, []byte("HEAD "))}
+	response.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	if err := response.exchange(head, body, idField, id); err != nil {
+		response.stopCancel()
+		_ = c.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// exchange sends the request and reads the header of its response.
+func (response *Response) exchange(head, body []byte, idField, id string) error {
+	c := response.conn
 	c.recordSentID(id)
 	if len(body) <= maxInlineBodyBytes {
 		if _, err := c.Write(append(head, body...)); err != nil {
-			return nil, err
+			return err
 		}
 		response.written = true
 	} else {
@@ -69,10 +85,7 @@
 			response.writeResult <- err
 		}()
 	}
-	if err := response.readMatchingHeader(idField, id); err != nil {
-		return nil, err
-	}
-	return response, nil
+	return response.readMatchingHeader(idField, id)
 }
 
 // readMatchingHeader reads response headers until one belongs to the request, and discards
@@ -158,7 +171,8 @@
 // Release returns the connection to the dialer if the exchange ended cleanly, and closes
 // it otherwise.
 func (response *Response) Release(d *Dialer, address string) {
-	if !response.complete || !response.reusable || !response.requestWritten() || response.conn.reader.Buffered() > 0 {
+	cancelled := !response.stopCancel() // The cancellation may set the deadline at any later time.
+	if cancelled || !response.complete || !response.reusable || !response.requestWritten() || response.conn.reader.Buffered() > 0 {
 		_ = response.conn.Close()
 		return
 	}
--- a/internal/httpio/exchange_test.go
+++ b/internal/httpio/exchange_test.go
@@ -36,12 +36,16 @@
 		}()
 		return listener.Addr().String(), accepted
 	}
-	exchangeWithID := func(d *httpio.Dialer, address, name string, body []byte) *httpio.Response {
+	// start sends a request on a connection of d and reads the header of its response.
+	start := func(ctx context.Context, d *httpio.Dialer, address, method, name string, body []byte) (*httpio.Response, error) {
 		conn, err := d.Get(context.Background(), address, name, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
-		head := fmt.Appendf(nil, "POST /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", id, name, len(body))
-		response, err := conn.Exchange(head, body, id, name)
+		head := fmt.Appendf(nil, "%s /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", method, id, name, len(body))
+		return conn.Exchange(ctx, head, body, id, name)
+	}
+	exchangeWithID := func(d *httpio.Dialer, address, name string, body []byte) *httpio.Response {
+		response, err := start(context.Background(), d, address, "POST", name, body)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = io.Copy(io.Discard, response.Body)
 		Expect(err).NotTo(HaveOccurred())
@@ -101,6 +105,20 @@
 		Expect(accepted.Load()).To(Equal(int32(2)), "the rest of a body must not be read as another request")
 	})
 
+	It("does not reuse a connection of a cancelled exchange, whose deadline may still be changed", func() {
+		address, accepted := endpoint(serveAll(""))
+		d := httpio.NewDialer()
+		ctx, cancel := context.WithCancel(context.Background())
+		response, err := start(ctx, d, address, "POST", "a", nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		response.Release(d, address)
+		exchangeWithID(d, address, "b", nil)
+		Expect(accepted.Load()).To(Equal(int32(2)))
+	})
+
 	DescribeTable("observes the Connection and Keep-Alive fields of the response",
 		func(fields string, connections int32) {
 			address, accepted := endpoint(serveAll(fields))
