httpio: a writer sends nothing after a response or into a stream that another response began

A second response could be written into the body of a started stream, or behind a finished response, where the caller takes it for a part of the body or for the answer to its next request. Forward guards against it in most places by Started; a kept error response of an earlier attempt was one step away from it.

Cause: Writer wrote what it was asked to, whatever it had sent before.

A second response returns ErrResponseStarted, a chunk or an end outside of a stream ErrNoStream, and neither sends a byte. After a failed write no chunk follows either, since a part of the bytes may be out.

--- a/internal/httpio/writer.go
+++ b/internal/httpio/writer.go
@@ -1,6 +1,7 @@
 package httpio
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,14 @@
 // writeTimeout limits the duration of each write. It ends a response whose caller does not read.
 const writeTimeout = 10 * time.Second
 
+// Errors returned by Writer if a call does not fit what has been sent. Nothing is sent then.
+var (
+	// ErrResponseStarted means that the response has been started already.
+	ErrResponseStarted = errors.New("the response has been started already")
+	// ErrNoStream means that no stream is in progress.
+	ErrNoStream = errors.New("no stream is in progress")
+)
+
 // Field is a header field of a response.
 type Field struct {
 	Name, Value string
@@ -28,7 +37,9 @@
 	// headRequest is set for responses to HEAD, which have no body.
 	headRequest bool
 	started     bool
-	finished    bool
+	// streaming is set while chunks may follow.
+	streaming bool
+	finished  bool
 }
 
 // Started reports whether sending of the response has started.
@@ -36,6 +47,9 @@
 
 // WriteResponse sends a complete response.
 func (w *Writer) WriteResponse(status int, fields []Field, body []byte) error {
+	if w.started {
+		return ErrResponseStarted
+	}
 	w.appendHeader(status, fields)
 	if !w.headRequest && status != http.StatusNoContent && status != http.StatusNotModified {
 		w.buffer = append(w.buffer, "Content-Length: "...)
@@ -52,6 +66,10 @@
 
 // StartStream sends the header of a chunked response together with its first bytes.
 func (w *Writer) StartStream(status int, fields []Field, first []byte) error {
+	if w.started {
+		return ErrResponseStarted
+	}
+	w.streaming = true
 	w.appendHeader(status, fields)
 	w.buffer = append(w.buffer, "Transfer-Encoding: chunked\r\n\r\n"...)
 	w.appendChunk(first)
@@ -60,12 +78,19 @@
 
 // WriteChunk sends data as the next chunk, without buffering.
 func (w *Writer) WriteChunk(data []byte) error {
+	if !w.streaming {
+		return ErrNoStream
+	}
 	w.appendChunk(data)
 	return w.flush()
 }
 
 // Finish sends the last chunk, which ends a stream.
 func (w *Writer) Finish() error {
+	if !w.streaming {
+		return ErrNoStream
+	}
+	w.streaming = false
 	w.buffer = append(w.buffer, "0\r\n\r\n"...)
 	w.finished = true
 	return w.flush()
@@ -82,6 +107,7 @@
 }
 
 func (w *Writer) appendHeader(status int, fields []Field) {
+	w.started = true
 	w.close = w.close || w.draining.Load()
 	w.buffer = append(w.buffer, "HTTP/1.1 "...)
 	w.buffer = strconv.AppendInt(w.buffer, int64(status), 10)
@@ -108,12 +134,11 @@
 	if len(w.buffer) == 0 {
 		return nil
 	}
-	w.started = true
 	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := w.conn.Write(w.buffer)
 	w.buffer = w.buffer[:0]
 	if err != nil {
-		w.close = true
+		w.close, w.streaming = true, false // A part of the bytes may have been sent.
 	}
 	return err
 }
--- /dev/null
+++ b/internal/httpio/writer_test.go
@@ -0,0 +1,82 @@
+package httpio_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/httpio"
+)
+
+// received returns all bytes that a caller receives for a request line until its connection
+// is closed.
+func received(requestLine string, handler httpio.Handler) string {
+	server := httpio.NewServer(httpio.Options{
+		Handler: handler,
+		Limits: func() httpio.Limits {
+			return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: time.Hour, BodyTimeout: time.Hour, IdleTimeout: time.Hour}
+		},
+		OnReject: func(net.Addr, int, httpio.RejectReason) []byte { return nil },
+	})
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	go func() { _ = server.Serve(listener) }()
+	conn, err := net.Dial("tcp4", listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	_, err = io.WriteString(conn, requestLine+"\r\nHost: h\r\nConnection: close\r\n\r\n")
+	Expect(err).NotTo(HaveOccurred())
+	data, _ := io.ReadAll(conn) // An unfinished response may end with a reset.
+	return string(data)
+}
+
+var _ = Describe("Writer", func() {
+	writeResponse := func(w *httpio.Writer) error { return w.WriteResponse(502, nil, []byte("second")) }
+	startStream := func(w *httpio.Writer) error { return w.StartStream(502, nil, []byte("second")) }
+	writeChunk := func(w *httpio.Writer) error { return w.WriteChunk([]byte("second")) }
+	finish := func(w *httpio.Writer) error { return w.Finish() }
+	whole := func(w *httpio.Writer) error { return w.WriteResponse(200, nil, []byte("first")) }
+	stream := func(w *httpio.Writer) error { return w.StartStream(200, nil, []byte("first")) }
+	finished := func(w *httpio.Writer) error {
+		if err := stream(w); err != nil {
+			return err
+		}
+		return w.Finish()
+	}
+	nothing := func(*httpio.Writer) error { return nil }
+
+	DescribeTable("sends nothing that does not belong to the response at this point",
+		func(first, second func(*httpio.Writer) error, want error) {
+			var secondErr error
+			run := func(withSecond bool) string {
+				return received("GET / HTTP/1.1", func(_ context.Context, _ *httpio.Request, w *httpio.Writer) {
+					defer GinkgoRecover()
+					Expect(first(w)).To(Succeed())
+					if withSecond {
+						secondErr = second(w)
+					}
+				})
+			}
+			alone := run(false)
+			Expect(run(true)).To(Equal(alone))
+			Expect(secondErr).To(MatchError(want))
+		},
+		Entry("a response after a response", whole, writeResponse, httpio.ErrResponseStarted),
+		Entry("a stream after a response", whole, startStream, httpio.ErrResponseStarted),
+		Entry("a response within a stream", stream, writeResponse, httpio.ErrResponseStarted),
+		Entry("a stream within a stream", stream, startStream, httpio.ErrResponseStarted),
+		Entry("a response after a stream", finished, writeResponse, httpio.ErrResponseStarted),
+		Entry("a chunk after a response", whole, writeChunk, httpio.ErrNoStream),
+		Entry("a chunk after a stream", finished, writeChunk, httpio.ErrNoStream),
+		Entry("a chunk before a response", nothing, writeChunk, httpio.ErrNoStream),
+		Entry("the end of a stream after a response", whole, finish, httpio.ErrNoStream),
+		Entry("the end of a stream after its end", finished, finish, httpio.ErrNoStream),
+		Entry("the end of a stream before a response", nothing, finish, httpio.ErrNoStream),
+	)
+})
