httpio: nothing follows the header of a stream in response to HEAD or with status 204 or 304

A HEAD request whose endpoint answers with text/event-stream, or a stream with status 204 or 304, was answered with a header and then the last chunk. A caller that keeps its connection finds these bytes where its next response should begin.

Cause: only WriteResponse knew about responses without a body, and it sent the body of a 204 or 304 too if it was given one.

Evidence: five entries failed before and pass now. Both kinds of response now ask the same field before they frame or send a body.

--- a/internal/httpio/writer.go
+++ b/internal/httpio/writer.go
@@ -34,9 +34,9 @@
 	buffer   []byte
 	close    bool
 	draining *atomic.Bool
-	// headRequest is set for responses to HEAD, which have no body.
-	headRequest bool
-	started     bool
+	// bodyless is set for responses to HEAD, and from the header on for a status without a body.
+	bodyless bool
+	started  bool
 	// streaming is set while chunks may follow.
 	streaming bool
 	finished  bool
@@ -51,15 +51,15 @@
 		return ErrResponseStarted
 	}
 	w.appendHeader(status, fields)
-	if !w.headRequest && status != http.StatusNoContent && status != http.StatusNotModified {
+	if w.bodyless {
+		body = nil
+	} else {
 		w.buffer = append(w.buffer, "Content-Length: "...)
 		w.buffer = strconv.AppendInt(w.buffer, int64(len(body)), 10)
 		w.buffer = append(w.buffer, "\r\n"...)
 	}
 	w.buffer = append(w.buffer, "\r\n"...)
-	if !w.headRequest {
-		w.buffer = append(w.buffer, body...)
-	}
+	w.buffer = append(w.buffer, body...)
 	w.finished = true
 	return w.flush()
 }
@@ -71,7 +71,10 @@
 	}
 	w.streaming = true
 	w.appendHeader(status, fields)
-	w.buffer = append(w.buffer, "Transfer-Encoding: chunked\r\n\r\n"...)
+	if !w.bodyless {
+		w.buffer = append(w.buffer, "Transfer-Encoding: chunked\r\n"...)
+	}
+	w.buffer = append(w.buffer, "\r\n"...)
 	w.appendChunk(first)
 	return w.flush()
 }
@@ -91,13 +94,15 @@
 		return ErrNoStream
 	}
 	w.streaming = false
-	w.buffer = append(w.buffer, "0\r\n\r\n"...)
+	if !w.bodyless {
+		w.buffer = append(w.buffer, "0\r\n\r\n"...)
+	}
 	w.finished = true
 	return w.flush()
 }
 
 func (w *Writer) appendChunk(data []byte) {
-	if len(data) == 0 {
+	if len(data) == 0 || w.bodyless {
 		return
 	}
 	w.buffer = strconv.AppendInt(w.buffer, int64(len(data)), 16)
@@ -108,6 +113,7 @@
 
 func (w *Writer) appendHeader(status int, fields []Field) {
 	w.started = true
+	w.bodyless = w.bodyless || status == http.StatusNoContent || status == http.StatusNotModified
 	w.close = w.close || w.draining.Load()
 	w.buffer = append(w.buffer, "HTTP/1.1 "...)
 	w.buffer = strconv.AppendInt(w.buffer, int64(status), 10)
--- a/internal/httpio/writer_test.go
+++ b/internal/httpio/writer_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -36,6 +39,12 @@
 	return string(data)
 }
 
+func respond(w *httpio.Writer, status int) error { return w.WriteResponse(status, nil, []byte("body")) }
+
+func streamAll(w *httpio.Writer, status int) error {
+	return errors.Join(w.StartStream(status, nil, []byte("first")), w.WriteChunk([]byte("second")), w.Finish())
+}
+
 var _ = Describe("Writer", func() {
 	writeResponse := func(w *httpio.Writer) error { return w.WriteResponse(502, nil, []byte("second")) }
 	startStream := func(w *httpio.Writer) error { return w.StartStream(502, nil, []byte("second")) }
@@ -79,4 +88,21 @@
 		Entry("the end of a stream after its end", finished, finish, httpio.ErrNoStream),
 		Entry("the end of a stream before a response", nothing, finish, httpio.ErrNoStream),
 	)
+
+	DescribeTable("sends no bytes behind the header of a response that has no body",
+		func(method string, status int, send func(*httpio.Writer, int) error) {
+			data := received(method+" / HTTP/1.1", func(_ context.Context, _ *httpio.Request, w *httpio.Writer) {
+				defer GinkgoRecover()
+				Expect(send(w, status)).To(Succeed())
+			})
+			Expect(data).To(HavePrefix(fmt.Sprintf("HTTP/1.1 %d ", status)))
+			_, body, _ := strings.Cut(data, "\r\n\r\n")
+			Expect(body).To(BeEmpty())
+		},
+		Entry("a stream in response to HEAD", "HEAD", 200, streamAll),
+		Entry("a stream with status 204", "GET", 204, streamAll),
+		Entry("a stream with status 304", "GET", 304, streamAll),
+		Entry("a response with status 204", "GET", 204, respond),
+		Entry("a response with status 304", "GET", 304, respond),
+	)
 })
