httpio: a response without an id is accepted only on a connection that carried no other request

A late second response without an id, or bytes of an endpoint that look like a response, reached the next request on the connection as its own.

Cause: Exchange accepted a response without the id field although the request had one. Endpoints echo the id; the exception was made for endpoints that don't. On a connection's first request nothing else can be due, so there the exception stays. Such a connection is not reused: without ids a late response can't be told from the next one. Endpoints that don't echo cost a connection for each request.

Evidence: the specs "is not accepted without an id" and "can't follow on a connection whose endpoint does not identify its responses" failed before. Ruled out by specs that passed before: a second response directly behind the first (with the old id, the next one, none; other bytes), one that arrives while the connection is idle, and one with the id of an earlier request that arrives after the check.

The connection is given up at once instead of skipping the response: an endpoint that does not echo in an error response would keep the request waiting until its deadline for another one.

--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -26,7 +26,7 @@
 var (
 	// ErrMalformed means that the received bytes are not an HTTP response.
 	ErrMalformed = errors.New("malformed answer")
-	// ErrResponseMismatch means that every response received belongs to another request.
+	// ErrResponseMismatch means that no response received is known to belong to the request.
 	ErrResponseMismatch = errors.New("answer to another request")
 )
 
@@ -55,8 +55,8 @@
 }
 
 // Exchange sends a request, given as its header block and body, and reads the header of
-// the response whose field idField echoes id; a response without that field is accepted
-// too. Reads and writes fail once ctx is cancelled, until the response is released. After
+// the response whose field idField echoes id. A response without that field is accepted only
+// if the connection carried no request before, and the connection is not reused. Reads and writes fail once ctx is cancelled, until the response is released. After
 // an error the endpoint may have run the request, and the connection is closed.
 func (c *Conn) Exchange(ctx context.Context, head, body []byte, idField, id string) (*Response, error) {
 	response := &Response{conn: c, headRequest: bytes.HasPrefix(head, []byte("HEAD "))}
@@ -96,9 +96,14 @@
 			return err
 		}
 		response.setBody()
-		echoed := string(response.Header.Peek(idField))
-		if echoed == "" || echoed == id {
-			response.Identified = echoed == id
+		switch echoed := string(response.Header.Peek(idField)); {
+		case echoed == "" && response.conn.Uses() > 1:
+			return ErrResponseMismatch // It may be a late response to an earlier request.
+		case echoed == "":
+			response.reusable = false
+			return nil
+		case echoed == id:
+			response.Identified = true
 			return nil
 		}
 		response.Skipped++
