httpio: an endpoint can't hold an exchange by informational responses without end

An endpoint that sends 1xx responses without end kept its request, a connection and a core busy until the request's deadline.

Cause: responses below 200 were skipped without a limit.

Evidence: a stand-in that never stops sending got rid of 64 MB as "100 Continue" before, and is cut off now; the bound is on the bytes that it sends, which include those in the sockets' buffers. The same stand-in was cut off before this change already with bytes instead of a response (letters, empty lines, zeros), a reason phrase, a field or fields without end (read buffer of 8 KB), chunk sizes and extensions without end (net/http's chunked reader), responses to other requests without end (at most two are skipped), and bytes behind a complete response.

--- /dev/null
+++ b/internal/httpio/endless_test.go
@@ -0,0 +1,88 @@
+package httpio_test
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/httpio"
+)
+
+const (
+	// endlessBytes is where an endless response ends if the client goes on reading.
+	endlessBytes = 64 << 20
+	// maxAcceptedBytes bounds the bytes of it that the sockets' buffers and the client take.
+	maxAcceptedBytes = endlessBytes / 4
+)
+
+// endlessEndpoint responds to a request with the prefix and then repeats unit until the client
+// closes the connection. It returns how many bytes it has sent by then.
+func endlessEndpoint(prefix, unit string) (address string, sent chan int) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	sent = make(chan int, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		total, err := io.WriteString(conn, prefix)
+		block := bytes.Repeat([]byte(unit), 64<<10/len(unit)+1)
+		for err == nil && total < endlessBytes {
+			var n int
+			n, err = conn.Write(block)
+			total += n
+		}
+		sent <- total
+	}()
+	return listener.Addr().String(), sent
+}
+
+var _ = Describe("An endpoint that never stops sending", func() {
+	chunked := "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+	DescribeTable("is cut off, and its response is not complete",
+		func(prefix, unit string) {
+			address, sent := endlessEndpoint(prefix, unit)
+			_, _, err := call(httpio.NewDialer(), address, "GET", "a")
+			Expect(err).To(HaveOccurred())
+			Expect(<-sent).To(BeNumerically("<", maxAcceptedBytes))
+		},
+		Entry("bytes instead of a response", "", "x"),
+		Entry("empty lines instead of a response", "", "\r\n"),
+		Entry("zero bytes instead of a response", "", "\x00"),
+		Entry("a reason phrase", "HTTP/1.1 200 ", "x"),
+		Entry("informational responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
+		Entry("informational responses with fields", "", "HTTP/1.1 103 Early Hints\r\nLink: "+strings.Repeat("x", 4000)+"\r\n\r\n"),
+		Entry("a field value", "HTTP/1.1 200 OK\r\nId: a\r\nX: ", "x"),
+		Entry("fields", "HTTP/1.1 200 OK\r\nId: a\r\n", "X: y\r\n"),
+		Entry("a chunk extension", chunked+"1;", "x"),
+		Entry("chunk extensions", chunked, "1;"+strings.Repeat("x", 4000)+"\r\ny\r\n"),
+		Entry("a chunk size", chunked, "0"),
+		Entry("a trailer field", chunked+"2\r\nok\r\n0\r\nX: ", "x"),
+		Entry("responses to other requests", "", answer("b", "", "1")),
+	)
+
+	DescribeTable("is cut off after a complete response",
+		func(response string) {
+			address, sent := endlessEndpoint(response, "x")
+			_, body, err := call(httpio.NewDialer(), address, "GET", "a")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(body).To(Equal("ok"))
+			Expect(<-sent).To(BeNumerically("<", maxAcceptedBytes))
+		},
+		Entry("with a length", answer("a", "", "ok")),
+		Entry("in chunks", chunked+"2\r\nok\r\n0\r\n\r\n"),
+	)
+})
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -19,6 +19,10 @@
 // respond, and stop reading, before it has read the complete body.
 const maxInlineBodyBytes = 16 << 10
 
+// maxInformationalResponses limits how many informational (1xx) responses may precede a
+// response. Endpoints send one or two: 100 Continue and 103 Early Hints.
+const maxInformationalResponses = 8
+
 // maxSkippedResponses limits how many responses to earlier requests one exchange discards.
 const maxSkippedResponses = 2
 
@@ -117,7 +121,7 @@
 
 // readFinalHeader reads the next response header that is not informational (1xx).
 func (response *Response) readFinalHeader() error {
-	for {
+	for range maxInformationalResponses + 1 {
 		response.Header.Reset()
 		if _, err := response.conn.reader.Peek(1); err != nil {
 			return err // Unwrapped: the header parser would hide the connection's error.
@@ -128,10 +132,11 @@
 			}
 			return errors.Join(ErrMalformed, err)
 		}
-		if code := response.Header.StatusCode(); code >= 200 {
+		if code := response.Header.StatusCode(); code >= fasthttp.StatusOK {
 			return nil
 		}
 	}
+	return ErrMalformed
 }
 
 // setBody sets Body and Length according to the framing stated in the header.
