httpio: a switch of protocols or a status below 100 is no informational response

What follows a 101 is no HTTP, and a status below 100 doesn't exist; both were skipped, and the bytes behind them taken for the response.

Cause: every status below 200 counted as informational. Evidence: both entries failed before. They are malformed now; no request asks for another protocol, as Upgrade is not forwarded.

--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -132,8 +132,11 @@
 			}
 			return errors.Join(ErrMalformed, err)
 		}
-		if code := response.Header.StatusCode(); code >= fasthttp.StatusOK {
+		switch code := response.Header.StatusCode(); {
+		case code >= fasthttp.StatusOK:
 			return nil
+		case code < fasthttp.StatusContinue || code == fasthttp.StatusSwitchingProtocols: // No request asks for another protocol.
+			return ErrMalformed
 		}
 	}
 	return ErrMalformed
--- a/internal/httpio/mismatch_test.go
+++ b/internal/httpio/mismatch_test.go
@@ -173,3 +173,22 @@
 		Expect(body).To(Equal("2"))
 	})
 })
+
+var _ = Describe("A response header that starts no HTTP response", func() {
+	DescribeTable("is malformed",
+		func(header string) {
+			address, _ := scriptedEndpoint(header + answer("a", "", "1"))
+			_, _, err := call(httpio.NewDialer(), address, "GET", "a")
+			Expect(err).To(MatchError(httpio.ErrMalformed))
+		},
+		Entry("a switch of protocols", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"),
+		Entry("a status below 100", "HTTP/1.1 099 X\r\n\r\n"),
+	)
+
+	It("is followed by the response if it is informational", func() {
+		address, _ := scriptedEndpoint("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + answer("a", "", "1"))
+		_, body, err := call(httpio.NewDialer(), address, "GET", "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("1"))
+	})
+})
