httpio: a trailer without end does not hold a request until its deadline

An endpoint that sends trailer fields without end kept the request, a connection and a core busy until the request's deadline, after the caller had its whole stream but for the last chunk.

Cause: the trailer was read until an empty line, whatever came. The trailer is discarded anyway; beyond 8 KB the response counts as broken off.

--- a/internal/httpio/endless_test.go
+++ b/internal/httpio/endless_test.go
@@ -71,6 +71,7 @@
 		Entry("chunk extensions", chunked, "1;"+strings.Repeat("x", 4000)+"\r\ny\r\n"),
 		Entry("a chunk size", chunked, "0"),
 		Entry("a trailer field", chunked+"2\r\nok\r\n0\r\nX: ", "x"),
+		Entry("trailer fields", chunked+"2\r\nok\r\n0\r\n", "X: y\r\n"),
 		Entry("responses to other requests", "", answer("b", "", "1")),
 	)
 
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -26,6 +26,12 @@
 // maxSkippedResponses limits how many responses to earlier requests one exchange discards.
 const maxSkippedResponses = 2
 
+// maxTrailerBytes limits the trailer of a chunked body, which is discarded.
+const maxTrailerBytes = readBufferBytes
+
+// errTrailerTooLong means that the trailer of a chunked body exceeds maxTrailerBytes.
+var errTrailerTooLong = errors.New("the trailer is too long")
+
 // Errors returned by Conn.Exchange.
 var (
 	// ErrMalformed means that the received bytes are not an HTTP response.
@@ -256,17 +262,24 @@
 	if err != io.EOF {
 		return n, err
 	}
-	for {
+	return n, c.discardTrailer()
+}
+
+// discardTrailer reads the trailer and returns io.EOF after its end.
+func (c *chunkedReader) discardTrailer() error {
+	for total := 0; total <= maxTrailerBytes; {
 		line, err := c.r.ReadSlice('\n')
 		if err == io.EOF {
-			return n, io.ErrUnexpectedEOF
+			return io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return n, err
+			return err
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			c.ended = true
-			return n, io.EOF
+			return io.EOF
 		}
+		total += len(line)
 	}
+	return errTrailerTooLong
 }
