httpio: the body of a response to another request is skipped only up to 256 KB

A late response without end to an earlier request held the next request on its connection until the deadline of that one.

Cause: such a response was read to its end, whatever came.

--- a/internal/httpio/endless_test.go
+++ b/internal/httpio/endless_test.go
@@ -73,6 +73,9 @@
 		Entry("a trailer field", chunked+"2\r\nok\r\n0\r\nX: ", "x"),
 		Entry("trailer fields", chunked+"2\r\nok\r\n0\r\n", "X: y\r\n"),
 		Entry("responses to other requests", "", answer("b", "", "1")),
+		Entry("a response to another request that ends with the connection", "HTTP/1.1 200 OK\r\nId: b\r\n\r\n", "x"),
+		Entry("a response to another request with a length", "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 99999999999\r\n\r\n", "x"),
+		Entry("a response to another request in chunks", strings.Replace(chunked, "Id: a", "Id: b", 1), "1\r\nx\r\n"),
 	)
 
 	DescribeTable("is cut off after a complete response",
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -26,6 +26,10 @@
 // maxSkippedResponses limits how many responses to earlier requests one exchange discards.
 const maxSkippedResponses = 2
 
+// maxSkippedBytes limits the body of a response to an earlier request that one exchange
+// discards. Above it a new connection costs less than the rest of the body.
+const maxSkippedBytes = 256 << 10
+
 // maxTrailerBytes limits the trailer of a chunked body, which is discarded.
 const maxTrailerBytes = readBufferBytes
 
@@ -117,14 +121,24 @@
 			return nil
 		}
 		response.Skipped++
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := response.discardBody(); err != nil {
 			return err
 		}
-		response.complete = false
 	}
 	return ErrResponseMismatch
 }
 
+// discardBody reads the body of a response to another request.
+func (response *Response) discardBody() error {
+	if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes+1); err == nil {
+		return ErrResponseMismatch
+	} else if !errors.Is(err, io.EOF) {
+		return err
+	}
+	response.complete = false
+	return nil
+}
+
 // readFinalHeader reads the next response header that is not informational (1xx).
 func (response *Response) readFinalHeader() error {
 	for range maxInformationalResponses + 1 {
