httpio: a response with two ids is malformed

A response that names two requests was accepted if the first of them was the one that waits, and skipped if it was the second.

Cause: only the first id field was read. Evidence: both orders failed before; they are malformed now.

--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -110,6 +110,9 @@
 			return err
 		}
 		response.setBody()
+		if len(response.Header.PeekAll(idField)) > 1 {
+			return ErrMalformed
+		}
 		switch echoed := string(response.Header.Peek(idField)); {
 		case echoed == "" && response.conn.Uses() > 1:
 			return ErrResponseMismatch // It may be a late response to an earlier request.
--- a/internal/httpio/mismatch_test.go
+++ b/internal/httpio/mismatch_test.go
@@ -138,6 +138,16 @@
 		Expect(accepted.Load()).To(Equal(int32(2)))
 	})
 
+	DescribeTable("is not accepted if it has a second id",
+		func(first, second string) {
+			address, _ := scriptedEndpoint(answer(first, idField+": "+second+"\r\n", "1"))
+			_, _, err := call(httpio.NewDialer(), address, "GET", "a")
+			Expect(err).To(MatchError(httpio.ErrMalformed))
+		},
+		Entry("behind that of the request", "a", "b"),
+		Entry("before that of the request", "b", "a"),
+	)
+
 	It("is not taken for the response to the next request if it arrives between the two", func() {
 		extra := make(chan struct{})
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
