httpio: the specs of bytes behind a complete response close the connection as the next request does

Three of twelve runs of the package, and one before them, took 120 s longer, in the two specs of an endpoint that goes on sending behind a complete response. They waited for the connection to be closed by the end of the exchange. It is if a byte has arrived by then; otherwise it goes back to the pool, and Get closes it when the next request needs one. Without a next request it stayed open; what ended it after 120 s was not traced (the runtime's periodic collection, which closes unreachable sockets, fits). The specs now ask for a connection as the next request does; the bound on the bytes sent is the same.

--- a/internal/httpio/endless_test.go
+++ b/internal/httpio/endless_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -78,12 +80,16 @@
 		Entry("a response to another request in chunks", strings.Replace(chunked, "Id: a", "Id: b", 1), "1\r\nx\r\n"),
 	)
 
-	DescribeTable("is cut off after a complete response",
+	DescribeTable("is cut off after a complete response, at the latest when the next request needs a connection",
 		func(response string) {
 			address, sent := endlessEndpoint(response, "x")
-			_, body, err := call(httpio.NewDialer(), address, "GET", "a")
+			d := httpio.NewDialer()
+			_, body, err := call(d, address, "GET", "a")
 			Expect(err).NotTo(HaveOccurred())
 			Expect(body).To(Equal("ok"))
+			conn, err := d.Get(context.Background(), address, "b", time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.Close()).To(Succeed()) // It is the first connection if no further byte has arrived yet.
 			Expect(<-sent).To(BeNumerically("<", maxAcceptedBytes))
 		},
 		Entry("with a length", answer("a", "", "ok")),
