httpio: an endpoint can't have an idle connection kept for longer than two minutes

With a keep-alive timeout of a century an endpoint kept its idle connections open, and with them what it had sent behind a response, until a next request or for good; a timeout beyond what a duration holds became an arbitrary one.

Cause: the stated timeout was taken as it came.

--- a/internal/httpio/dial.go
+++ b/internal/httpio/dial.go
@@ -30,6 +30,9 @@
 	// defaultIdleTimeout applies to an idle connection if the endpoint states no keep-alive
 	// timeout.
 	defaultIdleTimeout = 20 * time.Second
+	// maxIdleTimeout limits the keep-alive timeout that an endpoint may state: bytes that
+	// arrive on an idle connection stay in the socket's buffer as long as it is kept.
+	maxIdleTimeout = 2 * time.Minute
 	// maxIdlePerEndpoint limits the idle connections kept for one address.
 	maxIdlePerEndpoint = 32
 	// maxSentIDs is how many of the latest request ids a connection remembers. Retries and
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -188,8 +188,8 @@
 	return &eofTracker{r: r, response: response}
 }
 
-// KeepAliveTimeout returns the timeout parameter of the Keep-Alive header, or zero if the
-// endpoint stated none.
+// KeepAliveTimeout returns the timeout parameter of the Keep-Alive header, at most
+// maxIdleTimeout, or zero if the endpoint stated none.
 func (response *Response) KeepAliveTimeout() time.Duration {
 	for _, part := range strings.Split(string(response.Header.Peek("Keep-Alive")), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
@@ -198,7 +198,7 @@
 		}
 		seconds, err := strconv.Atoi(value)
 		if err == nil && seconds >= 0 {
-			return time.Duration(seconds) * time.Second
+			return time.Duration(min(seconds, int(maxIdleTimeout/time.Second))) * time.Second
 		}
 	}
 	return 0
--- a/internal/httpio/exchange_test.go
+++ b/internal/httpio/exchange_test.go
@@ -132,6 +132,16 @@
 		Entry("keep-alive of less than a second", "Keep-Alive: timeout=0\r\n", int32(1)),
 	)
 
+	DescribeTable("limits how long an endpoint may have an idle connection kept",
+		func(timeout string, want time.Duration) {
+			address, _ := endpoint(serveAll("Keep-Alive: timeout=" + timeout + "\r\n"))
+			Expect(exchange(httpio.NewDialer(), address, nil).KeepAliveTimeout()).To(Equal(want))
+		},
+		Entry("as stated", "5", 5*time.Second),
+		Entry("a century", "3155760000", 2*time.Minute),
+		Entry("more than a duration holds", "99999999999999", 2*time.Minute),
+	)
+
 	It("detects that the endpoint closed an idle connection", func() {
 		address, accepted := endpoint(func(conn net.Conn, reader *bufio.Reader) {
 			if r, err := http.ReadRequest(reader); err == nil {
