httpio: a connection remembers the ids of all requests that it carried

The id tells a late response from the right one only if it was not sent on the connection before. A caller that repeats an id after eight other requests, or two callers with the same one, could get the late response to the first.

Cause: a connection remembered the last eight ids. Evidence: the spec with a hundred requests between two with the same id failed before (the connection was reused).

A connection keeps a hash of each id, 8 bytes, and is closed after 1024 requests: at most as much memory as its read buffer, and one more connection for 1024 requests. A collision of two hashes only opens a connection.

--- a/internal/httpio/dial.go
+++ b/internal/httpio/dial.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
@@ -35,9 +36,9 @@
 	maxIdleTimeout = 2 * time.Minute
 	// maxIdlePerEndpoint limits the idle connections kept for one address.
 	maxIdlePerEndpoint = 32
-	// maxSentIDs is how many of the latest request ids a connection remembers. Retries and
-	// duplicate responses follow shortly after the original, so that few are enough.
-	maxSentIDs = 8
+	// maxRequestsPerConn is the number of requests after which a connection is closed. It
+	// remembers all their ids, in about as much memory as its read buffer takes.
+	maxRequestsPerConn = 1024
 )
 
 // Conn is a client connection to an endpoint. It carries one request at a time.
@@ -46,20 +47,21 @@
 	reader      *bufio.Reader
 	idleSince   time.Time
 	idleTimeout time.Duration
-	// sentIDs is a ring of the last request ids sent; the endpoint may still send a duplicate
-	// response to one of them.
-	sentIDs   [maxSentIDs]string
-	sendCount int
+	// sentIDs holds the hashes of all request ids sent; the endpoint may still send a
+	// duplicate response to one of them.
+	sentIDs []uint64
 }
 
+// idHashSeed is the seed of the hashes in sentIDs.
+var idHashSeed = maphash.MakeSeed()
+
 // recordSentID records that a request with this id is sent on the connection.
 func (c *Conn) recordSentID(id string) {
-	c.sentIDs[c.sendCount%maxSentIDs] = id
-	c.sendCount++
+	c.sentIDs = append(c.sentIDs, maphash.String(idHashSeed, id))
 }
 
 // Uses returns the number of requests sent on the connection.
-func (c *Conn) Uses() int { return c.sendCount }
+func (c *Conn) Uses() int { return len(c.sentIDs) }
 
 // Dialer opens connections to endpoints and pools idle ones by address. It is safe for
 // concurrent use.
@@ -93,8 +95,8 @@
 
 // Get returns an idle connection to address, or dials a new one within timeout. It checks
 // that an idle connection is still open, and skips those on which a request with the same
-// id was sent recently: a duplicate response to that request would be taken for the
-// response to the new one.
+// id was sent before: a duplicate response to that request would be taken for the response
+// to the new one.
 func (d *Dialer) Get(ctx context.Context, address, id string, timeout time.Duration) (*Conn, error) {
 	for {
 		c := d.takeIdle(address, id)
@@ -121,12 +123,13 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection on which id was not
-// sent recently, or nil.
+// sent before, or nil.
 func (d *Dialer) takeIdle(address, id string) *Conn {
+	hash := maphash.String(idHashSeed, id)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	conns := d.idle[address]
-	_, i, found := lo.FindLastIndexOf(conns, func(c *Conn) bool { return !slices.Contains(c.sentIDs[:], id) })
+	_, i, found := lo.FindLastIndexOf(conns, func(c *Conn) bool { return !slices.Contains(c.sentIDs, hash) })
 	if !found {
 		return nil
 	}
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -208,7 +208,7 @@
 // it otherwise.
 func (response *Response) Release(d *Dialer, address string) {
 	cancelled := !response.stopCancel() // The cancellation may set the deadline at any later time.
-	if cancelled || !response.complete || !response.reusable || !response.requestWritten() || response.conn.reader.Buffered() > 0 {
+	if cancelled || !response.connReusable() {
 		_ = response.conn.Close()
 		return
 	}
@@ -218,6 +218,13 @@
 	d.Put(address, response.conn)
 }
 
+// connReusable reports whether nothing of the exchange is left on the connection, and another
+// request may be sent on it.
+func (response *Response) connReusable() bool {
+	return response.complete && response.reusable && response.requestWritten() &&
+		response.conn.reader.Buffered() == 0 && response.conn.Uses() < maxRequestsPerConn
+}
+
 // requestWritten reports whether the complete request has been written.
 func (response *Response) requestWritten() bool {
 	if response.written {
--- a/internal/httpio/exchange_test.go
+++ b/internal/httpio/exchange_test.go
@@ -90,6 +90,29 @@
 		Expect(accepted.Load()).To(Equal(int32(2)))
 	})
 
+	It("does not reuse a connection for a request id that was sent on it long before", func() {
+		address, accepted := endpoint(serveAll(""))
+		d := httpio.NewDialer()
+		exchangeWithID(d, address, "a", nil)
+		for range 100 {
+			exchange(d, address, nil)
+		}
+		Expect(accepted.Load()).To(Equal(int32(1)))
+		exchangeWithID(d, address, "a", nil)
+		Expect(accepted.Load()).To(Equal(int32(2)))
+	})
+
+	It("bounds the number of requests on a connection, which remembers all their ids", func() {
+		address, accepted := endpoint(serveAll(""))
+		d := httpio.NewDialer()
+		for range 1024 {
+			exchange(d, address, nil)
+		}
+		Expect(accepted.Load()).To(Equal(int32(1)))
+		exchange(d, address, nil)
+		Expect(accepted.Load()).To(Equal(int32(2)))
+	})
+
 	It("does not reuse a connection after a response that preceded the end of the request body", func() {
 		done := make(chan struct{})
 		DeferCleanup(func() { close(done) })
