httpio: a late response is framed by the method of the request that it belongs to

Before the response to HEAD a late response was skipped without its body, whose bytes were then parsed as the response. After HEAD, a late second response to it was skipped with a body that it doesn't have, so that the bytes of the next response were discarded.

Cause: a skipped response was framed by the method of the request that waits. A skipped response now has the framing of any other method, and a connection that carried HEAD is not reused.

--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -109,20 +109,19 @@
 		if err := response.readFinalHeader(); err != nil {
 			return err
 		}
-		response.setBody()
 		if len(response.Header.PeekAll(idField)) > 1 {
 			return ErrMalformed
 		}
 		switch echoed := string(response.Header.Peek(idField)); {
 		case echoed == "" && response.conn.Uses() > 1:
 			return ErrResponseMismatch // It may be a late response to an earlier request.
-		case echoed == "":
-			response.reusable = false
-			return nil
-		case echoed == id:
-			response.Identified = true
+		case echoed == "" || echoed == id:
+			response.Identified = echoed != ""
+			response.setBody(response.headRequest)
+			response.reusable = response.reusable && response.Identified && !response.headRequest
 			return nil
 		}
+		response.setBody(false) // No connection that carried HEAD is reused.
 		response.Skipped++
 		if err := response.discardBody(); err != nil {
 			return err
@@ -165,13 +164,14 @@
 	return ErrMalformed
 }
 
-// setBody sets Body and Length according to the framing stated in the header.
-func (response *Response) setBody() {
+// setBody sets Body and Length according to the framing stated in the header, and to whether
+// the response is one to HEAD.
+func (response *Response) setBody(toHead bool) {
 	response.Length = response.Header.ContentLength()
 	status := response.Header.StatusCode()
 	response.reusable = !response.Header.ConnectionClose()
 	switch {
-	case response.headRequest || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || response.Length == 0:
+	case toHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || response.Length == 0:
 		response.Length, response.Body = 0, response.trackEOF(bytes.NewReader(nil))
 	case response.Length > 0:
 		response.Body = response.trackEOF(&fixedLengthReader{r: response.conn.reader, remaining: response.Length})
--- a/internal/httpio/mismatch_test.go
+++ b/internal/httpio/mismatch_test.go
@@ -148,6 +148,29 @@
 		Entry("before that of the request", "b", "a"),
 	)
 
+	It("is skipped with its body before the response to HEAD", func() {
+		address, _ := scriptedEndpoint(answer("a", "", "1"), answer("a", "", answer("b", "From: body\r\n", ""))+answer("b", "From: endpoint\r\n", ""))
+		d := httpio.NewDialer()
+		_, _, err := call(d, address, "GET", "a")
+		Expect(err).NotTo(HaveOccurred())
+		response, body, err := call(d, address, "HEAD", "b")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(BeEmpty())
+		Expect(string(response.Header.Peek("From"))).To(Equal("endpoint"))
+	})
+
+	It("can't follow on a connection that carried HEAD, where it has a length but no body", func() {
+		address, accepted := scriptedEndpoint("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 5\r\n\r\n", answer("b", "", "2"))
+		d := httpio.NewDialer()
+		_, body, err := call(d, address, "HEAD", "a")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(BeEmpty())
+		_, body, err = call(d, address, "GET", "b")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(body).To(Equal("2"))
+		Expect(accepted.Load()).To(Equal(int32(2)))
+	})
+
 	It("is not taken for the response to the next request if it arrives between the two", func() {
 		extra := make(chan struct{})
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
