--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http/httputil"
@@ -18,14 +19,28 @@
 // respond, and stop reading, before it has read the complete body.
 const maxInlineBodyBytes = 16 << 10
 
+// maxInformationalResponses limits how many informational (1xx) responses may precede a
+// response. Endpoints send one or two: 100 Continue and 103 Early Hints.
+const maxInformationalResponses = 8
+
 // maxSkippedResponses limits how many responses to earlier requests one exchange discards.
 const maxSkippedResponses = 2
 
+// maxSkippedBytes limits the body of a response to an earlier request that one exchange
+// discards. Above it a new connection costs less than the rest of the body.
+const maxSkippedBytes = 256 << 10
+
+// maxTrailerBytes limits the trailer of a chunked body, which is discarded.
+const maxTrailerBytes = readBufferBytes
+
+// errTrailerTooLong means that the trailer of a chunked body exceeds maxTrailerBytes.
+var errTrailerTooLong = errors.New("the trailer is too long")
+
 // Errors returned by Conn.Exchange.
 var (
 	// ErrMalformed means that the received bytes are not an HTTP response.
 	ErrMalformed = errors.New("malformed answer")
-	// ErrResponseMismatch means that every response received belongs to another request.
+	// ErrResponseMismatch means that no response received is known to belong to the request.
 	ErrResponseMismatch = errors.New("answer to another request")
 )
 
@@ -42,6 +57,9 @@
 	Skipped int
 
 	conn *Conn
+	// stopCancel detaches the connection from the exchange's context, and returns false if
+	// that has been cancelled.
+	stopCancel func() bool
 	// headRequest is set for responses to HEAD, which state a length but have no body.
 	headRequest bool
 	writeResult chan error
@@ -51,15 +69,27 @@
 }
 
 // Exchange sends a request, given as its header block and body, and reads the header of
-// the response whose field idField echoes id; a response without that field is accepted
-// too. After an error the endpoint may have run the request, and the caller must close
-// the connection.
-func (c *Conn) Exchange(head, body []byte, idField, id string) (*Response, error) {
+// the response whose field idField echoes id. A response without that field is accepted only
+// if the connection carried no request before, and the connection is not reused. Reads and writes fail once ctx is cancelled, until the response is released. After
+// an error the endpoint may have run the request, and the connection is closed.
+func (c *Conn) Exchange(ctx context.Context, head, body []byte, idField, id string) (*Response, error) {
 	response := &Response{conn: c, headRequest: bytes.HasPrefix(head, []byte("HEAD "))}
+	response.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	if err := response.exchange(head, body, idField, id); err != nil {
+		response.stopCancel()
+		_ = c.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// exchange sends the request and reads the header of its response.
+func (response *Response) exchange(head, body []byte, idField, id string) error {
+	c := response.conn
 	c.recordSentID(id)
 	if len(body) <= maxInlineBodyBytes {
 		if _, err := c.Write(append(head, body...)); err != nil {
-			return nil, err
+			return err
 		}
 		response.written = true
 	} else {
@@ -69,10 +99,7 @@
 			response.writeResult <- err
 		}()
 	}
-	if err := response.readMatchingHeader(idField, id); err != nil {
-		return nil, err
-	}
-	return response, nil
+	return response.readMatchingHeader(idField, id)
 }
 
 // readMatchingHeader reads response headers until one belongs to the request, and discards
@@ -82,24 +109,41 @@
 		if err := response.readFinalHeader(); err != nil {
 			return err
 		}
-		response.setBody()
-		echoed := string(response.Header.Peek(idField))
-		if echoed == "" || echoed == id {
-			response.Identified = echoed == id
+		if len(response.Header.PeekAll(idField)) > 1 {
+			return ErrMalformed
+		}
+		switch echoed := string(response.Header.Peek(idField)); {
+		case echoed == "" && response.conn.Uses() > 1:
+			return ErrResponseMismatch // It may be a late response to an earlier request.
+		case echoed == "" || echoed == id:
+			response.Identified = echoed != ""
+			response.setBody(response.headRequest)
+			response.reusable = response.reusable && response.Identified && !response.headRequest
 			return nil
 		}
+		response.setBody(false) // No connection that carried HEAD is reused.
 		response.Skipped++
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := response.discardBody(); err != nil {
 			return err
 		}
-		response.complete = false
 	}
 	return ErrResponseMismatch
 }
 
+// discardBody reads the body of a response to another request.
+func (response *Response) discardBody() error {
+	if _, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes+1); err == nil {
+		return ErrResponseMismatch
+	} else if !errors.Is(err, io.EOF) {
+		return err
+	}
+	response.complete = false
+	return nil
+}
+
 // readFinalHeader reads the next response header that is not informational (1xx).
 func (response *Response) readFinalHeader() error {
-	for {
+	for range maxInformationalResponses + 1 {
 		response.Header.Reset()
 		if _, err := response.conn.reader.Peek(1); err != nil {
 			return err // Unwrapped: the header parser would hide the connection's error.
@@ -110,19 +154,24 @@
 			}
 			return errors.Join(ErrMalformed, err)
 		}
-		if code := response.Header.StatusCode(); code >= 200 {
+		switch code := response.Header.StatusCode(); {
+		case code >= fasthttp.StatusOK:
 			return nil
+		case code < fasthttp.StatusContinue || code == fasthttp.StatusSwitchingProtocols: // No request asks for another protocol.
+			return ErrMalformed
 		}
 	}
+	return ErrMalformed
 }
 
-// setBody sets Body and Length according to the framing stated in the header.
-func (response *Response) setBody() {
+// setBody sets Body and Length according to the framing stated in the header, and to whether
+// the response is one to HEAD.
+func (response *Response) setBody(toHead bool) {
 	response.Length = response.Header.ContentLength()
 	status := response.Header.StatusCode()
 	response.reusable = !response.Header.ConnectionClose()
 	switch {
-	case response.headRequest || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || response.Length == 0:
+	case toHead || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || response.Length == 0:
 		response.Length, response.Body = 0, response.trackEOF(bytes.NewReader(nil))
 	case response.Length > 0:
 		response.Body = response.trackEOF(&fixedLengthReader{r: response.conn.reader, remaining: response.Length})
@@ -143,8 +192,8 @@
 	return &eofTracker{r: r, response: response}
 }
 
-// KeepAliveTimeout returns the timeout parameter of the Keep-Alive header, or zero if the
-// endpoint stated none.
+// KeepAliveTimeout returns the timeout parameter of the Keep-Alive header, at most
+// maxIdleTimeout, or zero if the endpoint stated none.
 func (response *Response) KeepAliveTimeout() time.Duration {
 	for _, part := range strings.Split(string(response.Header.Peek("Keep-Alive")), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
@@ -153,7 +202,7 @@
 		}
 		seconds, err := strconv.Atoi(value)
 		if err == nil && seconds >= 0 {
-			return time.Duration(seconds) * time.Second
+			return time.Duration(min(seconds, int(maxIdleTimeout/time.Second))) * time.Second
 		}
 	}
 	return 0
@@ -162,7 +211,8 @@
 // Release returns the connection to the dialer if the exchange ended cleanly, and closes
 // it otherwise.
 func (response *Response) Release(d *Dialer, address string) {
-	if !response.complete || !response.reusable || !response.requestWritten() || response.conn.reader.Buffered() > 0 {
+	cancelled := !response.stopCancel() // The cancellation may set the deadline at any later time.
+	if cancelled || !response.connReusable() {
 		_ = response.conn.Close()
 		return
 	}
@@ -172,6 +222,13 @@
 	d.Put(address, response.conn)
 }
 
+// connReusable reports whether nothing of the exchange is left on the connection, and another
+// request may be sent on it.
+func (response *Response) connReusable() bool {
+	return response.complete && response.reusable && response.requestWritten() &&
+		response.conn.reader.Buffered() == 0 && response.conn.Uses() < maxRequestsPerConn
+}
+
 // requestWritten reports whether the complete request has been written.
 func (response *Response) requestWritten() bool {
 	if response.written {
@@ -233,17 +290,24 @@
 	if err != io.EOF {
 		return n, err
 	}
-	for {
+	return n, c.discardTrailer()
+}
+
+// discardTrailer reads the trailer and returns io.EOF after its end.
+func (c *chunkedReader) discardTrailer() error {
+	for total := 0; total <= maxTrailerBytes; {
 		line, err := c.r.ReadSlice('\n')
 		if err == io.EOF {
-			return n, io.ErrUnexpectedEOF
+			return io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			return n, err
+			return err
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
 			c.ended = true
-			return n, io.EOF
+			return io.EOF
 		}
+		total += len(line)
 	}
+	return errTrailerTooLong
 }
--- a/internal/httpio/exchange_test.go
+++ b/internal/httpio/exchange_test.go
@@ -36,12 +36,16 @@
 		}()
 		return listener.Addr().String(), accepted
 	}
-	exchangeWithID := func(d *httpio.Dialer, address, name string, body []byte) *httpio.Response {
+	// start sends a request on a connection of d and reads the header of its response.
+	start := func(ctx context.Context, d *httpio.Dialer, address, method, name string, body []byte) (*httpio.Response, error) {
 		conn, err := d.Get(context.Background(), address, name, time.Second)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
-		head := fmt.Appendf(nil, "POST /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", id, name, len(body))
-		response, err := conn.Exchange(head, body, id, name)
+		head := fmt.Appendf(nil, "%s /x HTTP/1.1\r\nHost: h\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", method, id, name, len(body))
+		return conn.Exchange(ctx, head, body, id, name)
+	}
+	exchangeWithID := func(d *httpio.Dialer, address, name string, body []byte) *httpio.Response {
+		response, err := start(context.Background(), d, address, "POST", name, body)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = io.Copy(io.Discard, response.Body)
 		Expect(err).NotTo(HaveOccurred())
@@ -86,6 +90,29 @@
 		Expect(accepted.Load()).To(Equal(int32(2)))
 	})
 
+	It("does not reuse a connection for a request id that was sent on it long before", func() {
+		address, accepted := endpoint(serveAll(""))
+		d := httpio.NewDialer()
+		exchangeWithID(d, address, "a", nil)
+		for range 100 {
+			exchange(d, address, nil)
+		}
+		Expect(accepted.Load()).To(Equal(int32(1)))
+		exchangeWithID(d, address, "a", nil)
+		Expect(accepted.Load()).To(Equal(int32(2)))
+	})
+
+	It("bounds the number of requests on a connection, which remembers all their ids", func() {
+		address, accepted := endpoint(serveAll(""))
+		d := httpio.NewDialer()
+		for range 1024 {
+			exchange(d, address, nil)
+		}
+		Expect(accepted.Load()).To(Equal(int32(1)))
+		exchange(d, address, nil)
+		Expect(accepted.Load()).To(Equal(int32(2)))
+	})
+
 	It("does not reuse a connection after a response that preceded the end of the request body", func() {
 		done := make(chan struct{})
 		DeferCleanup(func() { close(done) })
@@ -101,6 +128,20 @@
 		Expect(accepted.Load()).To(Equal(int32(2)), "the rest of a body must not be read as another request")
 	})
 
+	It("does not reuse a connection of a cancelled exchange, whose deadline may still be changed", func() {
+		address, accepted := endpoint(serveAll(""))
+		d := httpio.NewDialer()
+		ctx, cancel := context.WithCancel(context.Background())
+		response, err := start(ctx, d, address, "POST", "a", nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.Copy(io.Discard, response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		cancel()
+		response.Release(d, address)
+		exchangeWithID(d, address, "b", nil)
+		Expect(accepted.Load()).To(Equal(int32(2)))
+	})
+
 	DescribeTable("observes the Connection and Keep-Alive fields of the response",
 		func(fields string, connections int32) {
 			address, accepted := endpoint(serveAll(fields))
@@ -114,6 +155,16 @@
 		Entry("keep-alive of less than a second", "Keep-Alive: timeout=0\r\n", int32(1)),
 	)
 
+	DescribeTable("limits how long an endpoint may have an idle connection kept",
+		func(timeout string, want time.Duration) {
+			address, _ := endpoint(serveAll("Keep-Alive: timeout=" + timeout + "\r\n"))
+			Expect(exchange(httpio.NewDialer(), address, nil).KeepAliveTimeout()).To(Equal(want))
+		},
+		Entry("as stated", "5", 5*time.Second),
+		Entry("a century", "3155760000", 2*time.Minute),
+		Entry("more than a duration holds", "99999999999999", 2*time.Minute),
+	)
+
 	It("detects that the endpoint closed an idle connection", func() {
 		address, accepted := endpoint(func(conn net.Conn, reader *bufio.Reader) {
 			if r, err := http.ReadRequest(reader); err == nil {
--- a/internal/httpio/writer.go
+++ b/internal/httpio/writer.go
@@ -1,6 +1,7 @@
 package httpio
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,6 +12,14 @@
 // writeTimeout limits the duration of each write. It ends a response whose caller does not read.
 const writeTimeout = 10 * time.Second
 
+// Errors returned by Writer if a call does not fit what has been sent. Nothing is sent then.
+var (
+	// ErrResponseStarted means that the response has been started already.
+	ErrResponseStarted = errors.New("the response has been started already")
+	// ErrNoStream means that no stream is in progress.
+	ErrNoStream = errors.New("no stream is in progress")
+)
+
 // Field is a header field of a response.
 type Field struct {
 	Name, Value string
@@ -25,10 +34,12 @@
 	buffer   []byte
 	close    bool
 	draining *atomic.Bool
-	// headRequest is set for responses to HEAD, which have no body.
-	headRequest bool
-	started     bool
-	finished    bool
+	// bodyless is set for responses to HEAD, and from the header on for a status without a body.
+	bodyless bool
+	started  bool
+	// streaming is set while chunks may follow.
+	streaming bool
+	finished  bool
 }
 
 // Started reports whether sending of the response has started.
@@ -36,43 +47,62 @@
 
 // WriteResponse sends a complete response.
 func (w *Writer) WriteResponse(status int, fields []Field, body []byte) error {
+	if w.started {
+		return ErrResponseStarted
+	}
 	w.appendHeader(status, fields)
-	if !w.headRequest && status != http.StatusNoContent && status != http.StatusNotModified {
+	if w.bodyless {
+		body = nil
+	} else {
 		w.buffer = append(w.buffer, "Content-Length: "...)
 		w.buffer = strconv.AppendInt(w.buffer, int64(len(body)), 10)
 		w.buffer = append(w.buffer, "\r\n"...)
 	}
 	w.buffer = append(w.buffer, "\r\n"...)
-	if !w.headRequest {
-		w.buffer = append(w.buffer, body...)
-	}
+	w.buffer = append(w.buffer, body...)
 	w.finished = true
 	return w.flush()
 }
 
 // StartStream sends the header of a chunked response together with its first bytes.
 func (w *Writer) StartStream(status int, fields []Field, first []byte) error {
+	if w.started {
+		return ErrResponseStarted
+	}
+	w.streaming = true
 	w.appendHeader(status, fields)
-	w.buffer = append(w.buffer, "Transfer-Encoding: chunked\r\n\r\n"...)
+	if !w.bodyless {
+		w.buffer = append(w.buffer, "Transfer-Encoding: chunked\r\n"...)
+	}
+	w.buffer = append(w.buffer, "\r\n"...)
 	w.appendChunk(first)
 	return w.flush()
 }
 
 // WriteChunk sends data as the next chunk, without buffering.
 func (w *Writer) WriteChunk(data []byte) error {
+	if !w.streaming {
+		return ErrNoStream
+	}
 	w.appendChunk(data)
 	return w.flush()
 }
 
 // Finish sends the last chunk, which ends a stream.
 func (w *Writer) Finish() error {
-	w.buffer = append(w.buffer, "0\r\n\r\n"...)
+	if !w.streaming {
+		return ErrNoStream
+	}
+	w.streaming = false
+	if !w.bodyless {
+		w.buffer = append(w.buffer, "0\r\n\r\n"...)
+	}
 	w.finished = true
 	return w.flush()
 }
 
 func (w *Writer) appendChunk(data []byte) {
-	if len(data) == 0 {
+	if len(data) == 0 || w.bodyless {
 		return
 	}
 	w.buffer = strconv.AppendInt(w.buffer, int64(len(data)), 16)
@@ -82,6 +112,8 @@
 }
 
 func (w *Writer) appendHeader(status int, fields []Field) {
+	w.started = true
+	w.bodyless = w.bodyless || status == http.StatusNoContent || status == http.StatusNotModified
 	w.close = w.close || w.draining.Load()
 	w.buffer = append(w.buffer, "HTTP/1.1 "...)
 	w.buffer = strconv.AppendInt(w.buffer, int64(status), 10)
@@ -108,12 +140,11 @@
 	if len(w.buffer) == 0 {
 		return nil
 	}
-	w.started = true
 	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	_, err := w.conn.Write(w.buffer)
 	w.buffer = w.buffer[:0]
 	if err != nil {
-		w.close = true
+		w.close, w.streaming = true, false // A part of the bytes may have been sent.
 	}
 	return err
 }
