forward, httpio: a refusal whose body stalls does not hold its request

A caller waited until its deadline and got 503, though another endpoint was free: the body of a refusal was read to its end before the request was sent on. The rest of a body that nobody needs has 50 ms to arrive; then its connection is closed.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -140,12 +140,12 @@
 	switch {
 	case status == fasthttp.StatusMisdirectedRequest:
 		a.possibleRuns--
-		a.discard(response)
+		response.Discard()
 		a.f.Dialer.CloseIdle(a.choice.Address)
 		return attemptOutcome{result: balance.Misrouted, status: status, cause: "another endpoint has the address"}
 	case h.NotRun != "" && len(response.Header.Peek(h.NotRun)) > 0:
 		a.possibleRuns--
-		a.discard(response)
+		response.Discard()
 		return attemptOutcome{result: balance.Full, status: status, cause: "refused by the endpoint"}
 	case status >= 300:
 		return a.handleErrorStatus(response, status)
@@ -179,11 +179,6 @@
 	return bytes.HasPrefix(response.Header.ContentType(), []byte("text/event-stream"))
 }
 
-// discard reads the rest of a small response, so that its connection can be reused.
-func (a *attempt) discard(response *httpio.Response) {
-	_, _ = io.CopyN(io.Discard, response.Body, maxBufferedBody) // After a read error the connection is not reused.
-}
-
 // handleErrorStatus handles a status of 300 or above. A 5xx response is buffered while the
 // request may be retried at another endpoint; other statuses are sent to the caller, except
 // those that claim that the request has not run. If the caller has a part of a stream, an error
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -30,6 +30,10 @@
 // discards. Above it a new connection costs less than the rest of the body.
 const maxSkippedBytes = 256 << 10
 
+// discardTimeout bounds the time in which a body that nobody reads has to arrive. It mostly
+// arrives with its header; after that a new connection costs less than the wait.
+const discardTimeout = 50 * time.Millisecond
+
 // maxTrailerBytes limits the trailer of a chunked body, which is discarded.
 const maxTrailerBytes = readBufferBytes
 
@@ -70,8 +74,9 @@
 
 // Exchange sends a request, given as its header block and body, and reads the header of
 // the response whose field idField echoes id. A response without that field is accepted only
-// if the connection carried no request before, and the connection is not reused. Reads and writes fail once ctx is cancelled, until the response is released. After
-// an error the endpoint may have run the request, and the connection is closed.
+// if the connection carried no request before, and the connection is not reused. Reads and
+// writes fail once ctx is cancelled, until the response is released. After an error the endpoint
+// may have run the request, and the connection is closed.
 func (c *Conn) Exchange(ctx context.Context, head, body []byte, idField, id string) (*Response, error) {
 	response := &Response{conn: c, headRequest: bytes.HasPrefix(head, []byte("HEAD "))}
 	response.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
@@ -208,6 +213,13 @@
 	return 0
 }
 
+// Discard reads the rest of a body that is not needed, so that the connection can be reused. If
+// it does not arrive at once, the connection is closed when the response is released.
+func (response *Response) Discard() {
+	_ = response.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, response.Body, maxSkippedBytes) // After an error the response is not complete.
+}
+
 // Release returns the connection to the dialer if the exchange ended cleanly, and closes
 // it otherwise.
 func (response *Response) Release(d *Dialer, address string) {
