forward: an endpoint's refusal or error is not taken for the time of a prefill

Every response, refusals included, was recorded as the first event of its stream: one refusal after 2 ms made a busy engine look fast, so that requests were no longer refused for its backlog and more of them went there. Found while the states of endpoints were built; the spec failed before: a predicted wait of 8 ms instead of 3 s or more after one refusal.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -80,7 +80,9 @@
 	}
 	defer response.Release(a.f.Dialer, choice.Address)
 	a.trace.recordResponse(response)
-	choice.ResponseStarted(time.Now())
+	if response.Header.StatusCode() < fasthttp.StatusMultipleChoices {
+		choice.ResponseStarted(time.Now()) // Refusals and errors come without a prefill.
+	}
 	return a.handleResponse(response)
 }
 
