forward, gateway: answers take endpoints out that leave, or that ask for a time without requests

An answer of any kind that says that its endpoint leaves takes that process out for new requests, whatever a list says; a 503 with Retry-After keeps requests away for so long. Both hold for first attempts, retries, resumed streams, sources of fetches and crash probes, and are checked again after a connection was opened. If all endpoints ask for quiet, the refusal states when the first takes requests again, spread over a second. One line and a counter for each begin and end of a state.

--- a/internal/balance/leaving.go
+++ b/internal/balance/leaving.go
@@ -96,6 +96,11 @@
 	InBackoff
 )
 
+// String returns the reason in words.
+func (w Withdrawal) String() string {
+	return [...]string{NotWithdrawn: "not withdrawn", Leaving: "it leaves", InBackoff: "it asked for no requests"}[w]
+}
+
 // Withdrawn returns whether and why the endpoint gets no requests now, including health checks
 // and probes.
 func (p *Pool) Withdrawn(now time.Time, e routetable.Endpoint) Withdrawal {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -53,6 +53,8 @@
 	choice *balance.Choice
 	events eventSplitter
 	trace  attemptTrace
+	// backoff is the time for which the endpoint asked for no requests, or 0.
+	backoff time.Duration
 }
 
 func (j *job) newAttempt(choice *balance.Choice) *attempt {
@@ -70,6 +72,10 @@
 		a.f.Dialer.CloseIdle(choice.Address)
 		return attemptOutcome{result: balance.Unreachable, cause: "connect: " + err.Error()}
 	}
+	if withdrawal := choice.Withdrawn(time.Now()); withdrawal != balance.NotWithdrawn {
+		a.f.Dialer.Put(choice.Address, conn)
+		return attemptOutcome{result: balance.NotSent, cause: "the endpoint was withdrawn while the connection was opened: " + withdrawal.String()}
+	}
 	a.transmissions++
 	a.possibleRuns++ // Decremented again if the endpoint reports that it has not run the request.
 	_ = conn.SetDeadline(a.deadline)
@@ -80,6 +86,7 @@
 	}
 	defer response.Release(a.f.Dialer, choice.Address)
 	a.trace.recordResponse(response)
+	a.recordEndpointState(response)
 	if response.Header.StatusCode() < fasthttp.StatusMultipleChoices {
 		choice.ResponseStarted(time.Now()) // Refusals and errors come without a prefill.
 	}
@@ -120,7 +127,7 @@
 	fields := []httpio.Field{
 		{Name: h.Deadline, Value: strconv.FormatInt(remaining, 10)},
 		{Name: h.Endpoint, Value: a.choice.ID},
-		{Name: h.FetchFrom, Value: a.choice.FetchFrom},
+		{Name: h.FetchFrom, Value: a.choice.CurrentFetchFrom(time.Now())},
 	}
 	if a.workspace != nil {
 		fields = append(fields, httpio.Field{Name: h.Workspace, Value: a.workspace.Name})
@@ -145,9 +152,12 @@
 		response.Discard()
 		a.f.Dialer.CloseIdle(a.choice.Address)
 		return attemptOutcome{result: balance.Misrouted, status: status, cause: "another endpoint has the address"}
-	case h.NotRun != "" && len(response.Header.Peek(h.NotRun)) > 0:
+	case a.notRun(response):
 		a.possibleRuns--
 		response.Discard()
+		if a.backoff > 0 {
+			return attemptOutcome{result: balance.BackedOff, status: status, cause: "refused by the endpoint for " + a.backoff.String()}
+		}
 		return attemptOutcome{result: balance.Full, status: status, cause: "refused by the endpoint"}
 	case status >= 300:
 		return a.handleErrorStatus(response, status)
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -68,9 +68,13 @@
 }
 
 // reportBroken records a request whose connection broke and starts a crash probe of the
-// endpoint unless the last one is less than minProbeInterval ago.
+// endpoint unless the last one is less than minProbeInterval ago. An endpoint that leaves or
+// asked to be left alone is not probed: the first one refuses connections without a crash.
 func (p *crashProber) reportBroken(choice *balance.Choice, digest string) {
 	now := time.Now()
+	if choice.Withdrawn(now) != balance.NotWithdrawn {
+		return
+	}
 	p.mu.Lock()
 	p.broken[choice.ID] = append(p.recentlyBroken(choice.ID, now), brokenRequest{digest: digest, at: now})
 	due := now.Sub(p.lastProbe[choice.ID]) >= minProbeInterval
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -320,6 +320,5 @@
 	case j.possibleRuns > 0:
 		return failure.New(failure.EndpointFailed, reason)
 	}
-	retryDelay := refusedRetryAfter + time.Duration(rand.Int64N(int64(refusedRetryJitter)))
-	return failure.New(failure.NoEndpoint, "no endpoint took the request: "+reason).WithRetryAfter(retryDelay)
+	return j.noEndpointLeft(reason)
 }
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -170,6 +170,8 @@
 	address string
 	pool    *balance.Pool
 	streams *resume.Tracker
+	// listed is the list of endpoints; see relist.
+	listed  []routetable.Endpoint
 	table   *routetable.Table
 	server  *httpio.Server
 	closing atomic.Bool
@@ -177,12 +179,10 @@
 
 func newFixture(spec routetable.Spec, endpoints ...*fakeEndpoint) *fixture {
 	fx := &fixture{streams: resume.NewTracker(), pool: balance.NewPool("dc", rand.New(rand.NewPCG(1, 1))), table: routetable.New(spec)}
-	var endpointList []routetable.Endpoint
 	for i, e := range endpoints {
-		endpointList = append(endpointList, routetable.Endpoint{ID: fmt.Sprint("e", i), Service: "svc", Address: e.address(), DataCentre: "dc", Slots: 8, Version: e.version})
+		fx.listed = append(fx.listed, routetable.Endpoint{ID: fmt.Sprint("e", i), Service: "svc", Address: e.address(), DataCentre: "dc", Slots: 8, Version: e.version})
 	}
-	fx.pool.Update(time.Now(), endpointList)
-	fx.streams.Observe(time.Now(), endpointList)
+	fx.relist()
 	names := headers.Default()
 	names.ResponseSignature = "Seal"
 	names.Reserved = []string{"Hold"}
@@ -215,6 +215,12 @@
 	return fx
 }
 
+// relist applies the list of endpoints, as a list of a peer or a new watch would.
+func (fx *fixture) relist() {
+	fx.pool.Update(time.Now(), fx.listed)
+	fx.streams.Observe(time.Now(), fx.listed)
+}
+
 // spec returns a route table with one route of each kind.
 func spec() routetable.Spec {
 	backends := []routetable.Backend{{Service: "svc", Weight: 1}}
--- /dev/null
+++ b/internal/forward/withdrawal.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/failure"
+	"github.com/primrosewell/primrosewell/internal/httpio"
+)
+
+// maxRetryAfterSeconds bounds an endpoint's Retry-After before it becomes a duration, which
+// could not hold every number.
+const maxRetryAfterSeconds = 24 * 60 * 60
+
+// recordEndpointState records what a response says about the process that sent it, apart from
+// the request: that it leaves, or for how long it wants no requests.
+func (a *attempt) recordEndpointState(response *httpio.Response) {
+	status := response.Header.StatusCode()
+	if status == fasthttp.StatusMisdirectedRequest {
+		return // Another process has the address.
+	}
+	now := time.Now()
+	if name := a.f.Headers.Leaving; name != "" && len(response.Header.Peek(name)) > 0 {
+		a.choice.MarkLeaving(now, a.responseKind(response))
+		a.f.Dialer.CloseIdle(a.choice.Address)
+		response.CloseWhenReleased()
+	}
+	if status == fasthttp.StatusServiceUnavailable {
+		a.backoff = parseRetryAfter(string(response.Header.Peek(fasthttp.HeaderRetryAfter)))
+		a.choice.Backoff(now, a.backoff)
+	}
+}
+
+// responseKind returns the kind of a response, as the cause of a change of its endpoint's state.
+func (a *attempt) responseKind(response *httpio.Response) balance.Cause {
+	switch {
+	case a.notRun(response):
+		return balance.OnRefusal
+	case response.Header.StatusCode() >= fasthttp.StatusMultipleChoices:
+		return balance.OnFailure
+	case isEventStream(response):
+		return balance.OnStream
+	}
+	return balance.OnSuccess
+}
+
+// notRun reports whether the endpoint says that it has not run the request.
+func (a *attempt) notRun(response *httpio.Response) bool {
+	name := a.f.Headers.NotRun
+	return name != "" && len(response.Header.Peek(name)) > 0
+}
+
+// parseRetryAfter returns the delay of a Retry-After field in seconds, whole or with a fraction,
+// or 0 if it states none. A date is not supported, as clocks differ.
+func parseRetryAfter(value string) time.Duration {
+	seconds, err := strconv.ParseFloat(value, 64)
+	if math.IsNaN(seconds) || seconds <= 0 || err != nil && !math.IsInf(seconds, 1) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRetryAfterSeconds) * float64(time.Second))
+}
+
+// noEndpointLeft returns the refusal of a request that no endpoint has run. While all endpoints
+// ask to be left alone, it states when the first of them takes requests again.
+func (j *job) noEndpointLeft(reason string) *failure.Failure {
+	retryDelay := refusedRetryAfter + rand.N(refusedRetryJitter)
+	if pool := j.f.Pools(j.service); pool != nil {
+		if shortage, quiet := pool.Shortage(time.Now()); shortage == balance.AllInBackoff {
+			reason, retryDelay = "every endpoint refuses requests for a time", balance.SpreadReturn(quiet, rand.Float64())
+		}
+	}
+	return failure.New(failure.NoEndpoint, "no endpoint took the request: "+reason).WithRetryAfter(retryDelay)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,7 +81,7 @@
 		members: gossip.NewMembers(time.Now(), settings.Peers.Address, settings.Peers.seedAddresses()),
 	}
 	g.tableHolder = &tableHolder{source: options.Adapter.Source, log: options.Log, onInstall: g.pushToPeers}
-	g.pools = newPools(settings.VM.DataCentre, g.directory)
+	g.pools = newPools(settings.VM.DataCentre, g.directory, g.logTransition)
 	g.endpointList = &endpointList{directory: g.directory, onChange: g.refreshPools, onNewVersion: g.pushToPeers, log: options.Log, platformUnavailable: true}
 	g.injector = do.New()
 	provide(g)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -29,6 +29,8 @@
 		state := pool.Stats(now)
 		tagged.Gauge("endpoints").Update(float64(state.Endpoints))
 		tagged.Gauge("endpoints_ejected").Update(float64(state.Ejected))
+		tagged.Gauge("endpoints_leaving").Update(float64(state.Leaving))
+		tagged.Gauge("endpoints_in_backoff").Update(float64(state.InBackoff))
 		tagged.Gauge("running").Update(float64(state.Running))
 		tagged.Gauge("reading_tokens").Update(float64(state.PendingTokens))
 		tagged.Gauge("retry_budget_left").Update(budget.Remaining(now, service))
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -15,13 +15,15 @@
 type pools struct {
 	dataCentre string
 	directory  *directory.Directory
+	// onTransition receives the changes of endpoints' states. It must not use the pools.
+	onTransition func(balance.Transition)
 
 	mu        sync.Mutex
 	byService map[string]*balance.Pool
 }
 
-func newPools(dataCentre string, d *directory.Directory) *pools {
-	return &pools{dataCentre: dataCentre, directory: d, byService: make(map[string]*balance.Pool)}
+func newPools(dataCentre string, d *directory.Directory, onTransition func(balance.Transition)) *pools {
+	return &pools{dataCentre: dataCentre, directory: d, onTransition: onTransition, byService: make(map[string]*balance.Pool)}
 }
 
 // Pool returns the pool of a service, or nil.
@@ -46,7 +48,9 @@
 	now := time.Now()
 	for service := range usable {
 		if p.byService[service] == nil {
-			p.byService[service] = balance.NewPool(p.dataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+			pool := balance.NewPool(p.dataCentre, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+			pool.OnTransition(p.onTransition)
+			p.byService[service] = pool
 		}
 	}
 	for service, pool := range p.byService {
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -213,6 +213,9 @@
 	return 0
 }
 
+// CloseWhenReleased makes Release close the connection.
+func (response *Response) CloseWhenReleased() { response.reusable = false }
+
 // Discard reads the rest of a body that is not needed, so that the connection can be reused. If
 // it does not arrive at once, the connection is closed when the response is released.
 func (response *Response) Discard() {
