soak: endpoints break off responses at any byte, repeat them late and send what is no response

Callers had seen a piece of another attempt in a stream (MIXED). No seed of the soak could find it: its endpoint wrote whole events, broke off only where a relay happened to cut, and never answered twice.

Plans of generation 4 have three more kinds of faults, of one endpoint or of all: responses that end by a reset or a close before the header or after any byte of the body, half of them within the first event; whole responses, also of streams, that come a second time up to 60 ms after their end or where the next response is due; bytes that are no response instead of one, within a stream or after a response.

Callers check each byte of each response with status 200, also of incomplete ones, which were not looked at before: events once each and in order, each with the id of the request, and a part of the next event at most where the response broke off.

Seed 4 joins the regression cases. Plans of earlier generations keep their draws.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -37,7 +37,7 @@
 	Status int
 	// Complete is set if the response ended as the protocol requires.
 	Complete bool
-	// ContentError describes an error in the content of a complete response with status 200; empty if there is none.
+	// ContentError describes an error in the content of a response with status 200, complete or not; empty if there is none.
 	ContentError string
 }
 
@@ -167,9 +167,9 @@
 	return ""
 }
 
-// checkContent verifies that a complete response with status 200 belongs to this request.
+// checkContent verifies that each byte of a response with status 200 belongs to this request.
 func (h *History) checkContent(a Attempt, _ []Run) string {
-	if a.Status == 200 && a.Complete {
+	if a.Status == 200 {
 		return a.ContentError
 	}
 	return ""
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,13 @@
 	CutEndpoint Kind = "cut_endpoint"
 	// CrashEndpoint resets an endpoint's connections and refuses new ones.
 	CrashEndpoint Kind = "crash_endpoint"
+	// BreakResponses makes an endpoint, or in some variants each of them, break off responses at
+	// any byte.
+	BreakResponses Kind = "break_responses"
+	// RepeatResponses makes an endpoint send responses a second time, late, on the same connection.
+	RepeatResponses Kind = "repeat_responses"
+	// GarbleResponses makes an endpoint send bytes that are no response, within responses or after them.
+	GarbleResponses Kind = "garble_responses"
 	// RefusePlatform makes the platform respond with status 503.
 	RefusePlatform Kind = "refuse_platform"
 	// HangPlatform makes the platform leave requests without a response.
@@ -83,6 +90,9 @@
 	{ResetEndpoint, Endpoint, 3, 0, 1},
 	{CutEndpoint, Endpoint, 3, 3 * time.Second, 1},
 	{CrashEndpoint, Endpoint, 3, 3 * time.Second, 1},
+	{BreakResponses, Endpoint, 6, 4 * time.Second, 4},
+	{RepeatResponses, Endpoint, 3, 4 * time.Second, 4},
+	{GarbleResponses, Endpoint, 3, 4 * time.Second, 4},
 	{RefusePlatform, Platform, 2, 5 * time.Second, 1},
 	{HangPlatform, Platform, 2, 5 * time.Second, 1},
 	{StalePlatform, Platform, 1, 3 * time.Second, 1},
@@ -123,7 +133,7 @@
 // Generation is the current version of plan generation. It increases when a change would
 // alter the plans of existing seeds; passing an earlier generation to Plan reproduces the
 // plan of a run that failed with it.
-const Generation = 3
+const Generation = 4
 
 // Plan generates the faults of a run, ordered by start. The same generation, seed, fleet
 // and length give the same plan. Faults come in series and may overlap, but faults of one
@@ -202,7 +212,7 @@
 		return "relay"
 	case RefusePlatform, HangPlatform, StalePlatform, RestorePlatform:
 		return "platform"
-	case ChangeTable, DrainEndpoint, CutFromPlatform:
+	case ChangeTable, DrainEndpoint, CutFromPlatform, BreakResponses, RepeatResponses, GarbleResponses:
 		return string(k)
 	}
 	return string(k)
@@ -220,3 +230,9 @@
 
 // Target returns the component that the kind affects.
 func (k Kind) Target() Target { return specOf(k).target }
+
+// widespreadShare is the share of faults of responses that affect every endpoint, as 1 in n.
+const widespreadShare = 3
+
+// Widespread reports whether a fault of responses affects every endpoint.
+func (f Fault) Widespread() bool { return f.Variant%widespreadShare == 0 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,7 +45,7 @@
 				}
 			}
 		}
-		Expect(seen).To(HaveLen(15))
+		Expect(seen).To(HaveLen(18))
 		Expect(overlaps).To(BeNumerically(">", 40))
 	})
 })
--- a/internal/standin/opaque/server.go
+++ b/internal/standin/opaque/server.go
@@ -36,13 +36,22 @@
 	Names headers.Names
 	// OnRun, if set, is called with the request's id and workspace before a request runs.
 	OnRun func(id, workspace string)
+	// Disturb, if set, is called for each response and returns what goes wrong with it.
+	Disturb func() Trouble
 }
 
 // Serve handles requests on listener until ctx ends, then returns nil.
 func (e Endpoint) Serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler: e, ReadHeaderTimeout: headerTimeout, ConnContext: withConn,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if late, ok := c.(*lateConn); ok && state == http.StateIdle {
+				late.responseEnded()
+			}
+		},
+	}
 	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(lateListener{listener}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -59,11 +68,35 @@
 	if e.OnRun != nil {
 		e.OnRun(id, workspace)
 	}
-	if strings.HasSuffix(r.URL.Path, streamSuffix) {
+	isStream := strings.HasSuffix(r.URL.Path, streamSuffix)
+	w = e.disturb(w, r, isStream)
+	if isStream {
 		e.stream(w, r, id)
 		return
 	}
-	fmt.Fprintf(w, "%s ran %s %s for %s as %s\n", e.ID, r.Method, r.URL.Path, workspace, id)
+	body := fmt.Sprintf("%s ran %s %s for %s as %s\n", e.ID, r.Method, r.URL.Path, workspace, id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body)
+}
+
+// disturb applies the trouble chosen for the response.
+func (e Endpoint) disturb(w http.ResponseWriter, r *http.Request, isStream bool) http.ResponseWriter {
+	if e.Disturb == nil {
+		return w
+	}
+	t := e.Disturb()
+	if t.Disturbance == Garble && !isStream {
+		// Within a body of a declared length, no gateway can tell the bytes from those of the body.
+		t.After = -1
+	}
+	switch t.Disturbance {
+	case BreakOff, Garble:
+		return &troubledWriter{ResponseWriter: w, trouble: t}
+	case Repeat, TrailGarbage:
+		disturbAfter(r.Context(), t)
+	case Undisturbed:
+	}
+	return w
 }
 
 // stream sends the events that follow the last event id in the request.
--- a/test/e2e/soak_faults_test.go
+++ b/test/e2e/soak_faults_test.go
@@ -31,6 +31,10 @@
 		s.links[f.Index].Restore()
 	case soak.DelayEndpoint, soak.ResetEndpoint, soak.CutEndpoint, soak.CrashEndpoint:
 		s.strikeEndpoint(f, until)
+	case soak.BreakResponses, soak.RepeatResponses, soak.GarbleResponses:
+		s.troubles.begin(f)
+		until()
+		s.troubles.end(f)
 	case soak.RestorePlatform:
 		s.restorePlatform(f, until)
 	case soak.RefusePlatform, soak.HangPlatform, soak.StalePlatform:
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -43,6 +43,8 @@
 	// A grace of 3 s was used up by taking new requests, which were then cut off.
 	{1, 3, 8 * time.Second},
 	{1, 10, 8 * time.Second},
+	// The first event of a retry was joined to the incomplete event of the attempt before.
+	{4, 4, 6 * time.Second},
 }
 
 // shortSeeds are played in CI besides.
@@ -124,6 +126,8 @@
 	history *soak.History
 	started time.Time
 	faults  notes
+	// troubles are what endpoints do wrong with their responses.
+	troubles *troubles
 
 	// tables is held while the table changes, so that changes keep their order.
 	tables sync.Mutex
@@ -162,7 +166,7 @@
 func newSoakRun(seed uint64, fleet soak.Fleet) *soakRun {
 	s := &soakRun{
 		gatewayFleet: newGatewayFleet("3s"), history: &soak.History{SteadyKey: steadyKey, Workspace: "acme"},
-		random: rand.New(rand.NewPCG(seed, 5)),
+		random: rand.New(rand.NewPCG(seed, 5)), troubles: &troubles{random: rand.New(rand.NewPCG(seed, 7))},
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	DeferCleanup(s.stop)
@@ -192,7 +196,7 @@
 			return
 		}
 		s.history.RecordRun(soak.Run{ID: id, Endpoint: i, Workspace: workspace, At: time.Now()})
-	}}
+	}, Disturb: func() opaque.Trouble { return s.troubles.draw(i) }}
 	ctx, end := context.WithCancel(context.Background())
 	DeferCleanup(end)
 	go func() { _ = endpoint.Serve(ctx, l) }()
@@ -376,35 +380,23 @@
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	a.Status, a.Complete = response.StatusCode, err == nil
-	if a.Status == http.StatusOK && a.Complete {
-		a.ContentError = wrongContent(a.ID, string(data), stream)
+	if echo := response.Header.Get(gatewayNames.RequestID); echo != "" && echo != a.ID {
+		a.ContentError = "the response to request " + echo
+	} else if a.Status == http.StatusOK {
+		a.ContentError = contentError(*a, string(data), method, path, stream)
 	}
 }
 
-// wrongContent says what is wrong with a whole success, if anything.
-func wrongContent(id, body string, stream bool) string {
-	events := 1
-	if stream {
-		events = opaque.EventCount
-	}
-	if strings.Count(body, " as "+id+"\n") != events {
-		return "not the answer to this request, or not all of it: " + strconv.Quote(body)
-	}
+// contentError says which bytes of a response with status 200 don't belong to the request.
+func contentError(a soak.Attempt, body, method, path string, stream bool) string {
 	if !stream {
-		return ""
+		return soak.PlainError(body, a.ID, method, path, "acme", a.Complete)
 	}
-	next := 1
-	for line := range strings.Lines(body) {
-		number, ok := strings.CutPrefix(line, "id: ")
-		if !ok {
-			continue
-		}
-		if strings.TrimSpace(number) != strconv.Itoa(next) {
-			return fmt.Sprintf("event %s where %d was due", strings.TrimSpace(number), next)
-		}
-		next++
+	parsed := soak.ParseStream(body, a.ID, 0, opaque.EventCount, a.Complete)
+	if parsed.Error == "" && !a.Repeatable && len(parsed.Endpoints) > 1 {
+		return fmt.Sprint("events of several endpoints: ", parsed.Endpoints)
 	}
-	return ""
+	return parsed.Error
 }
 
 // describe lists the faults as they happened.
