soak: endpoints of two versions serve side by side, and callers resume streams that broke off

The soak's endpoints had no version and its callers never took a stream up again.

From generation 5 of plans, six endpoints of two versions serve; each event names the version of its endpoint. An endpoint may be replaced for a while by one of the other version with another id at the same address. Callers of resumable streams, five at each gateway, resume a stream that broke off after a whole event: a new request on a new connection to another gateway, with the id of the last event and that of the request that brought the first one, up to four times.

Two checks: no stream holds events of two versions, in one response or over all of its caller's attempts; and of 12 or more streams that callers resume at undisturbed gateways while two endpoints of the version serve, the share that goes on is at least half the share of new streams that begin.

Earlier generations keep plans and fleet.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,6 +33,14 @@
 	// Sent and Ended are when the request was sent and when its response ended.
 	Sent, Ended time.Time
 	Deadline    time.Duration
+	// Resumes is the ID of the attempt that brought the first event of the stream that this
+	// attempt resumes after the event numbered After; empty if it begins a stream.
+	Resumes string
+	After   int
+	// Events is the number of whole events that the response brought, and Versions are the
+	// versions of the endpoints that sent them.
+	Events   int
+	Versions []string
 	// Status is the HTTP status, 0 if there was no response.
 	Status int
 	// Complete is set if the response ended as the protocol requires.
@@ -70,6 +78,8 @@
 type History struct {
 	// SteadyKey is an API key that every configuration allows; Workspace is the name of its workspace.
 	SteadyKey, Workspace string
+	// Versions are the versions of the endpoints' software, by index.
+	Versions []string
 
 	mu       sync.Mutex
 	attempts []Attempt
@@ -143,7 +153,7 @@
 			found = append(found, fmt.Sprintf("%s at endpoint %d, %s: %s", r.ID, r.Endpoint, r.At.Format(timeFormat), violation))
 		}
 	}
-	return found
+	return append(append(found, h.mixedVersions()...), h.lostStreams()...)
 }
 
 // timeFormat is the format of times in descriptions of violations.
--- a/internal/soak/content.go
+++ b/internal/soak/content.go
@@ -9,7 +9,7 @@
 )
 
 // event matches an event of the stand-in endpoint.
-var event = regexp.MustCompile(`^id: (\d+)\ndata: event (\d+) of (\S+) as (\S+)\n\n$`)
+var event = regexp.MustCompile(`^id: (\d+)\ndata: event (\d+) of (\S+)(?: (\S+))? as (\S+)\n\n$`)
 
 // eventEnd separates the events of a stream.
 const eventEnd = "\n\n"
@@ -20,6 +20,8 @@
 	Events int
 	// Endpoints are the endpoints that sent them, in order.
 	Endpoints []string
+	// Versions are the versions of these endpoints, in order.
+	Versions []string
 	// Error describes the first byte sequence that doesn't belong to the response; empty if there is none.
 	Error string
 }
@@ -47,7 +49,7 @@
 	switch {
 	case parts == nil:
 		s.Error = fmt.Sprintf("not an event of an endpoint where event %d was due: %q", next, text)
-	case parts[4] != id:
+	case parts[5] != id:
 		s.Error = fmt.Sprintf("an event of another request where event %d was due: %q", next, text)
 	case parts[1] != number || parts[2] != number || next > last:
 		s.Error = fmt.Sprintf("event %s where %d of %d was due: %q", parts[1], next, last, text)
@@ -56,6 +58,9 @@
 		if !slices.Contains(s.Endpoints, parts[3]) {
 			s.Endpoints = append(s.Endpoints, parts[3])
 		}
+		if parts[4] != "" && !slices.Contains(s.Versions, parts[4]) {
+			s.Versions = append(s.Versions, parts[4])
+		}
 	}
 }
 
--- a/internal/soak/content_test.go
+++ b/internal/soak/content_test.go
@@ -10,6 +10,13 @@
 var _ = Describe("ParseStream", func() {
 	const first, second = "id: 1\ndata: event 1 of e0 as r\n\n", "id: 2\ndata: event 2 of e1 as r\n\n"
 
+	It("names the versions of the endpoints", func() {
+		const events = "id: 1\ndata: event 1 of e0 v1 as r\n\nid: 2\ndata: event 2 of e1 v2 as r\n\nid: 3\ndata: event 3 of e0 v1 as r\n\n"
+		Expect(soak.ParseStream(events, "r", 0, 3, true)).To(Equal(soak.Stream{
+			Events: 3, Endpoints: []string{"e0", "e1"}, Versions: []string{"v1", "v2"},
+		}))
+	})
+
 	It("accepts a complete stream and each incomplete part of it", func() {
 		Expect(soak.ParseStream(first+second, "r", 0, 2, true)).To(Equal(soak.Stream{Events: 2, Endpoints: []string{"e0", "e1"}}))
 		for n := range len(first + second) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -42,6 +42,9 @@
 	RepeatResponses Kind = "repeat_responses"
 	// GarbleResponses makes an endpoint send bytes that are no response, within responses or after them.
 	GarbleResponses Kind = "garble_responses"
+	// ReplaceEndpoint ends an endpoint and starts one of another version, with another id, at its
+	// address. One of the first version takes its place when the fault ends.
+	ReplaceEndpoint Kind = "replace_endpoint"
 	// RefusePlatform makes the platform respond with status 503.
 	RefusePlatform Kind = "refuse_platform"
 	// HangPlatform makes the platform leave requests without a response.
@@ -93,6 +96,7 @@
 	{BreakResponses, Endpoint, 6, 4 * time.Second, 4},
 	{RepeatResponses, Endpoint, 3, 4 * time.Second, 4},
 	{GarbleResponses, Endpoint, 3, 4 * time.Second, 4},
+	{ReplaceEndpoint, Endpoint, 3, 4 * time.Second, 5},
 	{RefusePlatform, Platform, 2, 5 * time.Second, 1},
 	{HangPlatform, Platform, 2, 5 * time.Second, 1},
 	{StalePlatform, Platform, 1, 3 * time.Second, 1},
@@ -133,7 +137,14 @@
 // Generation is the current version of plan generation. It increases when a change would
 // alter the plans of existing seeds; passing an earlier generation to Plan reproduces the
 // plan of a run that failed with it.
-const Generation = 4
+const Generation = 5
+
+// One seed in streamPlanShare has only streamKinds from generation streamPlansSince on, so that
+// callers resume many streams at gateways that no other fault disturbs.
+const streamPlansSince, streamPlanShare = 5, 3
+
+// streamKinds are faults that break off streams.
+var streamKinds = []Kind{KillGateway, CrashEndpoint, ResetEndpoint, BreakResponses, RepeatResponses, ReplaceEndpoint}
 
 // Plan generates the faults of a run, ordered by start. The same generation, seed, fleet
 // and length give the same plan. Faults come in series and may overlap, but faults of one
@@ -141,6 +152,9 @@
 func Plan(generation int, seed uint64, fleet Fleet, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 3))
 	available := lo.Filter(kindSpecs, func(t kindSpec, _ int) bool { return t.sinceGeneration <= generation })
+	if generation >= streamPlansSince && seed%streamPlanShare == 0 {
+		available = lo.Filter(available, func(t kindSpec, _ int) bool { return slices.Contains(streamKinds, t.kind) })
+	}
 	var plan []Fault
 	for at := drawDuration(random, meanGap); at < length; at += drawDuration(random, 2*meanGap) {
 		t := drawKind(random, available)
@@ -212,7 +226,9 @@
 		return "relay"
 	case RefusePlatform, HangPlatform, StalePlatform, RestorePlatform:
 		return "platform"
-	case ChangeTable, DrainEndpoint, CutFromPlatform, BreakResponses, RepeatResponses, GarbleResponses:
+	case DrainEndpoint, ReplaceEndpoint:
+		return "registration"
+	case ChangeTable, CutFromPlatform, BreakResponses, RepeatResponses, GarbleResponses:
 		return string(k)
 	}
 	return string(k)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -34,6 +35,14 @@
 		})
 	})
 
+	It("includes no fault that disturbs resumptions otherwise in some plans", func() {
+		for seed := uint64(3); seed < 60; seed += 3 {
+			for _, f := range soak.Plan(soak.Generation, seed, soak.Fleet{Gateways: 6, Endpoints: 6}, 12*time.Second) {
+				Expect(f.Kind.Target()).NotTo(Equal(soak.Platform))
+			}
+		}
+	})
+
 	It("includes every kind of fault and lets faults overlap", func() {
 		seen, overlaps := map[soak.Kind]int{}, 0
 		for seed := range uint64(40) {
@@ -45,7 +54,7 @@
 				}
 			}
 		}
-		Expect(seen).To(HaveLen(18))
+		Expect(seen).To(HaveLen(19))
 		Expect(overlaps).To(BeNumerically(">", 40))
 	})
 })
@@ -115,6 +124,51 @@
 		}),
 	)
 
+	// resumption records a stream of v1 that begins at gateway 0 and is resumed at gateway 1.
+	resumption := func(n int, from string, events int) {
+		id := fmt.Sprint("r", n)
+		stream := func(a *soak.Attempt) {
+			a.ID, a.Kind, a.Repeatable, a.Complete, a.Events, a.Versions = id, routetable.Streaming, true, false, 2, []string{"v1"}
+		}
+		attempt(stream)
+		attempt(func(a *soak.Attempt) {
+			stream(a)
+			a.ID, a.Gateway, a.Resumes, a.After, a.Events, a.Versions = id+"+1", 1, id, 2, events, nil
+			if events > 0 {
+				a.Versions = []string{from}
+			}
+		})
+	}
+	resumptions := func(from string, events int) {
+		h.Versions = []string{"v1", "v2", "v1"}
+		for n := range 12 {
+			resumption(n, from, events)
+		}
+	}
+
+	It("reports streams that hold events of two versions", func() {
+		resumption(1, "v1", 3)
+		resumption(2, "v2", 3)
+		attempt(func(a *soak.Attempt) { a.ID, a.Repeatable, a.Versions = "r3", true, []string{"v1", "v2"} })
+		Expect(h.Violations()).To(HaveExactElements(
+			HavePrefix("r2 holds events of 2 versions: r2 at gateway 0"), HavePrefix("r3 holds events of 2 versions"),
+		))
+	})
+
+	It("reports resumptions that don't go on while two endpoints of the version serve", func() {
+		resumptions("", 0)
+		Expect(h.Violations()).To(ConsistOf("0 of 12 streams went on that callers resumed, 12 of 12 new ones began"))
+	})
+
+	It("accepts resumptions that go on, and those that don't while fewer endpoints of the version serve", func() {
+		resumptions("v1", 3)
+		Expect(h.Violations()).To(BeEmpty())
+		h = &soak.History{SteadyKey: "key", Workspace: "acme"}
+		span(soak.ReplaceEndpoint, 9, 9.5)
+		resumptions("", 0)
+		Expect(h.Violations()).To(BeEmpty())
+	})
+
 	DescribeTable("accepts", func(record func()) {
 		record()
 		Expect(h.Violations()).To(BeEmpty())
--- a/internal/standin/opaque/server.go
+++ b/internal/standin/opaque/server.go
@@ -32,6 +32,8 @@
 type Endpoint struct {
 	// ID is the endpoint's name; requests addressed to another one get status 421.
 	ID string
+	// Version is the version of the endpoint's software; each event of a stream names it, unless it is empty.
+	Version string
 	// Names are the names of the HTTP header fields.
 	Names headers.Names
 	// OnRun, if set, is called with the request's id and workspace before a request runs.
@@ -106,8 +108,9 @@
 		lastEventID = 0 // Without a valid id, the stream starts at its beginning.
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	name := strings.TrimSpace(e.ID + " " + e.Version)
 	for id := lastEventID + 1; id <= EventCount; id++ {
-		if _, err := io.WriteString(w, fmt.Sprintf("id: %d\ndata: event %d of %s as %s\n\n", id, id, e.ID, request)); err != nil {
+		if _, err := io.WriteString(w, fmt.Sprintf("id: %d\ndata: event %d of %s as %s\n\n", id, id, name, request)); err != nil {
 			return // The caller disconnected.
 		}
 		_ = http.NewResponseController(w).Flush()
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -33,10 +33,10 @@
 
 // Relay forwards connections to one target. It is safe for concurrent use.
 type Relay struct {
-	target   string
 	listener net.Listener
 
 	mu         sync.Mutex
+	target     string
 	cut        Direction
 	cutChanged chan struct{}
 	// delay is added to each read before its bytes are forwarded; refuses means that new
@@ -92,6 +92,13 @@
 	r.refuses = refuse
 }
 
+// SetTarget sets the address to which connections are forwarded that are opened from now on.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+}
+
 // ResetConnections resets the open connections, both to clients and to the server.
 func (r *Relay) ResetConnections() {
 	r.mu.Lock()
@@ -174,8 +181,9 @@
 	}
 	r.mu.Lock()
 	r.clients = append(r.clients, client)
+	target := r.target
 	r.mu.Unlock()
-	server, err := new(net.Dialer).Dial("tcp", r.target)
+	server, err := new(net.Dialer).Dial("tcp", target)
 	if err != nil {
 		return
 	}
--- a/test/e2e/soak_faults_test.go
+++ b/test/e2e/soak_faults_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -43,6 +44,8 @@
 		s.changeTable()
 	case soak.DrainEndpoint:
 		s.drainEndpoint(f, until)
+	case soak.ReplaceEndpoint:
+		s.replaceEndpoint(f, until)
 	}
 	span.Ended = time.Now()
 	s.history.RecordSpan(span)
@@ -157,6 +160,12 @@
 	for i := range s.relays {
 		s.untilDone(func() error { return s.writeRegistration(i) })
 	}
+	s.mu.Lock()
+	replaced := slices.Clone(s.replaced)
+	s.mu.Unlock()
+	for _, name := range replaced {
+		s.untilDone(func() error { return s.unlist(name) })
+	}
 }
 
 func (s *soakRun) setFaults(faults platformstandin.Faults) {
@@ -194,34 +203,67 @@
 }
 
 func (s *soakRun) drainEndpoint(f soak.Fault, until func()) {
-	s.register(f.Index, registration{draining: true})
+	s.registering[f.Index].Lock() // A write may take longer than its plan.
+	defer s.registering[f.Index].Unlock()
+	s.register(f.Index, func(r *registration) { r.draining = true })
 	if !s.untilDone(func() error { return s.writeRegistration(f.Index) }) {
 		return
 	}
 	change := soak.Change{At: time.Now(), Endpoint: f.Index}
 	if f.Variant%2 == 0 {
-		s.register(f.Index, registration{unlisted: true})
+		s.register(f.Index, func(r *registration) { r.unlisted = true })
 		s.untilDone(func() error { return s.writeRegistration(f.Index) })
 	}
 	until()
 	change.RestoredAt = time.Now()
-	s.register(f.Index, registration{born: s.born.Add(1)})
+	s.register(f.Index, func(r *registration) { r.draining, r.unlisted, r.born = false, false, s.born.Add(1) })
 	s.untilDone(func() error { return s.writeRegistration(f.Index) })
 	s.history.RecordChange(change)
 }
 
+// replaceEndpoint has an endpoint of another version in the place of one for a while.
+func (s *soakRun) replaceEndpoint(f soak.Fault, until func()) {
+	s.registering[f.Index].Lock()
+	defer s.registering[f.Index].Unlock()
+	first := f.Index % len(endpointVersions)
+	s.startVersion(f.Index, endpointVersions[(first+1)%len(endpointVersions)])
+	until()
+	s.startVersion(f.Index, endpointVersions[first])
+}
+
+// startVersion ends an endpoint and starts another one at its address, with a new name.
+func (s *soakRun) startVersion(i int, version string) {
+	s.mu.Lock()
+	former := s.registrations[i]
+	next := registration{name: fmt.Sprintf("e%d.%d", i, len(s.replaced)+1), version: version, born: s.born.Add(1)}
+	s.replaced = append(s.replaced, former.name)
+	s.mu.Unlock()
+	address, end, err := s.serveEndpoint(i, next)
+	if err != nil {
+		s.faults.add("endpoint: %s", err)
+		return
+	}
+	next.end = end
+	s.relays[i].SetTarget(address)
+	former.end()
+	s.relays[i].ResetConnections()
+	s.register(i, func(r *registration) { *r = next })
+	s.untilDone(func() error { return s.unlist(former.name) })
+	s.untilDone(func() error { return s.writeRegistration(i) })
+}
+
 // unlist takes an endpoint off the platform's list.
-func (s *soakRun) unlist(i int) error {
+func (s *soakRun) unlist(name string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline)
 	defer cancel()
-	o, err := s.store.Get(ctx, "endpoints", endpointName(i))
+	o, err := s.store.Get(ctx, "endpoints", name)
 	if platform.ReasonOf(err) == platform.NotFound {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	return s.store.Delete(ctx, "endpoints", endpointName(i), o.Version)
+	return s.store.Delete(ctx, "endpoints", name, o.Version)
 }
 
 // untilDone tries a write until the platform takes it.
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -48,7 +48,7 @@
 }
 
 // shortSeeds are played in CI besides.
-var shortSeeds = []uint64{1, 2}
+var shortSeeds = []uint64{1, 3}
 
 const (
 	soakGrace = 3 * time.Second
@@ -60,18 +60,32 @@
 	recoverWithin = 15 * time.Second
 	// callerPause is the time between two requests of a caller.
 	callerPause = 20 * time.Millisecond
+	// resumingCallers is the number of further callers of resumable streams at each gateway.
+	resumingCallers = 4
+	// maxResumptions is how often a caller resumes one stream.
+	maxResumptions = 4
 	// stallOver is the gap between two turns of a ticker that shows a stalled machine.
 	stallOver, stallTick = 200 * time.Millisecond, 20 * time.Millisecond
 	steadyKey            = "key"
 )
 
+// versionsGeneration is the first generation of plans in whose runs endpoints have versions and
+// callers resume streams.
+const versionsGeneration = 5
+
+// endpointVersions are the versions of the endpoints' software, by turns.
+var endpointVersions = []string{"v1", "v2"}
+
 // fleetOf is the fleet of a generation of plans. Six gateways are more than follow the
 // platform for all, so that some take what they know from peers.
 func fleetOf(generation int) soak.Fleet {
-	if generation == 1 {
+	switch {
+	case generation == 1:
 		return soak.Fleet{Gateways: 3, Endpoints: 3}
+	case generation < versionsGeneration:
+		return soak.Fleet{Gateways: 6, Endpoints: 3}
 	}
-	return soak.Fleet{Gateways: 6, Endpoints: 3}
+	return soak.Fleet{Gateways: 6, Endpoints: 6}
 }
 
 // soakCases are those that the environment asks for, or CI's.
@@ -101,10 +115,12 @@
 	for _, c := range soakCases() {
 		It(fmt.Sprintf("keeps the promises under seed %d for %s", c.seed, c.length), func() {
 			fleet := fleetOf(c.generation)
-			s := newSoakRun(c.seed, fleet)
+			s := newSoakRun(c.seed, fleet, c.generation >= versionsGeneration)
 			s.play(soak.Plan(c.generation, c.seed, fleet, c.length), c.length)
 			sent, served := s.history.Counts()
-			AddReportEntry(fmt.Sprintf("seed %d: %d sent, %d served", c.seed, sent, served))
+			r := s.history.Resumptions()
+			AddReportEntry(fmt.Sprintf("seed %d: %d sent, %d served; of %d undisturbed resumptions %d went on, of %d new streams %d",
+				c.seed, sent, served, r.Resumed, r.WentOn, r.New, r.Begun))
 			broken := s.history.Violations()
 			if len(broken) > 0 {
 				AddReportEntry("faults", s.describe())
@@ -121,6 +137,8 @@
 	*gatewayFleet
 	// relays stand before the endpoints, and links between each gateway and the platform.
 	relays, links []*relay.Relay
+	// versioned is set if endpoints have versions and callers resume streams.
+	versioned bool
 	// born tells the registrations of an endpoint apart.
 	born    atomic.Int64
 	history *soak.History
@@ -136,13 +154,16 @@
 	version int64
 	// key is the API key that the table has besides the steady one.
 	key string
-	// registrations are what the endpoints last registered.
+	// registrations are what the endpoints last registered, and replaced the names of former ones.
 	registrations []registration
-	spans         []soak.Span
-	// ctx ends the callers; the endpoints run until the spec's end.
-	ctx    context.Context
-	stop   context.CancelFunc
-	random *rand.Rand
+	replaced      []string
+	// registering is held while a fault changes the registration of an endpoint.
+	registering []*sync.Mutex
+	spans       []soak.Span
+	// ctx ends the callers, and endpoints ends the endpoints at the spec's end.
+	ctx, endpoints context.Context
+	stop           context.CancelFunc
+	random         *rand.Rand
 }
 
 // notes collects what went wrong beside the history.
@@ -163,13 +184,16 @@
 	return n.text
 }
 
-func newSoakRun(seed uint64, fleet soak.Fleet) *soakRun {
+func newSoakRun(seed uint64, fleet soak.Fleet, versioned bool) *soakRun {
 	s := &soakRun{
-		gatewayFleet: newGatewayFleet("3s"), history: &soak.History{SteadyKey: steadyKey, Workspace: "acme"},
+		versioned: versioned, gatewayFleet: newGatewayFleet("3s"), history: &soak.History{SteadyKey: steadyKey, Workspace: "acme"},
 		random: rand.New(rand.NewPCG(seed, 5)), troubles: &troubles{random: rand.New(rand.NewPCG(seed, 7))},
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	DeferCleanup(s.stop)
+	endpoints, endAll := context.WithCancel(context.Background())
+	DeferCleanup(endAll)
+	s.endpoints = endpoints
 	for i := range fleet.Endpoints {
 		s.addEndpoint(i)
 	}
@@ -186,41 +210,54 @@
 	return s
 }
 
-func endpointName(i int) string { return fmt.Sprint("e", i) }
-
+// addEndpoint starts an endpoint behind a relay and registers it.
 func (s *soakRun) addEndpoint(i int) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	registered := registration{name: fmt.Sprint("e", i)}
+	if s.versioned {
+		registered.version = endpointVersions[i%len(endpointVersions)]
+		s.history.Versions = append(s.history.Versions, registered.version)
+	}
+	address, end, err := s.serveEndpoint(i, registered)
+	Expect(err).NotTo(HaveOccurred())
+	registered.end = end
+	r, err := relay.New(context.Background(), address)
 	Expect(err).NotTo(HaveOccurred())
-	endpoint := opaque.Endpoint{ID: endpointName(i), Names: gatewayNames, OnRun: func(id, workspace string) {
+	DeferCleanup(r.Close)
+	s.relays, s.registrations, s.registering = append(s.relays, r), append(s.registrations, registered), append(s.registering, &sync.Mutex{})
+	Expect(s.writeRegistration(i)).To(Succeed())
+}
+
+// serveEndpoint starts an endpoint and returns its address and a function that ends it.
+func (s *soakRun) serveEndpoint(i int, r registration) (address string, end func(), err error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	endpoint := opaque.Endpoint{ID: r.name, Version: r.version, Names: gatewayNames, OnRun: func(id, workspace string) {
 		if strings.HasPrefix(id, probeID) {
 			return
 		}
 		s.history.RecordRun(soak.Run{ID: id, Endpoint: i, Workspace: workspace, At: time.Now()})
 	}, Disturb: func() opaque.Trouble { return s.troubles.draw(i) }}
-	ctx, end := context.WithCancel(context.Background())
-	DeferCleanup(end)
+	ctx, end := context.WithCancel(s.endpoints)
 	go func() { _ = endpoint.Serve(ctx, l) }()
-	r, err := relay.New(ctx, l.Addr().String())
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(r.Close)
-	s.relays, s.registrations = append(s.relays, r), append(s.registrations, registration{})
-	Expect(s.writeRegistration(i)).To(Succeed())
+	return l.Addr().String(), end, nil
 }
 
 // registration is the state of an endpoint's entry at the platform.
 type registration struct {
+	name, version      string
 	born               int64
 	draining, unlisted bool
+	// end ends the endpoint's process.
+	end func()
 }
 
-// register sets the state that writeRegistration writes. A zero born keeps the current one.
-func (s *soakRun) register(i int, r registration) {
+// register changes the state that writeRegistration writes.
+func (s *soakRun) register(i int, change func(*registration)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.born == 0 {
-		r.born = s.registrations[i].born
-	}
-	s.registrations[i] = r
+	change(&s.registrations[i])
 }
 
 func (s *soakRun) writeRegistration(i int) error {
@@ -228,10 +265,10 @@
 	r := s.registrations[i]
 	s.mu.Unlock()
 	if r.unlisted {
-		return s.unlist(i)
+		return s.unlist(r.name)
 	}
-	return s.tryPut("endpoints", endpointName(i), map[string]any{
-		"service": "svc", "address": s.relays[i].Address(), "data_centre": "dc-1", "slots": 8, "born": r.born, "draining": r.draining,
+	return s.tryPut("endpoints", r.name, map[string]any{
+		"service": "svc", "address": s.relays[i].Address(), "data_centre": "dc-1", "slots": 8, "born": r.born, "draining": r.draining, "version": r.version,
 	})
 }
 
@@ -263,12 +300,20 @@
 	go s.watchStalls()
 	for g := range s.gateways {
 		for _, route := range soakRoutes {
-			callers.Add(1)
-			random := rand.New(rand.NewPCG(s.random.Uint64(), uint64(g)))
-			go func() {
-				defer callers.Done()
-				s.call(g, route, random)
-			}()
+			names := []string{fmt.Sprintf("%s-%d", route.Name, g)}
+			for n := range resumingCallers {
+				if s.versioned && route.Resumable {
+					names = append(names, fmt.Sprintf("%s-%d.%d", route.Name, g, n))
+				}
+			}
+			for _, name := range names {
+				callers.Add(1)
+				random := rand.New(rand.NewPCG(s.random.Uint64(), uint64(g)))
+				go func() {
+					defer callers.Done()
+					s.call(g, name, route, random)
+				}()
+			}
 		}
 	}
 	for _, f := range plan {
@@ -316,13 +361,13 @@
 type unread struct{ io.Reader }
 
 // call sends requests on kept connections until the run ends.
-func (s *soakRun) call(g int, route routetable.Route, random *rand.Rand) {
+func (s *soakRun) call(g int, name string, route routetable.Route, random *rand.Rand) {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1}
 	defer transport.CloseIdleConnections()
 	stream := route.Kind == routetable.Streaming
 	for n := 0; s.ctx.Err() == nil; n++ {
 		a := soak.Attempt{
-			ID: fmt.Sprintf("%s-%d-%d", route.Name, g, n), Gateway: g, Kind: route.Kind, Repeatable: route.Repeatable(),
+			ID: fmt.Sprintf("%s-%d", name, n), Gateway: g, Kind: route.Kind, Repeatable: route.Repeatable(),
 			Key: s.drawKey(random), Deadline: soakDeadline,
 		}
 		path := route.PathPrefix + "1"
@@ -331,6 +376,9 @@
 		}
 		s.send(transport, &a, path, stream)
 		s.history.RecordAttempt(a)
+		if s.versioned && route.Resumable {
+			s.resume(a, path, random)
+		}
 		time.Sleep(callerPause)
 		if a.Status == 0 {
 			time.Sleep(5 * callerPause)
@@ -338,6 +386,27 @@
 	}
 }
 
+// resume resumes a stream that broke off, each time at another gateway and on a new connection.
+func (s *soakRun) resume(begun soak.Attempt, path string, random *rand.Rand) {
+	last := begun
+	for n := range maxResumptions {
+		after := last.After + last.Events
+		if after == 0 || after == opaque.EventCount || last.Status == http.StatusOK && last.Complete || s.ctx.Err() != nil {
+			return
+		}
+		next := soak.Attempt{
+			ID: fmt.Sprintf("%s+%d", begun.ID, n+1), Gateway: (last.Gateway + 1 + random.IntN(len(s.gateways)-1)) % len(s.gateways),
+			Kind: begun.Kind, Repeatable: begun.Repeatable, Key: begun.Key, Deadline: soakDeadline, Resumes: begun.ID, After: after,
+		}
+		s.send(&http.Transport{DisableKeepAlives: true}, &next, path, true)
+		s.history.RecordAttempt(next)
+		if next.Events == 0 {
+			time.Sleep(5 * callerPause)
+		}
+		last = next
+	}
+}
+
 // drawKey is mostly the steady key, else the latest one or the one before, which is revoked.
 func (s *soakRun) drawKey(random *rand.Rand) string {
 	s.mu.Lock()
@@ -371,6 +440,10 @@
 	r.Header.Set(gatewayNames.APIKey, a.Key)
 	r.Header.Set(gatewayNames.RequestID, a.ID)
 	r.Header.Set(gatewayNames.Deadline, strconv.FormatInt(a.Deadline.Milliseconds(), 10))
+	if a.Resumes != "" {
+		r.Header.Set(gatewayNames.Resumes, a.Resumes)
+		r.Header.Set(gatewayNames.LastEventID, strconv.Itoa(a.After))
+	}
 	a.Sent = time.Now()
 	defer func() { a.Ended = time.Now() }()
 	response, err := transport.RoundTrip(r)
@@ -383,16 +456,18 @@
 	if echo := response.Header.Get(gatewayNames.RequestID); echo != "" && echo != a.ID {
 		a.ContentError = "the response to request " + echo
 	} else if a.Status == http.StatusOK {
-		a.ContentError = contentError(*a, string(data), method, path, stream)
+		a.ContentError = checkContent(a, string(data), method, path, stream)
 	}
 }
 
-// contentError says which bytes of a response with status 200 don't belong to the request.
-func contentError(a soak.Attempt, body, method, path string, stream bool) string {
+// checkContent says which bytes of a response with status 200 don't belong to the request, and
+// notes the events of a stream.
+func checkContent(a *soak.Attempt, body, method, path string, stream bool) string {
 	if !stream {
 		return soak.PlainError(body, a.ID, method, path, "acme", a.Complete)
 	}
-	parsed := soak.ParseStream(body, a.ID, 0, opaque.EventCount, a.Complete)
+	parsed := soak.ParseStream(body, a.ID, a.After, opaque.EventCount, a.Complete)
+	a.Events, a.Versions = parsed.Events, parsed.Versions
 	if parsed.Error == "" && !a.Repeatable && len(parsed.Endpoints) > 1 {
 		return fmt.Sprint("events of several endpoints: ", parsed.Endpoints)
 	}
