soak: endpoints that say in their responses that they leave, and endpoints that ask for a time without requests

From generation 6 of plans an endpoint may leave: each of its responses has the leaving field, a quarter of them as failures and a quarter as refusals; every second time the platform knows. Another one with a new id takes its place at the end. Or it refuses each request with 503, the not-run field and Retry-After of 0.7 to 3 s, whole and fractional. Responses with status 421 don't have the field.

Two checks, by the time at which the endpoint sends the response; requests are ascribed to the gateway that their caller sent them to: no request that a caller sent later than 2 s after a response with the field reaches that instance through that gateway, unless the gateway was restarted or suspended in between; and no more than two reach it from 0.5 s after a response with Retry-After to the end of that time, unless the gateway was restarted, suspended or cut off. A response counts if it wasn't broken off, no fault of the links to the endpoint held it up, and the caller got an answer.

Evidence: the gateway reads neither field yet and fails both checks. Plans of earlier generations keep their draws.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -87,6 +87,8 @@
 	spans    []Span
 	changes  []Change
 	stalls   []Span
+	arrivals []Arrival
+	notices  []Notice
 }
 
 // RecordAttempt records a caller's request.
@@ -153,7 +155,7 @@
 			found = append(found, fmt.Sprintf("%s at endpoint %d, %s: %s", r.ID, r.Endpoint, r.At.Format(timeFormat), violation))
 		}
 	}
-	return append(append(found, h.mixedVersions()...), h.lostStreams()...)
+	return slices.Concat(found, h.mixedVersions(), h.lostStreams(), h.ignoredNotices(sent))
 }
 
 // timeFormat is the format of times in descriptions of violations.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,6 +45,11 @@
 	// ReplaceEndpoint ends an endpoint and starts one of another version, with another id, at its
 	// address. One of the first version takes its place when the fault ends.
 	ReplaceEndpoint Kind = "replace_endpoint"
+	// LeaveEndpoint makes an endpoint say in each response that it shuts down, whether the platform
+	// knows it or not, and replaces it by one with another id when the fault ends.
+	LeaveEndpoint Kind = "leave_endpoint"
+	// QuietEndpoint makes an endpoint refuse requests with a time until which it wants none.
+	QuietEndpoint Kind = "quiet_endpoint"
 	// RefusePlatform makes the platform respond with status 503.
 	RefusePlatform Kind = "refuse_platform"
 	// HangPlatform makes the platform leave requests without a response.
@@ -97,6 +102,8 @@
 	{RepeatResponses, Endpoint, 3, 4 * time.Second, 4},
 	{GarbleResponses, Endpoint, 3, 4 * time.Second, 4},
 	{ReplaceEndpoint, Endpoint, 3, 4 * time.Second, 5},
+	{LeaveEndpoint, Endpoint, 4, 6 * time.Second, 6},
+	{QuietEndpoint, Endpoint, 4, 4 * time.Second, 6},
 	{RefusePlatform, Platform, 2, 5 * time.Second, 1},
 	{HangPlatform, Platform, 2, 5 * time.Second, 1},
 	{StalePlatform, Platform, 1, 3 * time.Second, 1},
@@ -137,7 +144,7 @@
 // Generation is the current version of plan generation. It increases when a change would
 // alter the plans of existing seeds; passing an earlier generation to Plan reproduces the
 // plan of a run that failed with it.
-const Generation = 5
+const Generation = 6
 
 // One seed in streamPlanShare has only streamKinds from generation streamPlansSince on, so that
 // callers resume many streams at gateways that no other fault disturbs.
@@ -226,9 +233,9 @@
 		return "relay"
 	case RefusePlatform, HangPlatform, StalePlatform, RestorePlatform:
 		return "platform"
-	case DrainEndpoint, ReplaceEndpoint:
+	case DrainEndpoint, ReplaceEndpoint, LeaveEndpoint:
 		return "registration"
-	case ChangeTable, CutFromPlatform, BreakResponses, RepeatResponses, GarbleResponses:
+	case ChangeTable, CutFromPlatform, BreakResponses, RepeatResponses, GarbleResponses, QuietEndpoint:
 		return string(k)
 	}
 	return string(k)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -54,7 +54,7 @@
 				}
 			}
 		}
-		Expect(seen).To(HaveLen(19))
+		Expect(seen).To(HaveLen(21))
 		Expect(overlaps).To(BeNumerically(">", 40))
 	})
 })
@@ -169,6 +169,46 @@
 		Expect(h.Violations()).To(BeEmpty())
 	})
 
+	// notice records a response of instance e0 at 10 s and requests that reach it through the same gateway later.
+	notice := func(n soak.Notice, seconds ...float64) {
+		attempt(unchanged)
+		n.ID, n.Instance, n.At = "r", "e0", at(10)
+		h.RecordNotice(n)
+		for i, s := range seconds {
+			id := fmt.Sprint("later", i)
+			attempt(func(a *soak.Attempt) { a.ID, a.Sent, a.Ended = id, at(s), at(s+0.1) })
+			h.RecordArrival(soak.Arrival{ID: id, Instance: "e0", At: at(s)})
+		}
+	}
+	leaving, quiet := soak.Notice{Leaving: true}, soak.Notice{RetryAfter: 2 * time.Second}
+
+	It("reports requests to an endpoint that leaves, and more than two to one that asked for none", func() {
+		notice(leaving, 12.1)
+		Expect(h.Violations()).To(ConsistOf(ContainSubstring("reached e0 through gateway 0, to which it had said at 00:00:10.000 that it leaves")))
+		h = &soak.History{SteadyKey: "key", Workspace: "acme"}
+		notice(quiet, 10.6, 11, 11.9)
+		Expect(h.Violations()).To(ConsistOf(ContainSubstring("3 requests reached e0 through gateway 0")))
+	})
+
+	It("accepts such requests in time, after a fault of the gateway, to another instance and through another gateway", func() {
+		notice(leaving, 11.9)
+		Expect(h.Violations()).To(BeEmpty())
+		h = &soak.History{SteadyKey: "key", Workspace: "acme"}
+		notice(quiet, 10.4, 10.6, 11, 12.1)
+		Expect(h.Violations()).To(BeEmpty())
+		h = &soak.History{SteadyKey: "key", Workspace: "acme"}
+		span(soak.KillGateway, 13, 14)
+		notice(leaving, 15)
+		Expect(h.Violations()).To(BeEmpty())
+		h = &soak.History{SteadyKey: "key", Workspace: "acme"}
+		notice(leaving)
+		attempt(func(a *soak.Attempt) { a.ID, a.Sent, a.Gateway = "x", at(13), 1 })
+		h.RecordArrival(soak.Arrival{ID: "x", Instance: "e0", At: at(13)})
+		attempt(func(a *soak.Attempt) { a.ID, a.Sent = "y", at(13) })
+		h.RecordArrival(soak.Arrival{ID: "y", Instance: "e1", At: at(13)})
+		Expect(h.Violations()).To(BeEmpty())
+	})
+
 	DescribeTable("accepts", func(record func()) {
 		record()
 		Expect(h.Violations()).To(BeEmpty())
--- a/internal/standin/opaque/server.go
+++ b/internal/standin/opaque/server.go
@@ -40,6 +40,21 @@
 	OnRun func(id, workspace string)
 	// Disturb, if set, is called for each response and returns what goes wrong with it.
 	Disturb func() Trouble
+	// Conduct, if set, is called for each request that is addressed to the endpoint and returns how it responds.
+	Conduct func(id string) Conduct
+	// OnRespond, if set, is called before each response to such a request that isn't broken off.
+	OnRespond func(id string, c Conduct)
+}
+
+// Conduct is how an endpoint responds to a request; the zero value is an endpoint that serves.
+type Conduct struct {
+	// Leaving is set if the response says that the endpoint shuts down.
+	Leaving bool
+	// Refuse is set if the request doesn't run; the response has status 503 and RetryAfter, unless it is empty.
+	Refuse     bool
+	RetryAfter string
+	// Fail is set if the request runs and fails with status 500.
+	Fail bool
 }
 
 // Serve handles requests on listener until ctx ends, then returns nil.
@@ -67,11 +82,23 @@
 		return
 	}
 	id, workspace := r.Header.Get(e.Names.RequestID), r.Header.Get(e.Names.Workspace)
+	conduct := e.begin(w, id)
+	if conduct.Refuse {
+		e.refuse(w, id, conduct)
+		return
+	}
 	if e.OnRun != nil {
 		e.OnRun(id, workspace)
 	}
 	isStream := strings.HasSuffix(r.URL.Path, streamSuffix)
 	w = e.disturb(w, r, isStream)
+	if _, broken := w.(*troubledWriter); !broken && e.OnRespond != nil {
+		e.OnRespond(id, conduct)
+	}
+	if conduct.Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if isStream {
 		e.stream(w, r, id)
 		return
@@ -81,6 +108,29 @@
 	_, _ = io.WriteString(w, body)
 }
 
+// begin returns how the endpoint responds to the request and sets the fields that all its responses have.
+func (e Endpoint) begin(w http.ResponseWriter, id string) (c Conduct) {
+	if e.Conduct != nil {
+		c = e.Conduct(id)
+	}
+	if c.Leaving {
+		w.Header().Set(e.Names.Leaving, "1")
+	}
+	return c
+}
+
+// refuse responds that the request did not run.
+func (e Endpoint) refuse(w http.ResponseWriter, id string, c Conduct) {
+	w.Header().Set(e.Names.NotRun, "1")
+	if c.RetryAfter != "" {
+		w.Header().Set("Retry-After", c.RetryAfter)
+	}
+	if e.OnRespond != nil {
+		e.OnRespond(id, c)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // disturb applies the trouble chosen for the response.
 func (e Endpoint) disturb(w http.ResponseWriter, r *http.Request, isStream bool) http.ResponseWriter {
 	if e.Disturb == nil {
--- a/test/e2e/soak_faults_test.go
+++ b/test/e2e/soak_faults_test.go
@@ -44,6 +44,12 @@
 		s.changeTable()
 	case soak.DrainEndpoint:
 		s.drainEndpoint(f, until)
+	case soak.LeaveEndpoint:
+		s.leaveEndpoint(f, until)
+	case soak.QuietEndpoint:
+		s.conducts.setQuiet(f.Index, quietTimes[f.Variant%len(quietTimes)])
+		until()
+		s.conducts.setQuiet(f.Index, 0)
 	case soak.ReplaceEndpoint:
 		s.replaceEndpoint(f, until)
 	}
@@ -231,6 +237,20 @@
 	s.startVersion(f.Index, endpointVersions[first])
 }
 
+// leaveEndpoint has an endpoint say that it leaves, in some variants to the platform too, and
+// starts another one in its place.
+func (s *soakRun) leaveEndpoint(f soak.Fault, until func()) {
+	s.registering[f.Index].Lock()
+	defer s.registering[f.Index].Unlock()
+	s.register(f.Index, func(r *registration) { s.conducts.leave(r.name) })
+	if f.Variant%2 == 0 {
+		s.register(f.Index, func(r *registration) { r.draining = true })
+		s.untilDone(func() error { return s.writeRegistration(f.Index) })
+	}
+	until()
+	s.startVersion(f.Index, endpointVersions[f.Index%len(endpointVersions)])
+}
+
 // startVersion ends an endpoint and starts another one at its address, with a new name.
 func (s *soakRun) startVersion(i int, version string) {
 	s.mu.Lock()
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -144,6 +144,8 @@
 	history *soak.History
 	started time.Time
 	faults  notes
+	// conducts are how endpoints respond.
+	conducts conducts
 	// troubles are what endpoints do wrong with their responses.
 	troubles *troubles
 
@@ -188,6 +190,7 @@
 	s := &soakRun{
 		versioned: versioned, gatewayFleet: newGatewayFleet("3s"), history: &soak.History{SteadyKey: steadyKey, Workspace: "acme"},
 		random: rand.New(rand.NewPCG(seed, 5)), troubles: &troubles{random: rand.New(rand.NewPCG(seed, 7))},
+		conducts: conducts{leaving: map[string]bool{}, quiet: map[int]time.Duration{}},
 	}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	DeferCleanup(s.stop)
@@ -239,6 +242,7 @@
 		}
 		s.history.RecordRun(soak.Run{ID: id, Endpoint: i, Workspace: workspace, At: time.Now()})
 	}, Disturb: func() opaque.Trouble { return s.troubles.draw(i) }}
+	s.observe(&endpoint, i)
 	ctx, end := context.WithCancel(s.endpoints)
 	go func() { _ = endpoint.Serve(ctx, l) }()
 	return l.Addr().String(), end, nil
