--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -124,6 +124,7 @@
 			broken := s.history.Violations()
 			if len(broken) > 0 {
 				AddReportEntry("faults", s.describe())
+				AddReportEntry("violations", strings.Join(broken, "\n"))
 			}
 			Expect(broken).To(BeEmpty())
 			Expect(s.faults.list()).To(BeEmpty())
