--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -33,11 +33,19 @@
 	// Sent and Ended are when the request was sent and when its response ended.
 	Sent, Ended time.Time
 	Deadline    time.Duration
+	// Resumes is the ID of the attempt that brought the first event of the stream that this
+	// attempt resumes after the event numbered After; empty if it begins a stream.
+	Resumes string
+	After   int
+	// Events is the number of whole events that the response brought, and Versions are the
+	// versions of the endpoints that sent them.
+	Events   int
+	Versions []string
 	// Status is the HTTP status, 0 if there was no response.
 	Status int
 	// Complete is set if the response ended as the protocol requires.
 	Complete bool
-	// ContentError describes an error in the content of a complete response with status 200; empty if there is none.
+	// ContentError describes an error in the content of a response with status 200, complete or not; empty if there is none.
 	ContentError string
 }
 
@@ -70,6 +78,8 @@
 type History struct {
 	// SteadyKey is an API key that every configuration allows; Workspace is the name of its workspace.
 	SteadyKey, Workspace string
+	// Versions are the versions of the endpoints' software, by index.
+	Versions []string
 
 	mu       sync.Mutex
 	attempts []Attempt
@@ -77,6 +87,8 @@
 	spans    []Span
 	changes  []Change
 	stalls   []Span
+	arrivals []Arrival
+	notices  []Notice
 }
 
 // RecordAttempt records a caller's request.
@@ -143,7 +155,7 @@
 			found = append(found, fmt.Sprintf("%s at endpoint %d, %s: %s", r.ID, r.Endpoint, r.At.Format(timeFormat), violation))
 		}
 	}
-	return found
+	return slices.Concat(found, h.mixedVersions(), h.lostStreams(), h.ignoredNotices(sent))
 }
 
 // timeFormat is the format of times in descriptions of violations.
@@ -167,9 +179,9 @@
 	return ""
 }
 
-// checkContent verifies that a complete response with status 200 belongs to this request.
+// checkContent verifies that each byte of a response with status 200 belongs to this request.
 func (h *History) checkContent(a Attempt, _ []Run) string {
-	if a.Status == 200 && a.Complete {
+	if a.Status == 200 {
 		return a.ContentError
 	}
 	return ""
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,6 +35,21 @@
 	CutEndpoint Kind = "cut_endpoint"
 	// CrashEndpoint resets an endpoint's connections and refuses new ones.
 	CrashEndpoint Kind = "crash_endpoint"
+	// BreakResponses makes an endpoint, or in some variants each of them, break off responses at
+	// any byte.
+	BreakResponses Kind = "break_responses"
+	// RepeatResponses makes an endpoint send responses a second time, late, on the same connection.
+	RepeatResponses Kind = "repeat_responses"
+	// GarbleResponses makes an endpoint send bytes that are no response, within responses or after them.
+	GarbleResponses Kind = "garble_responses"
+	// ReplaceEndpoint ends an endpoint and starts one of another version, with another id, at its
+	// address. One of the first version takes its place when the fault ends.
+	ReplaceEndpoint Kind = "replace_endpoint"
+	// LeaveEndpoint makes an endpoint say in each response that it shuts down, whether the platform
+	// knows it or not, and replaces it by one with another id when the fault ends.
+	LeaveEndpoint Kind = "leave_endpoint"
+	// QuietEndpoint makes an endpoint refuse requests with a time until which it wants none.
+	QuietEndpoint Kind = "quiet_endpoint"
 	// RefusePlatform makes the platform respond with status 503.
 	RefusePlatform Kind = "refuse_platform"
 	// HangPlatform makes the platform leave requests without a response.
@@ -83,6 +98,12 @@
 	{ResetEndpoint, Endpoint, 3, 0, 1},
 	{CutEndpoint, Endpoint, 3, 3 * time.Second, 1},
 	{CrashEndpoint, Endpoint, 3, 3 * time.Second, 1},
+	{BreakResponses, Endpoint, 6, 4 * time.Second, 4},
+	{RepeatResponses, Endpoint, 3, 4 * time.Second, 4},
+	{GarbleResponses, Endpoint, 3, 4 * time.Second, 4},
+	{ReplaceEndpoint, Endpoint, 3, 4 * time.Second, 5},
+	{LeaveEndpoint, Endpoint, 4, 6 * time.Second, 6},
+	{QuietEndpoint, Endpoint, 4, 4 * time.Second, 6},
 	{RefusePlatform, Platform, 2, 5 * time.Second, 1},
 	{HangPlatform, Platform, 2, 5 * time.Second, 1},
 	{StalePlatform, Platform, 1, 3 * time.Second, 1},
@@ -123,7 +144,14 @@
 // Generation is the current version of plan generation. It increases when a change would
 // alter the plans of existing seeds; passing an earlier generation to Plan reproduces the
 // plan of a run that failed with it.
-const Generation = 3
+const Generation = 6
+
+// One seed in streamPlanShare has only streamKinds from generation streamPlansSince on, so that
+// callers resume many streams at gateways that no other fault disturbs.
+const streamPlansSince, streamPlanShare = 5, 3
+
+// streamKinds are faults that break off streams.
+var streamKinds = []Kind{KillGateway, CrashEndpoint, ResetEndpoint, BreakResponses, RepeatResponses, ReplaceEndpoint}
 
 // Plan generates the faults of a run, ordered by start. The same generation, seed, fleet
 // and length give the same plan. Faults come in series and may overlap, but faults of one
@@ -131,6 +159,9 @@
 func Plan(generation int, seed uint64, fleet Fleet, length time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 3))
 	available := lo.Filter(kindSpecs, func(t kindSpec, _ int) bool { return t.sinceGeneration <= generation })
+	if generation >= streamPlansSince && seed%streamPlanShare == 0 {
+		available = lo.Filter(available, func(t kindSpec, _ int) bool { return slices.Contains(streamKinds, t.kind) })
+	}
 	var plan []Fault
 	for at := drawDuration(random, meanGap); at < length; at += drawDuration(random, 2*meanGap) {
 		t := drawKind(random, available)
@@ -202,7 +233,9 @@
 		return "relay"
 	case RefusePlatform, HangPlatform, StalePlatform, RestorePlatform:
 		return "platform"
-	case ChangeTable, DrainEndpoint, CutFromPlatform:
+	case DrainEndpoint, ReplaceEndpoint, LeaveEndpoint:
+		return "registration"
+	case ChangeTable, CutFromPlatform, BreakResponses, RepeatResponses, GarbleResponses, QuietEndpoint:
 		return string(k)
 	}
 	return string(k)
@@ -220,3 +253,9 @@
 
 // Target returns the component that the kind affects.
 func (k Kind) Target() Target { return specOf(k).target }
+
+// widespreadShare is the share of faults of responses that affect every endpoint, as 1 in n.
+const widespreadShare = 3
+
+// Widespread reports whether a fault of responses affects every endpoint.
+func (f Fault) Widespread() bool { return f.Variant%widespreadShare == 0 }
--- a/internal/standin/opaque/server.go
+++ b/internal/standin/opaque/server.go
@@ -32,17 +32,43 @@
 type Endpoint struct {
 	// ID is the endpoint's name; requests addressed to another one get status 421.
 	ID string
+	// Version is the version of the endpoint's software; each event of a stream names it, unless it is empty.
+	Version string
 	// Names are the names of the HTTP header fields.
 	Names headers.Names
 	// OnRun, if set, is called with the request's id and workspace before a request runs.
 	OnRun func(id, workspace string)
+	// Disturb, if set, is called for each response and returns what goes wrong with it.
+	Disturb func() Trouble
+	// Conduct, if set, is called for each request that is addressed to the endpoint and returns how it responds.
+	Conduct func(id string) Conduct
+	// OnRespond, if set, is called before each response to such a request that isn't broken off.
+	OnRespond func(id string, c Conduct)
+}
+
+// Conduct is how an endpoint responds to a request; the zero value is an endpoint that serves.
+type Conduct struct {
+	// Leaving is set if the response says that the endpoint shuts down.
+	Leaving bool
+	// Refuse is set if the request doesn't run; the response has status 503 and RetryAfter, unless it is empty.
+	Refuse     bool
+	RetryAfter string
+	// Fail is set if the request runs and fails with status 500.
+	Fail bool
 }
 
 // Serve handles requests on listener until ctx ends, then returns nil.
 func (e Endpoint) Serve(ctx context.Context, listener net.Listener) error {
-	server := &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler: e, ReadHeaderTimeout: headerTimeout, ConnContext: withConn,
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if late, ok := c.(*lateConn); ok && state == http.StateIdle {
+				late.responseEnded()
+			}
+		},
+	}
 	defer context.AfterFunc(ctx, func() { _ = server.Close() })()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(lateListener{listener}); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
@@ -56,14 +82,73 @@
 		return
 	}
 	id, workspace := r.Header.Get(e.Names.RequestID), r.Header.Get(e.Names.Workspace)
+	conduct := e.begin(w, id)
+	if conduct.Refuse {
+		e.refuse(w, id, conduct)
+		return
+	}
 	if e.OnRun != nil {
 		e.OnRun(id, workspace)
 	}
-	if strings.HasSuffix(r.URL.Path, streamSuffix) {
+	isStream := strings.HasSuffix(r.URL.Path, streamSuffix)
+	w = e.disturb(w, r, isStream)
+	if _, broken := w.(*troubledWriter); !broken && e.OnRespond != nil {
+		e.OnRespond(id, conduct)
+	}
+	if conduct.Fail {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if isStream {
 		e.stream(w, r, id)
 		return
 	}
-	fmt.Fprintf(w, "%s ran %s %s for %s as %s\n", e.ID, r.Method, r.URL.Path, workspace, id)
+	body := fmt.Sprintf("%s ran %s %s for %s as %s\n", e.ID, r.Method, r.URL.Path, workspace, id)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body)
+}
+
+// begin returns how the endpoint responds to the request and sets the fields that all its responses have.
+func (e Endpoint) begin(w http.ResponseWriter, id string) (c Conduct) {
+	if e.Conduct != nil {
+		c = e.Conduct(id)
+	}
+	if c.Leaving {
+		w.Header().Set(e.Names.Leaving, "1")
+	}
+	return c
+}
+
+// refuse responds that the request did not run.
+func (e Endpoint) refuse(w http.ResponseWriter, id string, c Conduct) {
+	w.Header().Set(e.Names.NotRun, "1")
+	if c.RetryAfter != "" {
+		w.Header().Set("Retry-After", c.RetryAfter)
+	}
+	if e.OnRespond != nil {
+		e.OnRespond(id, c)
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// disturb applies the trouble chosen for the response.
+func (e Endpoint) disturb(w http.ResponseWriter, r *http.Request, isStream bool) http.ResponseWriter {
+	if e.Disturb == nil {
+		return w
+	}
+	t := e.Disturb()
+	if t.Disturbance == Garble && !isStream {
+		// Within a body of a declared length, no gateway can tell the bytes from those of the body.
+		t.After = -1
+	}
+	switch t.Disturbance {
+	case BreakOff, Garble:
+		return &troubledWriter{ResponseWriter: w, trouble: t}
+	case Repeat, TrailGarbage:
+		disturbAfter(r.Context(), t)
+	case Undisturbed:
+	}
+	return w
 }
 
 // stream sends the events that follow the last event id in the request.
@@ -73,8 +158,9 @@
 		lastEventID = 0 // Without a valid id, the stream starts at its beginning.
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
+	name := strings.TrimSpace(e.ID + " " + e.Version)
 	for id := lastEventID + 1; id <= EventCount; id++ {
-		if _, err := io.WriteString(w, fmt.Sprintf("id: %d\ndata: event %d of %s as %s\n\n", id, id, e.ID, request)); err != nil {
+		if _, err := io.WriteString(w, fmt.Sprintf("id: %d\ndata: event %d of %s as %s\n\n", id, id, name, request)); err != nil {
 			return // The caller disconnected.
 		}
 		_ = http.NewResponseController(w).Flush()
--- a/test/e2e/soak_faults_test.go
+++ b/test/e2e/soak_faults_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"syscall"
 	"time"
@@ -31,6 +32,10 @@
 		s.links[f.Index].Restore()
 	case soak.DelayEndpoint, soak.ResetEndpoint, soak.CutEndpoint, soak.CrashEndpoint:
 		s.strikeEndpoint(f, until)
+	case soak.BreakResponses, soak.RepeatResponses, soak.GarbleResponses:
+		s.troubles.begin(f)
+		until()
+		s.troubles.end(f)
 	case soak.RestorePlatform:
 		s.restorePlatform(f, until)
 	case soak.RefusePlatform, soak.HangPlatform, soak.StalePlatform:
@@ -39,6 +44,14 @@
 		s.changeTable()
 	case soak.DrainEndpoint:
 		s.drainEndpoint(f, until)
+	case soak.LeaveEndpoint:
+		s.leaveEndpoint(f, until)
+	case soak.QuietEndpoint:
+		s.conducts.setQuiet(f.Index, quietTimes[f.Variant%len(quietTimes)])
+		until()
+		s.conducts.setQuiet(f.Index, 0)
+	case soak.ReplaceEndpoint:
+		s.replaceEndpoint(f, until)
 	}
 	span.Ended = time.Now()
 	s.history.RecordSpan(span)
@@ -153,6 +166,12 @@
 	for i := range s.relays {
 		s.untilDone(func() error { return s.writeRegistration(i) })
 	}
+	s.mu.Lock()
+	replaced := slices.Clone(s.replaced)
+	s.mu.Unlock()
+	for _, name := range replaced {
+		s.untilDone(func() error { return s.unlist(name) })
+	}
 }
 
 func (s *soakRun) setFaults(faults platformstandin.Faults) {
@@ -190,34 +209,81 @@
 }
 
 func (s *soakRun) drainEndpoint(f soak.Fault, until func()) {
-	s.register(f.Index, registration{draining: true})
+	s.registering[f.Index].Lock() // A write may take longer than its plan.
+	defer s.registering[f.Index].Unlock()
+	s.register(f.Index, func(r *registration) { r.draining = true })
 	if !s.untilDone(func() error { return s.writeRegistration(f.Index) }) {
 		return
 	}
 	change := soak.Change{At: time.Now(), Endpoint: f.Index}
 	if f.Variant%2 == 0 {
-		s.register(f.Index, registration{unlisted: true})
+		s.register(f.Index, func(r *registration) { r.unlisted = true })
 		s.untilDone(func() error { return s.writeRegistration(f.Index) })
 	}
 	until()
 	change.RestoredAt = time.Now()
-	s.register(f.Index, registration{born: s.born.Add(1)})
+	s.register(f.Index, func(r *registration) { r.draining, r.unlisted, r.born = false, false, s.born.Add(1) })
 	s.untilDone(func() error { return s.writeRegistration(f.Index) })
 	s.history.RecordChange(change)
 }
 
+// replaceEndpoint has an endpoint of another version in the place of one for a while.
+func (s *soakRun) replaceEndpoint(f soak.Fault, until func()) {
+	s.registering[f.Index].Lock()
+	defer s.registering[f.Index].Unlock()
+	first := f.Index % len(endpointVersions)
+	s.startVersion(f.Index, endpointVersions[(first+1)%len(endpointVersions)])
+	until()
+	s.startVersion(f.Index, endpointVersions[first])
+}
+
+// leaveEndpoint has an endpoint say that it leaves, in some variants to the platform too, and
+// starts another one in its place.
+func (s *soakRun) leaveEndpoint(f soak.Fault, until func()) {
+	s.registering[f.Index].Lock()
+	defer s.registering[f.Index].Unlock()
+	s.register(f.Index, func(r *registration) { s.conducts.leave(r.name) })
+	if f.Variant%2 == 0 {
+		s.register(f.Index, func(r *registration) { r.draining = true })
+		s.untilDone(func() error { return s.writeRegistration(f.Index) })
+	}
+	until()
+	s.startVersion(f.Index, endpointVersions[f.Index%len(endpointVersions)])
+}
+
+// startVersion ends an endpoint and starts another one at its address, with a new name.
+func (s *soakRun) startVersion(i int, version string) {
+	s.mu.Lock()
+	former := s.registrations[i]
+	next := registration{name: fmt.Sprintf("e%d.%d", i, len(s.replaced)+1), version: version, born: s.born.Add(1)}
+	s.replaced = append(s.replaced, former.name)
+	s.mu.Unlock()
+	address, end, err := s.serveEndpoint(i, next)
+	if err != nil {
+		s.faults.add("endpoint: %s", err)
+		return
+	}
+	next.end = end
+	s.relays[i].SetTarget(address)
+	former.end()
+	s.relays[i].ResetConnections()
+	s.register(i, func(r *registration) { *r = next })
+	s.untilDone(func() error { return s.unlist(former.name) })
+	s.untilDone(func() error { return s.writeRegistration(i) })
+}
+
 // unlist takes an endpoint off the platform's list.
-func (s *soakRun) unlist(i int) error {
+func (s *soakRun) unlist(name string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), soakDeadline)
 	defer cancel()
-	o, err := s.store.Get(ctx, "endpoints", endpointName(i))
+	o, err := s.store.Get(ctx, "endpoints", name)
 	if platform.ReasonOf(err) == platform.NotFound {
 		return nil
 	}
 	if err != nil {
 		return err
 	}
-	return s.store.Delete(ctx, "endpoints", endpointName(i), o.Version)
+	return s.store.Delete(ctx, "endpoints", name, o.Version)
 }
 
 // untilDone tries a write until the platform takes it.
