httpio: a connection is reused although its caller disconnected right after the complete response

Since a caller that closes its connection right after its response often cost a connection to the endpoint: Release closed it if the cancellation had begun.

Cause: the right condition to wait for was that the cancellation has ended, not that it hasn't begun.

--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -57,9 +57,8 @@
 	Skipped int
 
 	conn *Conn
-	// stopCancel detaches the connection from the exchange's context, and returns false if
-	// that has been cancelled.
-	stopCancel func() bool
+	// detach ends the effect of the exchange's context on the connection.
+	detach func()
 	// headRequest is set for responses to HEAD, which state a length but have no body.
 	headRequest bool
 	writeResult chan error
@@ -74,15 +73,30 @@
 // an error the endpoint may have run the request, and the connection is closed.
 func (c *Conn) Exchange(ctx context.Context, head, body []byte, idField, id string) (*Response, error) {
 	response := &Response{conn: c, headRequest: bytes.HasPrefix(head, []byte("HEAD "))}
-	response.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	response.detach = c.cancelWith(ctx)
 	if err := response.exchange(head, body, idField, id); err != nil {
-		response.stopCancel()
+		response.detach()
 		_ = c.Close()
 		return nil, err
 	}
 	return response, nil
 }
 
+// cancelWith makes reads and writes fail once ctx is cancelled, until detach is called. After
+// detach the deadline is no longer changed: a late change would hit the next request.
+func (c *Conn) cancelWith(ctx context.Context) (detach func()) {
+	cancelled := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = c.SetDeadline(time.Unix(1, 0))
+		close(cancelled)
+	})
+	return func() {
+		if !stop() {
+			<-cancelled
+		}
+	}
+}
+
 // exchange sends the request and reads the header of its response.
 func (response *Response) exchange(head, body []byte, idField, id string) error {
 	c := response.conn
@@ -207,8 +221,8 @@
 // Release returns the connection to the dialer if the exchange ended cleanly, and closes
 // it otherwise.
 func (response *Response) Release(d *Dialer, address string) {
-	cancelled := !response.stopCancel() // The cancellation may set the deadline at any later time.
-	if cancelled || !response.connReusable() {
+	response.detach()
+	if !response.connReusable() {
 		_ = response.conn.Close()
 		return
 	}
--- a/internal/httpio/exchange_test.go
+++ b/internal/httpio/exchange_test.go
@@ -18,6 +18,7 @@
 
 var _ = Describe("Exchange", func() {
 	const id = "Id"
+	var sent atomic.Int32
 	// endpoint starts a listener that counts its connections and passes each to serve.
 	endpoint := func(serve func(conn net.Conn, reader *bufio.Reader)) (address string, accepted *atomic.Int32) {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -52,7 +53,6 @@
 		response.Release(d, address)
 		return response
 	}
-	var sent atomic.Int32
 	exchange := func(d *httpio.Dialer, address string, body []byte) *httpio.Response {
 		return exchangeWithID(d, address, fmt.Sprint(sent.Add(1)), body)
 	}
@@ -128,18 +128,19 @@
 		Expect(accepted.Load()).To(Equal(int32(2)), "the rest of a body must not be read as another request")
 	})
 
-	It("does not reuse a connection of a cancelled exchange, whose deadline may still be changed", func() {
+	It("is not disturbed by the cancellation of the exchange before it on the connection", func() {
 		address, accepted := endpoint(serveAll(""))
 		d := httpio.NewDialer()
-		ctx, cancel := context.WithCancel(context.Background())
-		response, err := start(ctx, d, address, "POST", "a", nil)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = io.Copy(io.Discard, response.Body)
-		Expect(err).NotTo(HaveOccurred())
-		cancel()
-		response.Release(d, address)
-		exchangeWithID(d, address, "b", nil)
-		Expect(accepted.Load()).To(Equal(int32(2)))
+		for range 1000 {
+			ctx, cancel := context.WithCancel(context.Background())
+			response, err := start(ctx, d, address, "POST", fmt.Sprint(sent.Add(1)), nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			cancel()
+			response.Release(d, address)
+		}
+		Expect(accepted.Load()).To(Equal(int32(1)), "the response was complete, so the connection is reused")
 	})
 
 	DescribeTable("observes the Connection and Keep-Alive fields of the response",
