httpio: a long request body is not read after the end of its exchange

An endpoint that answers before it has read a long body left a goroutine that could still copy the body after the handler had returned it to fasthttp's pool, where the next request of another caller is read into it. What it copied by then was not sent, since the connection had been closed; it was a data race, and each long body was held in memory twice.

Cause: nobody waited for the goroutine. The connection is closed and the writer's end awaited, so that head and body are written without a copy.

--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http/httputil"
 	"strconv"
 	"strings"
@@ -61,22 +62,26 @@
 	detach func()
 	// headRequest is set for responses to HEAD, which state a length but have no body.
 	headRequest bool
-	writeResult chan error
-	written     bool
-	complete    bool
-	reusable    bool
+	// writeDone is closed when the goroutine that writes a long body has ended; it is nil for a
+	// short body, which has been written when the response is read.
+	writeDone chan struct{}
+	writeErr  error
+	complete  bool
+	reusable  bool
 }
 
 // Exchange sends a request, given as its header block and body, and reads the header of
 // the response whose field idField echoes id. A response without that field is accepted only
-// if the connection carried no request before, and the connection is not reused. Reads and writes fail once ctx is cancelled, until the response is released. After
-// an error the endpoint may have run the request, and the connection is closed.
+// if the connection carried no request before, and the connection is not reused. Reads and
+// writes fail once ctx is cancelled, until the response is released. After an error the
+// endpoint may have run the request, and the connection is closed. The body must not change
+// until Exchange has failed or the response is released.
 func (c *Conn) Exchange(ctx context.Context, head, body []byte, idField, id string) (*Response, error) {
 	response := &Response{conn: c, headRequest: bytes.HasPrefix(head, []byte("HEAD "))}
 	response.detach = c.cancelWith(ctx)
 	if err := response.exchange(head, body, idField, id); err != nil {
 		response.detach()
-		_ = c.Close()
+		response.abort()
 		return nil, err
 	}
 	return response, nil
@@ -105,12 +110,12 @@
 		if _, err := c.Write(append(head, body...)); err != nil {
 			return err
 		}
-		response.written = true
 	} else {
-		response.writeResult = make(chan error, 1)
+		response.writeDone = make(chan struct{})
 		go func() {
-			_, err := c.Write(append(head, body...))
-			response.writeResult <- err
+			defer close(response.writeDone)
+			request := net.Buffers{head, body}
+			_, response.writeErr = request.WriteTo(c.Conn)
 		}()
 	}
 	return response.readMatchingHeader(idField, id)
@@ -223,7 +228,7 @@
 func (response *Response) Release(d *Dialer, address string) {
 	response.detach()
 	if !response.connReusable() {
-		_ = response.conn.Close()
+		response.abort()
 		return
 	}
 	if keepAlive := response.KeepAliveTimeout(); keepAlive > 0 {
@@ -239,17 +244,25 @@
 		response.conn.reader.Buffered() == 0 && response.conn.Uses() < maxRequestsPerConn
 }
 
+// abort closes the connection and waits until the request body is no longer read.
+func (response *Response) abort() {
+	_ = response.conn.Close()
+	if response.writeDone != nil {
+		<-response.writeDone
+	}
+}
+
 // requestWritten reports whether the complete request has been written.
 func (response *Response) requestWritten() bool {
-	if response.written {
+	if response.writeDone == nil {
 		return true
 	}
 	select {
-	case err := <-response.writeResult:
-		response.written = err == nil
+	case <-response.writeDone:
+		return response.writeErr == nil
 	default: // The endpoint responded early; it must not read the rest of the body as a new request.
+		return false
 	}
-	return response.written
 }
 
 // eofTracker marks its response as complete when r returns io.EOF.
