httpio: a stream to an HTTP/1.0 caller has no chunk framing, and a broken one ends with a reset

A caller that uses HTTP/1.0 got chunk sizes within the body of a stream, and with an orderly end a broken stream looked whole.

Cause: every stream was sent in chunks, which HTTP/1.0 does not have. Evidence: both specs failed before. Such a stream is now sent as it is and ends with its connection; if it is not finished, the connection is reset.

--- a/internal/httpio/server.go
+++ b/internal/httpio/server.go
@@ -170,7 +170,10 @@
 	_ = c.conn.SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	w := &Writer{conn: c.conn, bodyless: request.Header.IsHead(), close: request.Header.ConnectionClose(), draining: &c.server.draining}
+	w := &Writer{
+		conn: c.conn, bodyless: request.Header.IsHead(), unchunked: !request.Header.IsHTTP11(),
+		close: request.Header.ConnectionClose(), draining: &c.server.draining,
+	}
 	done := make(chan struct{})
 	c.server.active.Add(1)
 	go func() {
--- a/internal/httpio/writer.go
+++ b/internal/httpio/writer.go
@@ -36,7 +36,9 @@
 	draining *atomic.Bool
 	// bodyless is set for responses to HEAD, and from the header on for a status without a body.
 	bodyless bool
-	started  bool
+	// unchunked is set for callers that use HTTP/1.0, whose streams end with the connection.
+	unchunked bool
+	started   bool
 	// streaming is set while chunks may follow.
 	streaming bool
 	finished  bool
@@ -70,8 +72,9 @@
 		return ErrResponseStarted
 	}
 	w.streaming = true
+	w.close = w.close || w.unchunked
 	w.appendHeader(status, fields)
-	if !w.bodyless {
+	if !w.bodyless && !w.unchunked {
 		w.buffer = append(w.buffer, "Transfer-Encoding: chunked\r\n"...)
 	}
 	w.buffer = append(w.buffer, "\r\n"...)
@@ -94,7 +97,7 @@
 		return ErrNoStream
 	}
 	w.streaming = false
-	if !w.bodyless {
+	if !w.bodyless && !w.unchunked {
 		w.buffer = append(w.buffer, "0\r\n\r\n"...)
 	}
 	w.finished = true
@@ -105,6 +108,10 @@
 	if len(data) == 0 || w.bodyless {
 		return
 	}
+	if w.unchunked {
+		w.buffer = append(w.buffer, data...)
+		return
+	}
 	w.buffer = strconv.AppendInt(w.buffer, int64(len(data)), 16)
 	w.buffer = append(w.buffer, "\r\n"...)
 	w.buffer = append(w.buffer, data...)
@@ -153,6 +160,9 @@
 func (w *Writer) closeUnfinished() {
 	if !w.finished {
 		w.close = true
+		if conn, ok := w.conn.(interface{ SetLinger(sec int) error }); ok && w.unchunked {
+			_ = conn.SetLinger(0) // Resets the connection: an orderly end would complete the response.
+		}
 		_ = w.conn.Close()
 	}
 }
--- a/internal/httpio/writer_test.go
+++ b/internal/httpio/writer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,6 +19,11 @@
 // received returns all bytes that a caller receives for a request line until its connection
 // is closed.
 func received(requestLine string, handler httpio.Handler) string {
+	data, _ := receive(requestLine, handler) // An unfinished response may end with a reset.
+	return data
+}
+
+func receive(requestLine string, handler httpio.Handler) (string, error) {
 	server := httpio.NewServer(httpio.Options{
 		Handler: handler,
 		Limits: func() httpio.Limits {
@@ -35,8 +41,8 @@
 	Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 	_, err = io.WriteString(conn, requestLine+"\r\nHost: h\r\nConnection: close\r\n\r\n")
 	Expect(err).NotTo(HaveOccurred())
-	data, _ := io.ReadAll(conn) // An unfinished response may end with a reset.
-	return string(data)
+	data, err := io.ReadAll(conn)
+	return string(data), err
 }
 
 func respond(w *httpio.Writer, status int) error { return w.WriteResponse(status, nil, []byte("body")) }
@@ -106,3 +112,24 @@
 		Entry("a response with status 304", "GET", 304, respond),
 	)
 })
+
+var _ = Describe("A stream to an HTTP/1.0 caller", func() {
+	It("has no chunks, which that version does not know, and ends with the connection", func() {
+		data := received("GET / HTTP/1.0", func(_ context.Context, _ *httpio.Request, w *httpio.Writer) {
+			defer GinkgoRecover()
+			Expect(streamAll(w, 200)).To(Succeed())
+		})
+		header, body, _ := strings.Cut(data, "\r\n\r\n")
+		Expect(header).To(ContainSubstring("Connection: close"))
+		Expect(header).NotTo(ContainSubstring("chunked"))
+		Expect(body).To(Equal("firstsecond"))
+	})
+
+	It("ends with a reset if it is not finished", func() {
+		_, err := receive("GET / HTTP/1.0", func(_ context.Context, _ *httpio.Request, w *httpio.Writer) {
+			defer GinkgoRecover()
+			Expect(w.StartStream(200, nil, []byte("first"))).To(Succeed())
+		})
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+	})
+})
