--- a/internal/httpio/writer_test.go
+++ b/internal/httpio/writer_test.go
@@ -68,19 +68,19 @@
 
 	DescribeTable("sends nothing that does not belong to the response at this point",
 		func(first, second func(*httpio.Writer) error, want error) {
-			var secondErr error
+			secondErr := make(chan error, 1)
 			run := func(withSecond bool) string {
 				return received("GET / HTTP/1.1", func(_ context.Context, _ *httpio.Request, w *httpio.Writer) {
 					defer GinkgoRecover()
 					Expect(first(w)).To(Succeed())
 					if withSecond {
-						secondErr = second(w)
+						secondErr <- second(w)
 					}
 				})
 			}
 			alone := run(false)
 			Expect(run(true)).To(Equal(alone))
-			Expect(secondErr).To(MatchError(want))
+			Expect(<-secondErr).To(MatchError(want))
 		},
 		Entry("a response after a response", whole, writeResponse, httpio.ErrResponseStarted),
 		Entry("a stream after a response", whole, startStream, httpio.ErrResponseStarted),
