ingress: a request is not subject to the write deadline of the stream before it on its connection

What callers could see: a caller that kept its connection after a stream and sent another request lost the whole response of that one, if it was ready later than callers.write_stall (30 s by default) after the last chunk of the stream. The daemon had run it and logged it as completed.

Cause: streamedResponse sets a write deadline on the connection with each chunk. fasthttp clears write deadlines between requests only if it has set one itself, so the deadline of the last chunk stayed on the connection and every later write failed.

Evidence: the spec failed before with "unexpected EOF" in place of the second response, and passes now.

Fix: each request starts without a write deadline.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -54,11 +54,17 @@
 
 // start starts a server with this dispatcher on loopback and returns its base URL.
 func start(run fakeRunner) (base string, server *ingress.Server) {
+	return startWith(func(*settings.Callers) {}, run)
+}
+
+// startWith starts a server with changed settings.
+func startWith(change func(*settings.Callers), run fakeRunner) (base string, server *ingress.Server) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	s := settings.Defaults().Callers
 	s.MaxBodyBytes = 4096
 	s.ReadTimeout = 500 * time.Millisecond
+	change(&s)
 	server = ingress.New(ingress.Options{
 		Settings: s,
 		Catalog:  snapshot,
@@ -307,3 +313,31 @@
 		Entry("mid-answer", true),
 	)
 })
+
+var _ = Describe("A connection that is used again", func() {
+	It("is not subject to the write deadline of the stream before", func() {
+		stall := 50 * time.Millisecond
+		base, _ := startWith(func(s *settings.Callers) { s.WriteStallTimeout = stall }, func(ctx context.Context, r dispatch.Request, sink dispatch.Sink) dispatch.Result {
+			if r.IdempotencyKey == "later" {
+				time.Sleep(4 * stall)
+			}
+			return completed(ctx, r, sink)
+		})
+		conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		reader := bufio.NewReader(conn)
+		stream := strings.Replace(chat, "{", `{"stream":true,`, 1)
+		for _, body := range []string{stream, chat, stream, stream} {
+			request, err := http.NewRequest(http.MethodPost, base+"/v1/chat/completions", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			request.Header.Set("Authorization", "Bearer "+apiKey)
+			request.Header.Set(ingress.IdempotencyKeyHeader, "later")
+			Expect(request.Write(conn)).To(Succeed())
+			response, err := http.ReadResponse(reader, request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(io.ReadAll(response.Body)).To(ContainSubstring("bulletin"))
+		}
+	})
+})
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -52,6 +52,7 @@
 		DisableDefaultContentType: true,
 		DisableHeaderNormalizing:  false,
 	})
+	s.app.Use(clearWriteDeadline)
 	s.app.Use(s.closeWhileDraining)
 	s.app.Use(refuseAmbiguousLength)
 	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
@@ -113,6 +114,12 @@
 	return c.Next()
 }
 
+// clearWriteDeadline removes the write deadline that an earlier stream left on the connection.
+func clearWriteDeadline(c fiber.Ctx) error {
+	_ = c.RequestCtx().Conn().SetWriteDeadline(time.Time{}) // An error means that the connection is closed; the write reports it.
+	return c.Next()
+}
+
 func (s *Server) handleReady(c fiber.Ctx) error {
 	if err := s.options.Ready(); err != nil {
 		return err
