ingress: the end of a stream has a write deadline of its own

What callers could see: a whole response without its end ("unexpected EOF"), if the end came later than callers.write_stall after the last chunk, as from a plain service that sends its body and takes its time to end it.

Cause: the write deadline was set with each chunk but not with the end, whose write then fell under the deadline of the chunk before.

Evidence: the spec failed before with "unexpected EOF" and passes now.

Fix: each read of the server sets the deadline for the write that follows it, also the one that returns the end.

--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -341,3 +341,17 @@
 		}
 	})
 })
+
+var _ = Describe("A stream whose end comes late", func() {
+	It("is not subject to the write deadline of its last chunk", func() {
+		stall := 50 * time.Millisecond
+		base, _ := startWith(func(s *settings.Callers) { s.WriteStallTimeout = stall }, func(ctx context.Context, r dispatch.Request, sink dispatch.Sink) dispatch.Result {
+			result := completed(ctx, r, sink)
+			time.Sleep(4 * stall)
+			return result
+		})
+		response := send(base, "/services/receiver-api/push", "x")
+		_, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+	})
+})
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -95,6 +95,9 @@
 // completed or ended with an error event. Any other end closes the connection, so that
 // a truncated response never looks complete.
 func (r *streamedResponse) Read(p []byte) (int, error) {
+	// The deadline applies to the write that follows, which may be that of the end; the
+	// complete response has none.
+	defer func() { _ = r.conn.SetWriteDeadline(time.Now().Add(r.writeTimeout)) }()
 	for len(r.remaining) == 0 {
 		chunk, err := r.next()
 		if err != nil {
@@ -104,8 +107,6 @@
 	}
 	n := copy(p, r.remaining)
 	r.remaining = r.remaining[n:]
-	// The deadline applies to the write that follows; the complete response has none.
-	_ = r.conn.SetWriteDeadline(time.Now().Add(r.writeTimeout))
 	return n, nil
 }
 
