ingress: a response whose chunks were lost never ends as if it were whole

What callers could see: the response of a request with an idempotency key, cut, but ended like a whole one. It needs a caller that half-closes its connection (taken for a disconnected one) and reads slowly, so that the queue of chunks is full.

Cause: such a request goes on without its caller and ends as completed. The reader of the response knew only that result, and not that a chunk had found no place in the queue; with the caller's context and the result both ready, it picked either at random.

Evidence: TestResponseWithLostChunksNeverLooksComplete failed before with "a truncated response ended with <nil>".

Fix: the response records a lost chunk, and then ends with an error, which closes the connection.

--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -50,6 +50,8 @@
 	started   chan responseHead
 	chunks    chan []byte
 	remaining []byte
+	// lost is true if a chunk was not queued; the dispatcher sets it before it finishes.
+	lost bool
 
 	finishOnce sync.Once
 	finished   chan struct{}
@@ -79,6 +81,7 @@
 	case r.chunks <- bytes.Clone(p):
 		return nil
 	case <-r.ctx.Done():
+		r.lost = true
 		return failure.New(failure.ClientGone, "the caller left")
 	}
 }
@@ -133,6 +136,9 @@
 		return chunk, nil
 	default:
 	}
+	if r.lost {
+		return nil, failure.New(failure.ClientGone, "the caller left")
+	}
 	if r.result.Failure != nil && !r.result.ErrorEventSent {
 		return nil, r.result.Failure
 	}
