dispatch: a response that is completed at its token limit has one end

What callers could see: a stream with two chunks that have a finish reason, the second one of an attempt that had failed, if its endpoint broke off after the finish reason and before [DONE] and the response had reached its token limit.

Cause: the final chunk of an attempt is held back until its stream is confirmed, in the state of the request. The next attempt drops it, but a response at its limit is completed without another attempt and found it.

Fix: completing at the limit drops the held chunk, as a new attempt does.

--- a/internal/dispatch/dispatch_suite_test.go
+++ b/internal/dispatch/dispatch_suite_test.go
@@ -218,6 +218,7 @@
 // parsedStream is a streamed response as parsed by its caller.
 type parsedStream struct {
 	text   string
+	roles  []string
 	ids    []string
 	done   bool
 	finish string
@@ -243,7 +244,7 @@
 			ID      string
 			Usage   *endpoint.Usage
 			Choices []struct {
-				Delta        struct{ Content string }
+				Delta        struct{ Role, Content string }
 				Text         string
 				FinishReason string `json:"finish_reason"`
 			}
@@ -256,6 +257,9 @@
 		for _, one := range c.Choices {
 			s.text += one.Delta.Content + one.Text
 			s.finish += one.FinishReason
+			if one.Delta.Role != "" {
+				s.roles = append(s.roles, one.Delta.Role)
+			}
 		}
 	}
 	return s
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -165,7 +165,7 @@
 // completeAtTokenLimit completes a response that had reached its token limit when its
 // endpoint failed.
 func (r *response) completeAtTokenLimit() error {
-	r.finishReason = finishLength
+	r.finishReason, r.pendingFinish = finishLength, nil
 	if r.request.Stream {
 		if err := r.writeEvent(mustJSON(r.finishChunk())); err != nil {
 			return err
