dispatch: a resumed stream has one chunk with the role

What callers could see: a stream that begins with the chunk with the role twice, of two endpoints; client libraries that concatenate strings read the role as "assistantassistant". It needs a response whose first token comes with the finish reason, as with a limit of one token, and an endpoint that breaks off between that and [DONE].

Cause: whether the role had been sent was derived from the tokens of earlier attempts. The held token counts only once its stream is confirmed, so the second attempt found a started response without tokens.

Evidence: the specs "with the only token in the final chunk" failed before with "cut after 324 bytes: expected ["assistant", "assistant"] to equal ["assistant"]".

Fix: the response records that it has sent a role. A chunk with nothing but a role is dropped after that.

--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -159,6 +159,8 @@
 		Entry("without a token limit", 3, false, 0),
 		Entry("at the token limit", 3, false, 3),
 		Entry("with the last token in the final chunk", 3, true, 0),
+		Entry("with the only token in the final chunk", 1, true, 0),
+		Entry("with the only token in the final chunk, at the token limit", 1, true, 1),
 	)
 
 	DescribeTable("starts a non-streamed response that can not be resumed from the beginning",
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -32,6 +32,8 @@
 	extra    extraContent
 	textOnly bool
 	started  bool
+	// roleSent is true once the caller has received a chunk with the role.
+	roleSent bool
 	// tokens counts the tokens of all attempts whose text is part of the response;
 	// priorTokens counts those of attempts before the current one.
 	tokens      int
@@ -81,7 +83,7 @@
 
 // appendChunk appends a chunk to the response and sends it if the response is streamed.
 func (r *response) appendChunk(c endpoint.Chunk) error {
-	resumedRole := r.priorTokens > 0 && c.Text == "" && c.Role != "" && c.FinishReason == ""
+	repeatedRole := r.roleSent && c.TextOnly && c.Text == "" && c.Role != "" && c.FinishReason == ""
 	r.text.WriteString(c.Text)
 	if c.Text != "" || !c.TextOnly {
 		r.tokens++
@@ -97,9 +99,10 @@
 		}
 		return nil
 	}
-	if resumedRole {
+	if repeatedRole {
 		return nil
 	}
+	r.roleSent = r.roleSent || c.Role != ""
 	return r.sendChunk(c)
 }
 
