endpoint: each call has a connection of its own, so that none finds the late response of another

What callers could see: a whole 200 with the text of another request (MIXED), of any workspace, if an endpoint answers twice, the second time late, after the next call has been sent on its connection. Engine calls without a key and GETs of plain services used pooled connections; net/http matches responses by order alone, and published engines echo no request id.

Evidence: the two specs failed before ('expected "for r0" to equal "for r1"', for engine and plain calls) and pass now.

Fix: calls open a connection each, as those with a key and those of suspects did already; the choice and its field go. Reports of load and cache events stay on pooled connections: a late one is an older report, and sequence numbers show the gap. The spec that spoke of a pooled connection keeps its steps and assertions; only its title changes.

--- a/internal/dispatch/enginecall.go
+++ b/internal/dispatch/enginecall.go
@@ -49,7 +49,7 @@
 	c.sentAt = c.run.now()
 	stream, err := d.options.EndpointClient.Open(c.ctx, endpoint.Call{
 		Endpoint: c.grant.Endpoint, Path: path, RequestID: request.ID, IdempotencyKey: request.IdempotencyKey,
-		Body: body, NewConnection: c.permitRequest.Suspect, SilenceTimeout: d.options.SilenceTimeout,
+		Body: body, SilenceTimeout: d.options.SilenceTimeout,
 	})
 	if err != nil {
 		return c.fail(err)
--- a/internal/dispatch/plainexchange.go
+++ b/internal/dispatch/plainexchange.go
@@ -30,7 +30,7 @@
 	name := grant.Endpoint.Name
 	r.dispatcher.running.add(name, permitRequest.ID, permitRequest.Digest)
 	sentAt := r.now()
-	attempt := p.call(permitRequest, grant)
+	attempt := p.call(grant)
 	if attempt.err != nil && attempt.err.Cause == endpoint.ConnectionBroken {
 		r.dispatcher.recordCrash(r.now(), name)
 	}
@@ -55,12 +55,12 @@
 }
 
 // call sends the request and forwards the response.
-func (p *plainExchange) call(permitRequest routing.PermitRequest, grant routing.Grant) attemptResult {
+func (p *plainExchange) call(grant routing.Grant) attemptResult {
 	r := p.run
 	response, err := r.dispatcher.options.EndpointClient.Do(r.attemptCtx, endpoint.PlainCall{
 		Endpoint: grant.Endpoint, Method: r.request.Method, Path: r.request.Path, Query: r.request.Query,
 		Header: r.request.Header, Body: r.request.Body, RequestID: r.request.ID,
-		IdempotencyKey: r.request.IdempotencyKey, NewConnection: permitRequest.Suspect, SilenceTimeout: r.dispatcher.options.SilenceTimeout,
+		IdempotencyKey: r.request.IdempotencyKey, SilenceTimeout: r.dispatcher.options.SilenceTimeout,
 	})
 	if err != nil {
 		return p.failedAttempt(err, grant)
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -34,24 +34,26 @@
 	MaxIdleConnections int
 }
 
-// Client calls endpoints. It pools connections and is safe for concurrent use.
+// Client calls endpoints. It is safe for concurrent use.
 type Client struct {
-	pooled *http.Transport
-	// singleUse opens a connection for each call. Calls that must not be repeated use it:
+	// reports pools the connections on which reports are read.
+	reports *http.Transport
+	// calls opens a connection for each call. On a pooled one, a late second response to an
+	// earlier request would be taken for the response of this call. Moreover,
 	// http.Transport retries requests on its own, but only on pooled connections, and a
 	// write to a pooled connection that the endpoint has closed can succeed although
 	// nothing reads the bytes. Whether the call ran would then be unknown, whereas a new
 	// connection is refused, so that the call certainly did not start.
-	singleUse *http.Transport
+	calls *http.Transport
 }
 
 // NewClient returns a client with no open connections.
 func NewClient(options Options) *Client {
 	options = options.withDefaults()
-	pooled := newTransport(options)
-	singleUse := newTransport(options)
-	singleUse.DisableKeepAlives = true
-	return &Client{pooled: pooled, singleUse: singleUse}
+	reports := newTransport(options)
+	calls := newTransport(options)
+	calls.DisableKeepAlives = true
+	return &Client{reports: reports, calls: calls}
 }
 
 func (o Options) withDefaults() Options {
@@ -89,8 +91,8 @@
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
-	c.singleUse.CloseIdleConnections()
+	c.reports.CloseIdleConnections()
+	c.calls.CloseIdleConnections()
 }
 
 // countingConn counts the bytes written to the kernel.
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -33,8 +33,6 @@
 	IdempotencyKey string
 	// Body is the JSON body; it must have "stream": true.
 	Body []byte
-	// NewConnection uses a separate connection for the call; see PlainCall.
-	NewConnection bool
 	// SilenceTimeout ends the call when the engine sends nothing for this long; zero
 	// means no timeout.
 	SilenceTimeout time.Duration
@@ -51,7 +49,7 @@
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set("Accept", eventStream)
 	setIdentityHeaders(request.Header, call.RequestID, call.IdempotencyKey)
-	response, err := x.roundTrip(c.transport(call.NewConnection || call.IdempotencyKey != ""), request)
+	response, err := x.roundTrip(c.calls, request)
 	if err != nil {
 		return nil, err
 	}
@@ -68,15 +66,6 @@
 	return newStream(x, response.Body), nil
 }
 
-// transport returns the transport with pooled connections, or the one that opens a
-// connection for each call.
-func (c *Client) transport(newConnection bool) *http.Transport {
-	if newConnection {
-		return c.singleUse
-	}
-	return c.pooled
-}
-
 // newRequest returns a request without GetBody, so that the transport cannot send the
 // body a second time on its own.
 func newRequest(method, url string, body []byte) (*http.Request, error) {
--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return nil, &Error{Cause: NotReached, Endpoint: e.Name, Message: "bad address", wrapped: err}
 	}
-	response, err := x.roundTrip(c.pooled, request)
+	response, err := x.roundTrip(c.reports, request)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -20,10 +20,6 @@
 	Body           []byte
 	RequestID      string
 	IdempotencyKey string
-	// NewConnection uses a separate connection for the call, so that a broken connection
-	// means that the endpoint failed during this call. Calls with an idempotency key
-	// always use a separate connection.
-	NewConnection bool
 	// SilenceTimeout ends the call when the service sends nothing for this long; zero
 	// means no timeout.
 	SilenceTimeout time.Duration
@@ -68,7 +64,7 @@
 		request.Header.Del(name)
 	}
 	setIdentityHeaders(request.Header, call.RequestID, call.IdempotencyKey)
-	response, err := x.roundTrip(c.transport(call.NewConnection || !isSafe(call.Method) || call.IdempotencyKey != ""), request)
+	response, err := x.roundTrip(c.calls, request)
 	if err != nil {
 		return nil, err
 	}
@@ -82,9 +78,6 @@
 	}, nil
 }
 
-// isSafe reports whether the method is read-only (RFC 9110, section 9.2.1).
-func isSafe(method string) bool { return method == http.MethodGet || method == http.MethodHead }
-
 // Read reads the body. Errors are io.EOF after the complete body, or *Error.
 func (r *PlainResponse) Read(p []byte) (int, error) {
 	defer r.exchange.startSilenceTimer()()
--- a/internal/endpoint/plain_test.go
+++ b/internal/endpoint/plain_test.go
@@ -52,7 +52,7 @@
 
 	DescribeTable("classifies the failure of a call and never sends it twice",
 		func(ctx SpecContext, faults service.Faults, cause endpoint.Cause) {
-			_, err := do(ctx, http.MethodGet, "") // leaves a pooled connection.
+			_, err := do(ctx, http.MethodGet, "")
 			Expect(err).NotTo(HaveOccurred())
 			s.SetFaults(faults)
 			_, err = do(ctx, http.MethodPost, "k1")
@@ -65,7 +65,7 @@
 		Entry("truncated response", service.Faults{Half: true}, endpoint.ConnectionBroken),
 	)
 
-	DescribeTable("sends a keyed call without a body only once, although a pooled connection is available",
+	DescribeTable("sends a keyed call without a body only once after others to the same endpoint",
 		func(ctx SpecContext, method string) {
 			for _, key := range []string{"", "k0"} {
 				_, err := do(ctx, http.MethodGet, key)
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -12,7 +12,7 @@
 const (
 	maxEventBytes = 1 << 20
 	// drainTimeout is the maximum wait for the end of the body after the [DONE] marker, so
-	// that the connection can be reused.
+	// that the engine does not take the call for cancelled.
 	drainTimeout  = 20 * time.Millisecond
 	maxDrainBytes = 4 << 10
 	doneMarker    = "[DONE]"
@@ -83,9 +83,8 @@
 	return io.EOF
 }
 
-// Close ends the call. After a complete response it waits up to drainTimeout for the
-// end of the body, so that the connection is reused. Otherwise it closes the connection
-// immediately.
+// Close ends the call and closes its connection. After a complete response it first waits
+// up to drainTimeout for the end of the body.
 func (s *Stream) Close() {
 	if s.complete {
 		timer := time.AfterFunc(drainTimeout, func() { s.exchange.cancel(nil) })
--- /dev/null
+++ b/internal/endpoint/unsound_test.go
@@ -0,0 +1,116 @@
+package endpoint_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/endpoint"
+)
+
+// connStandin is an endpoint that handles each connection with a function.
+type connStandin struct {
+	handle func(conn net.Conn)
+	// sent counts the bytes that the endpoint has written.
+	sent atomic.Int64
+}
+
+func (s *connStandin) serve() catalog.Endpoint {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	ctx, stop := context.WithCancel(context.Background())
+	DeferCleanup(func() { stop(); _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			context.AfterFunc(ctx, func() { _ = conn.Close() })
+			go func() {
+				defer func() { _ = conn.Close() }()
+				s.handle(sentCounter{conn, s})
+			}()
+		}
+	}()
+	return catalog.Endpoint{Name: "e1", Service: "s", Address: ln.Addr().String()}
+}
+
+type sentCounter struct {
+	net.Conn
+	standin *connStandin
+}
+
+func (c sentCounter) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.standin.sent.Add(int64(n))
+	return n, err
+}
+
+// answersTwice sends the response to each request again when the next one has arrived.
+func answersTwice(respond func(id string) string) func(net.Conn) {
+	return func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		earlier := ""
+		for {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			response := respond(request.Header.Get(endpoint.RequestIDHeader))
+			if _, err := io.WriteString(conn, earlier+response); err != nil {
+				return
+			}
+			earlier = response
+		}
+	}
+}
+
+func streamOf(id string) string {
+	body := fmt.Sprintf("data: {\"id\":\"cmpl-%s\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"for %s\"},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", id, id)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+}
+
+func bodyOf(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nfor %s", len("for ")+len(id), id)
+}
+
+var _ = Describe("an endpoint that answers twice, the second time late", func() {
+	var client *endpoint.Client
+
+	BeforeEach(func() {
+		client = endpoint.NewClient(endpoint.Options{})
+		DeferCleanup(client.Close)
+	})
+
+	It("does not have its late response taken for that of the next engine call", func(ctx SpecContext) {
+		call := newCall((&connStandin{handle: answersTwice(streamOf)}).serve(), helloBody)
+		for i := range 3 {
+			call.RequestID = fmt.Sprintf("r%d", i)
+			text, _, err := readAll(ctx, client, call)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(text).To(Equal("for " + call.RequestID))
+		}
+	})
+
+	It("does not have its late response taken for that of the next plain call", func(ctx SpecContext) {
+		e := (&connStandin{handle: answersTwice(bodyOf)}).serve()
+		for i := range 3 {
+			id := fmt.Sprintf("r%d", i)
+			response, err := client.Do(ctx, endpoint.PlainCall{Endpoint: e, Method: http.MethodGet, Path: "/x", RequestID: id, SilenceTimeout: 5 * time.Second})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(io.ReadAll(response)).To(BeEquivalentTo("for " + id))
+			response.Close()
+		}
+	})
+})
