endpoint: a response header has a bound of 64 KiB

What could be seen: an endpoint whose status line, header lines or interim responses never end kept up to 10 MiB of memory for each call (net/http's default), for up to the silence timeout.

Evidence: four specs with an endpoint that sends until the client closes failed before (14.7, 15.0, 14.3 and 14.4 million bytes sent, with what the sockets hold; bound 8 MiB) and pass now. The specs for an event, its lines, comments and bodies of errors, refusals and other types passed before, too.

Fix: MaxResponseHeaderBytes of the transports.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -22,6 +22,9 @@
 	DefaultMaxIdleConnections = 128
 )
 
+// maxHeaderBytes is the maximum length of a response header, with interim responses.
+const maxHeaderBytes = 64 << 10
+
 // Options configures a Client. Zero fields take the defaults.
 type Options struct {
 	// ConnectTimeout is the maximum time to establish a connection.
@@ -86,6 +89,8 @@
 		MaxIdleConnsPerHost: o.MaxIdleConnections,
 		IdleConnTimeout:     o.IdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/internal/endpoint/unsound_test.go
+++ b/internal/endpoint/unsound_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -168,3 +169,85 @@
 	Entry("with a length", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\nwhole"),
 	Entry("in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n"),
 )
+
+const (
+	// maxSentBytes is more than a client with a bound takes, with the buffers of the sockets.
+	maxSentBytes = 8 << 20
+	// patienceBytes is how much an endpoint sends before the specs give up on the client.
+	patienceBytes = 24 << 20
+)
+
+// endless sends head, then piece without end until the client closes, as fast as it is read.
+// It calls giveUp after patienceBytes.
+func endless(head, piece string, giveUp func()) *connStandin {
+	piece = strings.Repeat(piece, max(1, (8<<10)/len(piece)))
+	var s *connStandin
+	s = &connStandin{handle: func(conn net.Conn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if _, err = io.WriteString(conn, head); err != nil {
+			return
+		}
+		for {
+			if _, err := io.WriteString(conn, piece); err != nil {
+				return
+			}
+			if s.sent.Load() > patienceBytes {
+				giveUp()
+			}
+		}
+	}}
+	return s
+}
+
+const (
+	streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	bodyHead   = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+	errorHead  = "HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\n\r\n"
+	refuseHead = "HTTP/1.1 503 Full\r\nRetry-After: 1\r\n\r\n"
+)
+
+var _ = Describe("an endpoint that sends bytes without end", func() {
+	var client *endpoint.Client
+
+	BeforeEach(func() {
+		client = endpoint.NewClient(endpoint.Options{})
+		DeferCleanup(client.Close)
+	})
+
+	DescribeTable("has its engine call ended after a bounded number of bytes",
+		func(ctx SpecContext, head, piece string, cause endpoint.Cause) {
+			callCtx, giveUp := context.WithCancel(ctx)
+			defer giveUp()
+			s := endless(head, piece, giveUp)
+			call := newCall(s.serve(), helloBody)
+			call.SilenceTimeout = time.Minute
+			_, _, err := readAll(callCtx, client, call)
+			Expect(causeOf(err)).To(Equal(cause), "%v", err)
+			Expect(s.sent.Load()).To(BeNumerically("<", maxSentBytes))
+		},
+		Entry("in the status line", "HTTP/1.1 200 O", "K", endpoint.ConnectionBroken),
+		Entry("in a header line", "HTTP/1.1 200 OK\r\nX: ", "x", endpoint.ConnectionBroken),
+		Entry("in header lines", "HTTP/1.1 200 OK\r\n", "X: x\r\n", endpoint.ConnectionBroken),
+		Entry("in interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n", endpoint.ConnectionBroken),
+		Entry("in an event", streamHead+"data: ", "x", endpoint.Malformed),
+		Entry("in the lines of an event", streamHead, "data: x\n", endpoint.Malformed),
+		Entry("in comments", streamHead, ": x\n", endpoint.Malformed),
+		Entry("in an error's body", errorHead, "x", endpoint.Failed),
+		Entry("in a refusal's body", refuseHead, "x", endpoint.Refused),
+		Entry("in a body that is no stream", bodyHead, "x", endpoint.Malformed),
+	)
+
+	It("has its stream closed after the end marker", func(ctx SpecContext) {
+		callCtx, giveUp := context.WithCancel(ctx)
+		defer giveUp()
+		s := endless(streamHead+"data: {\"id\":\"a\",\"choices\":[{\"index\":0,\"text\":\"x\",\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n", "x", giveUp)
+		text, _, err := readAll(callCtx, client, newCall(s.serve(), helloBody))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(text).To(Equal("x"))
+		Expect(s.sent.Load()).To(BeNumerically("<", maxSentBytes))
+	})
+})
