endpoint: a streamed response has a bound in bytes

What could be seen: an engine that sends well-formed events without end was read until the caller closed. Before the first token the daemon kept each chunk (chunks without a choice or without text), for a hedge race that is never decided; after it, the text for a resumption. Events of comments were skipped at full speed until the silence timeout.

Cause: one event had a bound (1 MiB), their sum had none, and the silence timeout starts again with each chunk.

Evidence: the specs for events of comments, chunks without a choice, without text and with text failed before, with an endpoint that sends until the client closes (64 MiB sent without an end of the call, or the spec's time was up). They pass now. Blank lines and usage after the finish reason are new in the table; they were not run before this change.

Fix: the reader counts the bytes of the body: 4 MiB before the first content, 256 MiB in all; more is malformed.

--- a/internal/dispatch/enginecall.go
+++ b/internal/dispatch/enginecall.go
@@ -78,7 +78,7 @@
 	if chunk.Usage != nil {
 		c.usage = chunk.Usage
 	}
-	if chunk.Text != "" || !chunk.TextOnly {
+	if chunk.HasContent() {
 		c.countToken()
 	}
 	return chunk, nil
--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -85,7 +85,7 @@
 func (r *response) appendChunk(c endpoint.Chunk) error {
 	repeatedRole := r.roleSent && c.TextOnly && c.Text == "" && c.Role != "" && c.FinishReason == ""
 	r.text.WriteString(c.Text)
-	if c.Text != "" || !c.TextOnly {
+	if c.HasContent() {
 		r.tokens++
 	}
 	if c.Role != "" {
--- a/internal/endpoint/chunk.go
+++ b/internal/endpoint/chunk.go
@@ -44,6 +44,9 @@
 	errorMessage string
 }
 
+// HasContent reports whether the chunk adds to the response.
+func (c Chunk) HasContent() bool { return c.Text != "" || !c.TextOnly }
+
 type wireDelta struct {
 	Role             string          `json:"role"`
 	Content          string          `json:"content"`
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -20,6 +20,10 @@
 	DefaultIdleTimeout        = 30 * time.Second
 	DefaultMaxConnections     = 1024
 	DefaultMaxIdleConnections = 128
+	// DefaultMaxStreamBytes is longer than any response with log probabilities of each token.
+	DefaultMaxStreamBytes = 256 << 20
+	// DefaultMaxPreambleBytes leaves room for comments that keep the connection open.
+	DefaultMaxPreambleBytes = 4 << 20
 )
 
 // maxHeaderBytes is the maximum length of a response header, with interim responses.
@@ -35,6 +39,10 @@
 	MaxConnections int
 	// MaxIdleConnections is the maximum number of idle pooled connections to each endpoint.
 	MaxIdleConnections int
+	// MaxStreamBytes is the maximum length of one streamed response.
+	MaxStreamBytes int
+	// MaxPreambleBytes is the maximum length of a streamed response before its first content.
+	MaxPreambleBytes int
 }
 
 // Client calls endpoints. It is safe for concurrent use.
@@ -48,6 +56,9 @@
 	// nothing reads the bytes. Whether the call ran would then be unknown, whereas a new
 	// connection is refused, so that the call certainly did not start.
 	calls *http.Transport
+
+	maxStreamBytes   int
+	maxPreambleBytes int
 }
 
 // NewClient returns a client with no open connections.
@@ -56,7 +67,7 @@
 	reports := newTransport(options)
 	calls := newTransport(options)
 	calls.DisableKeepAlives = true
-	return &Client{reports: reports, calls: calls}
+	return &Client{reports: reports, calls: calls, maxStreamBytes: options.MaxStreamBytes, maxPreambleBytes: options.MaxPreambleBytes}
 }
 
 func (o Options) withDefaults() Options {
@@ -72,6 +83,12 @@
 	if o.MaxIdleConnections <= 0 {
 		o.MaxIdleConnections = DefaultMaxIdleConnections
 	}
+	if o.MaxStreamBytes <= 0 {
+		o.MaxStreamBytes = DefaultMaxStreamBytes
+	}
+	if o.MaxPreambleBytes <= 0 {
+		o.MaxPreambleBytes = DefaultMaxPreambleBytes
+	}
 	return o
 }
 
--- a/internal/endpoint/engine.go
+++ b/internal/endpoint/engine.go
@@ -63,7 +63,7 @@
 		_ = response.Body.Close()
 		return nil, x.responseError(Malformed, "the response is not an event stream")
 	}
-	return newStream(x, response.Body), nil
+	return newStream(x, response.Body, c.maxPreambleBytes, c.maxStreamBytes), nil
 }
 
 // newRequest returns a request without GetBody, so that the transport cannot send the
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -22,18 +22,22 @@
 // Close at any time.
 type Stream struct {
 	exchange  *exchange
-	body      *errorRecordingReader
+	body      *boundedReader
 	next      func() (sse.Event, error, bool)
 	stop      func()
 	validator responseValidator
 	complete  bool
+	// maxBytes is the maximum length of the response once it has content.
+	maxBytes int
 }
 
-func newStream(x *exchange, body io.ReadCloser) *Stream {
-	recorder := &errorRecordingReader{body: body}
+// newStream returns a stream of at most maxBytes, and of maxPreambleBytes before its first
+// content.
+func newStream(x *exchange, body io.ReadCloser, maxPreambleBytes, maxBytes int) *Stream {
+	recorder := &boundedReader{body: body, limit: min(maxPreambleBytes, maxBytes)}
 	events := sse.Read(recorder, &sse.ReadConfig{MaxEventSize: maxEventBytes})
 	next, stop := iter.Pull2(iter.Seq2[sse.Event, error](events))
-	return &Stream{exchange: x, body: recorder, next: next, stop: stop}
+	return &Stream{exchange: x, body: recorder, next: next, stop: stop, maxBytes: maxBytes}
 }
 
 // Next returns the next chunk, io.EOF after the [DONE] marker of a complete response,
@@ -61,11 +65,17 @@
 	if chunk.errorMessage != "" {
 		return Chunk{}, s.exchange.responseError(Failed, chunk.errorMessage)
 	}
+	if chunk.HasContent() {
+		s.body.limit = s.maxBytes
+	}
 	return chunk, nil
 }
 
 // truncatedError returns the error of a response that ended before its [DONE] marker.
 func (s *Stream) truncatedError() *Error {
+	if errors.Is(s.body.err, errTooLong) {
+		return s.exchange.responseError(Malformed, "the response is longer than allowed")
+	}
 	if s.body.err != nil && !errors.Is(s.body.err, io.EOF) {
 		return s.exchange.classify(s.body.err)
 	}
@@ -96,15 +106,25 @@
 	_ = s.body.body.Close()
 }
 
-// errorRecordingReader records the error that ended the body.
-type errorRecordingReader struct {
-	body io.ReadCloser
-	err  error
+// errTooLong ends a body that is longer than its limit.
+var errTooLong = errors.New("the body is longer than allowed")
+
+// boundedReader limits the length of the body and records the error that ended it.
+type boundedReader struct {
+	body  io.ReadCloser
+	read  int
+	limit int
+	err   error
 }
 
 // Read implements io.Reader.
-func (r *errorRecordingReader) Read(p []byte) (int, error) {
-	n, err := r.body.Read(p)
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if r.read >= r.limit {
+		r.err = errTooLong
+		return 0, r.err
+	}
+	n, err := r.body.Read(p[:min(len(p), r.limit-r.read)])
+	r.read += n
 	if err != nil {
 		r.err = err
 	}
--- a/internal/endpoint/stream_bench_test.go
+++ b/internal/endpoint/stream_bench_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"testing"
 )
 
@@ -17,7 +18,7 @@
 	for i := range b.N {
 		_, _ = fmt.Fprintf(&data, format, i%1000)
 	}
-	s := newStream(newExchange(context.Background(), "bench", DefaultIdleTimeout), io.NopCloser(&data))
+	s := newStream(newExchange(context.Background(), "bench", DefaultIdleTimeout), io.NopCloser(&data), DefaultMaxPreambleBytes, math.MaxInt)
 	defer s.Close()
 	b.ReportAllocs()
 	b.ResetTimer()
--- a/internal/endpoint/stream_fuzz_test.go
+++ b/internal/endpoint/stream_fuzz_test.go
@@ -22,7 +22,7 @@
 	f.Add([]byte("data: {\"id\":\x00\xff}\n\n"))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		x := newExchange(context.Background(), "fuzz", 0)
-		s := newStream(x, io.NopCloser(bytes.NewReader(data)))
+		s := newStream(x, io.NopCloser(bytes.NewReader(data)), DefaultMaxPreambleBytes, DefaultMaxStreamBytes)
 		defer s.Close()
 		for range maxFuzzChunks {
 			chunk, err := s.Next()
--- a/internal/endpoint/unsound_test.go
+++ b/internal/endpoint/unsound_test.go
@@ -214,7 +214,7 @@
 	var client *endpoint.Client
 
 	BeforeEach(func() {
-		client = endpoint.NewClient(endpoint.Options{})
+		client = endpoint.NewClient(endpoint.Options{MaxStreamBytes: 1 << 20, MaxPreambleBytes: 1 << 19})
 		DeferCleanup(client.Close)
 	})
 
@@ -236,6 +236,13 @@
 		Entry("in an event", streamHead+"data: ", "x", endpoint.Malformed),
 		Entry("in the lines of an event", streamHead, "data: x\n", endpoint.Malformed),
 		Entry("in comments", streamHead, ": x\n", endpoint.Malformed),
+		Entry("in events of comments", streamHead, ": x\n\n", endpoint.Malformed),
+		Entry("in blank lines", streamHead, "\n", endpoint.Malformed),
+		Entry("in chunks without a choice", streamHead, "data: {\"id\":\"a\",\"choices\":[]}\n\n", endpoint.Malformed),
+		Entry("in chunks without text", streamHead, "data: {\"id\":\"a\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"\"}}]}\n\n", endpoint.Malformed),
+		Entry("in chunks with text", streamHead, "data: {\"id\":\"a\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"x\"}}]}\n\n", endpoint.Malformed),
+		Entry("in usage after the finish reason", streamHead+"data: {\"id\":\"a\",\"choices\":[{\"index\":0,\"text\":\"x\",\"finish_reason\":\"stop\"}]}\n\n",
+			"data: {\"id\":\"a\",\"choices\":[],\"usage\":{}}\n\n", endpoint.Malformed),
 		Entry("in an error's body", errorHead, "x", endpoint.Failed),
 		Entry("in a refusal's body", refuseHead, "x", endpoint.Refused),
 		Entry("in a body that is no stream", bodyHead, "x", endpoint.Malformed),
