endpoint: a report that is longer than allowed is not read as a whole one

What could be seen: an endpoint whose load report never ends (comments, blank lines) counted as idle, with a load of zero, and so was given work; cache events followed by bytes without end counted as a whole page.

Cause: reports were cut at 4 MiB and the rest was parsed as if it were all.

Evidence: the specs "in comments", "after a load report" and "after a page of cache events" failed before (no error) and pass now.

Fix: one byte more than the limit is read, and a report that has it is malformed.

The specs now count the bytes that the client reads, through a dial function in the options, in place of those that the endpoint sent: the latter include what the sockets hold, up to 32 MiB here, and the entry "in a line" failed once for that (16,777,306 of 16,777,216). The bounds are narrower: 1.25 MiB for a response that is bounded to 1 MiB, 9 MiB for two reports of 4 MiB.

--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -43,6 +43,8 @@
 	MaxStreamBytes int
 	// MaxPreambleBytes is the maximum length of a streamed response before its first content.
 	MaxPreambleBytes int
+	// Dial opens connections; nil means TCP with ConnectTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client calls endpoints. It is safe for concurrent use.
@@ -89,14 +91,16 @@
 	if o.MaxPreambleBytes <= 0 {
 		o.MaxPreambleBytes = DefaultMaxPreambleBytes
 	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: o.ConnectTimeout}).DialContext
+	}
 	return o
 }
 
 func newTransport(o Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.ConnectTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := o.Dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -132,9 +132,12 @@
 }
 
 func readReport(x *exchange, body io.Reader) (io.Reader, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxReportBytes))
+	data, err := io.ReadAll(io.LimitReader(body, maxReportBytes+1))
 	if err != nil {
 		return nil, x.classify(err)
 	}
+	if len(data) > maxReportBytes {
+		return nil, x.responseError(Malformed, "the report is longer than allowed")
+	}
 	return bytes.NewReader(data), nil
 }
--- a/internal/endpoint/unsound_test.go
+++ b/internal/endpoint/unsound_test.go
@@ -21,8 +21,6 @@
 // connStandin is an endpoint that handles each connection with a function.
 type connStandin struct {
 	handle func(conn net.Conn)
-	// sent counts the bytes that the endpoint has written.
-	sent atomic.Int64
 }
 
 func (s *connStandin) serve() catalog.Endpoint {
@@ -39,21 +37,22 @@
 			context.AfterFunc(ctx, func() { _ = conn.Close() })
 			go func() {
 				defer func() { _ = conn.Close() }()
-				s.handle(sentCounter{conn, s})
+				s.handle(conn)
 			}()
 		}
 	}()
 	return catalog.Endpoint{Name: "e1", Service: "s", Address: ln.Addr().String()}
 }
 
-type sentCounter struct {
+// readCounter counts the bytes that the client reads.
+type readCounter struct {
 	net.Conn
-	standin *connStandin
+	read *atomic.Int64
 }
 
-func (c sentCounter) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.standin.sent.Add(int64(n))
+func (c readCounter) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.read.Add(int64(n))
 	return n, err
 }
 
@@ -171,18 +170,19 @@
 )
 
 const (
-	// maxSentBytes is more than a client with a bound takes, with the buffers of the sockets.
-	maxSentBytes = 8 << 20
+	// maxReadBytes is more than the client reads of a response that is bounded to 1 MiB,
+	// maxReportBytes than of two reports of 4 MiB each.
+	maxReadBytes   = 5 << 18
+	maxReportBytes = 9 << 20
 	// patienceBytes is how much an endpoint sends before the specs give up on the client.
-	patienceBytes = 24 << 20
+	patienceBytes = 32 << 20
 )
 
 // endless sends head, then piece without end until the client closes, as fast as it is read.
 // It calls giveUp after patienceBytes.
 func endless(head, piece string, giveUp func()) *connStandin {
 	piece = strings.Repeat(piece, max(1, (8<<10)/len(piece)))
-	var s *connStandin
-	s = &connStandin{handle: func(conn net.Conn) {
+	return &connStandin{handle: func(conn net.Conn) {
 		request, err := http.ReadRequest(bufio.NewReader(conn))
 		if err != nil {
 			return
@@ -191,16 +191,15 @@
 		if _, err = io.WriteString(conn, head); err != nil {
 			return
 		}
-		for {
+		for sent := 0; ; sent += len(piece) {
 			if _, err := io.WriteString(conn, piece); err != nil {
 				return
 			}
-			if s.sent.Load() > patienceBytes {
+			if sent > patienceBytes {
 				giveUp()
 			}
 		}
 	}}
-	return s
 }
 
 const (
@@ -211,10 +210,17 @@
 )
 
 var _ = Describe("an endpoint that sends bytes without end", func() {
-	var client *endpoint.Client
+	var (
+		client *endpoint.Client
+		read   *atomic.Int64
+	)
 
 	BeforeEach(func() {
-		client = endpoint.NewClient(endpoint.Options{MaxStreamBytes: 1 << 20, MaxPreambleBytes: 1 << 19})
+		read = &atomic.Int64{}
+		client = endpoint.NewClient(endpoint.Options{MaxStreamBytes: 1 << 20, MaxPreambleBytes: 1 << 19, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return readCounter{conn, read}, err
+		}})
 		DeferCleanup(client.Close)
 	})
 
@@ -227,7 +233,7 @@
 			call.SilenceTimeout = time.Minute
 			_, _, err := readAll(callCtx, client, call)
 			Expect(causeOf(err)).To(Equal(cause), "%v", err)
-			Expect(s.sent.Load()).To(BeNumerically("<", maxSentBytes))
+			Expect(read.Load()).To(BeNumerically("<", maxReadBytes))
 		},
 		Entry("in the status line", "HTTP/1.1 200 O", "K", endpoint.ConnectionBroken),
 		Entry("in a header line", "HTTP/1.1 200 OK\r\nX: ", "x", endpoint.ConnectionBroken),
@@ -255,6 +261,26 @@
 		text, _, err := readAll(callCtx, client, newCall(s.serve(), helloBody))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(text).To(Equal("x"))
-		Expect(s.sent.Load()).To(BeNumerically("<", maxSentBytes))
+		Expect(read.Load()).To(BeNumerically("<", maxReadBytes))
 	})
+
+	DescribeTable("has its report ended after a bounded number of bytes",
+		func(ctx SpecContext, head, piece string) {
+			callCtx, giveUp := context.WithCancel(ctx)
+			defer giveUp()
+			s := endless(head, piece, giveUp)
+			e := s.serve()
+			_, err := client.Load(callCtx, e)
+			Expect(causeOf(err)).To(BeElementOf(endpoint.Malformed, endpoint.Failed, endpoint.ConnectionBroken), "%v", err)
+			_, _, err = client.CacheEvents(callCtx, e, 0)
+			Expect(causeOf(err)).To(BeElementOf(endpoint.Malformed, endpoint.Failed, endpoint.ConnectionBroken), "%v", err)
+			Expect(read.Load()).To(BeNumerically("<", maxReportBytes))
+		},
+		Entry("in header lines", "HTTP/1.1 200 OK\r\n", "X: x\r\n"),
+		Entry("in an error's body", errorHead, "x"),
+		Entry("in a line", bodyHead, "x"),
+		Entry("in comments", bodyHead, "# x\n"),
+		Entry("after a load report", bodyHead+"vllm:num_requests_running 1\n", "\n"),
+		Entry("after a page of cache events", bodyHead+`{"events":[]}`, " "),
+	)
 })
