dispatch: a keyed request has bounds after its caller has left

What could be seen: a request with an idempotency key whose endpoint sends bytes without end went on for ever after its caller had left, with its connection, its permit and its place among the requests that a drain waits for.

Cause: such a request continues without its caller, and only the silence timeout ended it, which each byte starts again. For all other requests the caller's leaving is the bound.

Fix: after its caller has left, such a request ends after 15 minutes or 64 MiB, with outcome unknown; its key is kept, so that no resend runs. Responses that long could not be stored before either (1 MiB).

--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -109,7 +109,7 @@
 
 func serveHandler(name string, h http.Handler) catalog.Endpoint {
 	s := httptest.NewServer(h)
-	DeferCleanup(s.Close)
+	DeferCleanup(func() { s.CloseClientConnections(); s.Close() })
 	return catalog.Endpoint{Name: name, Service: "models", Address: strings.TrimPrefix(s.URL, "http://")}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -22,14 +22,18 @@
 }
 
 // Run implements Runner. Once a keyed request (one with an idempotency key) is dispatched,
-// it continues after its caller disconnects: the response is stored for a resend, which may
-// not run the request again.
+// it continues after its caller disconnects, within limits: the response is stored for a
+// resend, which may not run the request again.
 func (d *Dispatcher) Run(ctx context.Context, request Request, sink Sink) Result {
 	r, f := d.newRun(ctx, request, sink)
 	if f == nil {
 		f = r.runAttempts()
 	}
-	return r.finish(f)
+	result := r.finish(f)
+	if r.endAttempts != nil {
+		r.endAttempts()
+	}
+	return result
 }
 
 // newRun prepares a request. It returns a failure if the body is invalid.
@@ -39,7 +43,7 @@
 		callerCtx:  ctx,
 		attemptCtx: ctx,
 		request:    request,
-		sink:       &recordingSink{sink: sink, limit: d.options.MaxStoredResponseBytes},
+		sink:       &recordingSink{sink: sink, limit: d.options.MaxStoredResponseBytes, unattended: d.options.MaxUnattendedBytes},
 		digest:     digestOf(request),
 	}
 	if request.API == PlainCall {
--- a/internal/dispatch/idempotency.go
+++ b/internal/dispatch/idempotency.go
@@ -26,7 +26,7 @@
 			r.dispatched = true
 			r.sink.recording = true
 			o.ResponseStore.Begin(holder)
-			r.attemptCtx = context.WithoutCancel(r.callerCtx)
+			r.continueUnattended()
 			return false, nil
 		}
 	}
@@ -43,6 +43,24 @@
 	}
 }
 
+// continueUnattended makes the attempts continue after the caller has disconnected, for
+// UnattendedTimeout.
+func (r *run) continueUnattended() {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(r.callerCtx))
+	o := r.dispatcher.options
+	stop := context.AfterFunc(r.callerCtx, func() {
+		timer := o.Clock.NewTimer(o.UnattendedTimeout)
+		defer timer.Stop()
+		select {
+		case <-timer.Chan():
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	r.attemptCtx = ctx
+	r.endAttempts = func() { stop(); cancel() }
+}
+
 // checkClaimFresh releases the grant if the claim is too old to be dispatched: while this
 // process was suspended, the key may have been given to another request.
 func (r *run) checkClaimFresh(permitRequest routing.PermitRequest, grant routing.Grant) *failure.Failure {
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -99,6 +99,12 @@
 	// MaxStoredResponseBytes is the maximum size of one stored response, in bytes.
 	// Default 1 MiB.
 	MaxStoredResponseBytes int
+	// UnattendedTimeout limits how long a keyed request continues after its caller has
+	// disconnected. Default 15 min.
+	UnattendedTimeout time.Duration
+	// MaxUnattendedBytes limits how much of its response is then read, in bytes. Default
+	// 64 MiB.
+	MaxUnattendedBytes int
 	// Clock defaults to the real one.
 	Clock clockwork.Clock
 	// Logger defaults to logrus's standard logger.
@@ -111,6 +117,8 @@
 const (
 	DefaultSilenceTimeout         = 30 * time.Second
 	DefaultMaxStoredResponseBytes = 1 << 20
+	DefaultUnattendedTimeout      = 15 * time.Minute
+	DefaultMaxUnattendedBytes     = 64 << 20
 )
 
 func (o Options) withDefaults() Options {
@@ -120,6 +128,12 @@
 	if o.MaxStoredResponseBytes <= 0 {
 		o.MaxStoredResponseBytes = DefaultMaxStoredResponseBytes
 	}
+	if o.UnattendedTimeout <= 0 {
+		o.UnattendedTimeout = DefaultUnattendedTimeout
+	}
+	if o.MaxUnattendedBytes <= 0 {
+		o.MaxUnattendedBytes = DefaultMaxUnattendedBytes
+	}
 	if o.Progress == nil {
 		o.Progress, _ = o.Broker.(ProgressReporter)
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -29,11 +29,13 @@
 	// attempts; for a dispatched keyed request it is not cancelled with callerCtx.
 	callerCtx  context.Context
 	attemptCtx context.Context
-	request    Request
-	sink       *recordingSink
-	exchange   exchange
-	digest     string
-	promptText string
+	// endAttempts releases the resources of attemptCtx, if it is not callerCtx.
+	endAttempts func()
+	request     Request
+	sink        *recordingSink
+	exchange    exchange
+	digest      string
+	promptText  string
 
 	claim          *claim.Claim
 	dispatched     bool // ResponseStore.Begin was called.
--- a/internal/dispatch/sink.go
+++ b/internal/dispatch/sink.go
@@ -6,6 +6,8 @@
 	sink      Sink
 	limit     int
 	recording bool
+	// unattended is how many bytes may still be written after the caller has disconnected.
+	unattended int
 
 	response  StoredResponse
 	started   bool
@@ -21,7 +23,7 @@
 }
 
 // Write implements Sink. A keyed request continues without its caller, so a disconnected
-// caller is not an error while recording.
+// caller is not an error while recording, until the response is too long to go on with.
 func (s *recordingSink) Write(p []byte) error {
 	if s.recording {
 		s.record(p)
@@ -29,10 +31,14 @@
 	if s.writeErr == nil {
 		s.writeErr = s.sink.Write(p)
 	}
-	if s.recording {
-		return nil
+	if s.writeErr == nil || !s.recording {
+		return s.writeErr
+	}
+	s.unattended -= len(p)
+	if s.unattended < 0 {
+		return s.writeErr
 	}
-	return s.writeErr
+	return nil
 }
 
 func (s *recordingSink) record(p []byte) {
