dispatch: the first token of a discarded response is not that of the next one

What operators could see: a first-token time, and a target counted as met, for a response of which the caller got nothing: that of an attempt whose response was thrown away before a second one began from the start.

Cause: the time of the first token lives in the request and was set once; the text that it belongs to was reset for the next attempt.

Evidence: the spec failed before (first token at .820 s, the request of the attempt that answered at .828 s) and passes now.

Fix: where the tokens are discarded, the time is, too.

--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -38,6 +39,8 @@
 	cut int
 	// resumed is the text that the last request continued from.
 	resumed string
+	// arrived is the time of the last request.
+	arrived time.Time
 }
 
 func (e *cutEngine) setCut(cut int) {
@@ -67,6 +70,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.arrived = time.Now()
 	if body.Continue {
 		e.resumed = lo.LastOrEmpty(body.Messages).Content
 	}
@@ -201,3 +205,13 @@
 		}
 	})
 })
+
+var _ = It("does not count the first token of a discarded response as that of the next one", func(ctx SpecContext) {
+	f, cut, whole := newCutFixture(3, false)
+	response := cut.encode(0, true)
+	cut.setCut(strings.Index(response, "finish_reason\":\"length"))
+	r := f.request("hello", func(r *dispatch.Request) { withTools(r); nonStreaming(r) })
+	result, _ := f.run(ctx, r)
+	Expect(result.Outcome).To(Equal(failure.Completed), "%v", result.Failure)
+	Expect(r.Arrived.Add(result.FirstToken)).To(BeTemporally(">", whole.arrived))
+})
--- a/internal/dispatch/engineexchange.go
+++ b/internal/dispatch/engineexchange.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"time"
 
 	"github.com/primrosewell/primrosewell/internal/endpoint"
 	"github.com/primrosewell/primrosewell/internal/failure"
@@ -48,7 +49,7 @@
 
 // attempt implements exchange.
 func (e *engineExchange) attempt(permitRequest routing.PermitRequest, grant routing.Grant) attemptResult {
-	e.countDiscardedTokens()
+	e.discardTokens()
 	if e.tokenLimitReached() {
 		e.run.dispatcher.releaseUnused(permitRequest, grant)
 		return e.completeAtTokenLimit()
@@ -62,11 +63,14 @@
 	return e.forward(winner)
 }
 
-// countDiscardedTokens counts tokens as wasted that the next attempt can not resume from.
-func (e *engineExchange) countDiscardedTokens() {
-	if !e.resumable() && !e.response.started {
-		e.run.waste.addTokens(e.response.tokens)
+// discardTokens counts tokens as wasted that the next attempt can not resume from. The
+// response then begins with a token of that attempt.
+func (e *engineExchange) discardTokens() {
+	if e.response.started || e.resumable() && e.response.tokens > 0 {
+		return
 	}
+	e.run.waste.addTokens(e.response.tokens)
+	e.run.firstTokenAt = time.Time{}
 }
 
 // tokenLimitReached reports whether the response already has the maximum number of tokens,
