ingress, keptanswer: specs of the class "state of one response found by the next"

No fault: both pass on the code before them. One connection carries refusals, streams and whole responses in turn, each with its own id, headers and outcome; a resend never gets the response of an earlier request with its key that ends late, here or at a peer. The specs that cut an attempt at every byte write no log.

--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -124,6 +124,7 @@
 	f = newFixture(0, engine.Options{})
 	f.broker.endpoints = []catalog.Endpoint{serveHandler("e0", cut), serveHandler("e1", whole)}
 	f.options.RetryPolicy = retry.NewBudget(retry.Config{Burst: 1e6})
+	f.options.Logger.SetOutput(io.Discard)
 	return f, cut, whole
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -315,6 +315,43 @@
 })
 
 var _ = Describe("A connection that is used again", func() {
+	It("carries nothing of one response into the next", func() {
+		base, _ := start(func(ctx context.Context, r dispatch.Request, sink dispatch.Sink) dispatch.Result {
+			if r.IdempotencyKey == "refused" {
+				f := failure.New(failure.Overloaded, "full").WithRetryAfter(time.Second)
+				return dispatch.Result{Outcome: f.Outcome, Failure: f}
+			}
+			return completed(ctx, r, sink)
+		})
+		conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		ids := map[string]bool{}
+		for i, key := range []string{"refused", "stream", "whole", "refused", "whole", "stream"} {
+			body := chat
+			if key == "stream" {
+				body = strings.Replace(chat, "{", `{"stream":true,`, 1)
+			}
+			request, err := http.NewRequest(http.MethodPost, base+"/v1/chat/completions", strings.NewReader(body))
+			Expect(err).NotTo(HaveOccurred())
+			request.Header.Set("Authorization", "Bearer "+apiKey)
+			request.Header.Set(ingress.IdempotencyKeyHeader, key)
+			Expect(request.Write(conn)).To(Succeed())
+			response, err := http.ReadResponse(reader, request)
+			Expect(err).NotTo(HaveOccurred())
+			data, err := io.ReadAll(response.Body)
+			Expect(err).NotTo(HaveOccurred())
+			ids[response.Header.Get(ingress.RequestIDHeader)] = true
+			Expect(ids).To(HaveLen(i + 1))
+			refused := key == "refused"
+			Expect(response.Header.Get("Retry-After") != "").To(Equal(refused))
+			Expect(response.StatusCode == http.StatusTooManyRequests).To(Equal(refused))
+			Expect(strings.Contains(string(data), "overloaded")).To(Equal(refused))
+			Expect(response.Header.Get(ingress.OutcomeHeader)).To(Equal(map[string]string{"refused": "not_run", "whole": "completed", "stream": ""}[key]))
+		}
+	})
+
 	It("is not subject to the write deadline of the stream before", func() {
 		stall := 50 * time.Millisecond
 		base, _ := startWith(func(s *settings.Callers) { s.WriteStallTimeout = stall }, func(ctx context.Context, r dispatch.Request, sink dispatch.Sink) dispatch.Result {
--- a/internal/keptanswer/store_test.go
+++ b/internal/keptanswer/store_test.go
@@ -88,6 +88,23 @@
 		Expect(state).To(Equal(dispatch.HolderUnknown))
 	})
 
+	It("never gets the response of an earlier request with its key that ends late", func() {
+		a, b := pair(1024)
+		a.Begin(claimOf("k", "r1", "1"))
+		a.Begin(claimOf("k", "r2", "1"))
+		a.End(claimOf("k", "r1", "1"), true, storedResponse("earlier"))
+		for _, s := range []*keptanswer.Store{a, b} {
+			stored, state := s.Find(ctx, claimOf("k", "r2", "1"))
+			Expect(state).NotTo(Equal(dispatch.HolderStored))
+			Expect(stored.Body).To(BeEmpty())
+		}
+		a.End(claimOf("k", "r2", "1"), true, storedResponse("certificate"))
+		for _, s := range []*keptanswer.Store{a, b} {
+			stored, _ := s.Find(ctx, claimOf("k", "r2", "1"))
+			Expect(string(stored.Body)).To(Equal("certificate"))
+		}
+	})
+
 	It("gets the state completed after the oldest bodies were dropped", func() {
 		a, _ := pair(100)
 		for _, key := range []string{"first", "second", "third"} {
