dispatch: a spec of hedged attempts that are cut at every byte

Both calls of an attempt run at once and the first engine is cut at every byte; the caller gets whole tokens of the call that won, then those of one other engine.

--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -216,3 +216,28 @@
 	Expect(result.Outcome).To(Equal(failure.Completed), "%v", result.Failure)
 	Expect(r.Arrived.Add(result.FirstToken)).To(BeTemporally(">", whole.arrived))
 })
+
+var _ = It("joins whole events only if both calls of a hedged attempt run at once", func(ctx SpecContext) {
+	f, cut, whole := newCutFixture(3, false)
+	third := &cutEngine{name: "third", tokens: 3, cut: wholeResponse}
+	f.broker.endpoints = append(f.broker.endpoints, serveHandler("e2", third))
+	f.broker.hedgeAfter = time.Nanosecond
+	f.options.RetryPolicy = retry.NewBudget(retry.Config{Burst: 1e6, HedgeBurst: 1e6})
+	for n := range len(cut.encode(0, false)) {
+		for _, e := range []*cutEngine{whole, third} {
+			e.setCut(wholeResponse)
+		}
+		cut.setCut(n)
+		result, sink := f.runCut(ctx, nil)
+		at := fmt.Sprintf("cut after %d bytes", n)
+		Expect(result.Outcome).To(Equal(failure.Completed), "%s: %v", at, result.Failure)
+		got := sink.stream()
+		Expect(got.done).To(BeTrue(), at)
+		Expect(got.finish).To(Equal("length"), at)
+		Expect(got.roles).To(Equal([]string{"assistant"}), at)
+		Expect(lo.Uniq(got.ids)).To(HaveLen(1), at)
+		firstTokens := strings.Count(got.text, cut.name)
+		begin := strings.TrimSuffix(cut.text(0), cut.text(firstTokens))
+		Expect(got.text).To(BeElementOf(begin+whole.text(firstTokens), begin+third.text(firstTokens)), at)
+	}
+})
