--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -20,10 +20,6 @@
 	Body           []byte
 	RequestID      string
 	IdempotencyKey string
-	// NewConnection uses a separate connection for the call, so that a broken connection
-	// means that the endpoint failed during this call. Calls with an idempotency key
-	// always use a separate connection.
-	NewConnection bool
 	// SilenceTimeout ends the call when the service sends nothing for this long; zero
 	// means no timeout.
 	SilenceTimeout time.Duration
@@ -47,7 +43,7 @@
 
 // Do sends the call and waits for the response header. Errors are *Error. Any status is
 // a response, except 429 and 503 with Retry-After, which mean that the service did not
-// start the request.
+// start the request, and one without a length or chunks, of which half would look whole.
 func (c *Client) Do(ctx context.Context, call PlainCall) (*PlainResponse, error) {
 	x := newExchange(ctx, call.Endpoint.Name, call.SilenceTimeout)
 	target := "http://" + call.Endpoint.Address + call.Path
@@ -68,7 +64,7 @@
 		request.Header.Del(name)
 	}
 	setIdentityHeaders(request.Header, call.RequestID, call.IdempotencyKey)
-	response, err := x.roundTrip(c.transport(call.NewConnection || !isSafe(call.Method) || call.IdempotencyKey != ""), request)
+	response, err := x.roundTrip(c.calls, request)
 	if err != nil {
 		return nil, err
 	}
@@ -77,13 +73,20 @@
 		defer func() { _ = response.Body.Close() }()
 		return nil, x.statusError(response)
 	}
+	if !hasEnd(response) {
+		defer x.cancel(nil)
+		_ = response.Body.Close()
+		return nil, x.responseError(Malformed, "the response has neither a length nor chunks")
+	}
 	return &PlainResponse{
 		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), exchange: x, body: response.Body,
 	}, nil
 }
 
-// isSafe reports whether the method is read-only (RFC 9110, section 9.2.1).
-func isSafe(method string) bool { return method == http.MethodGet || method == http.MethodHead }
+// hasEnd reports whether the end of the body can be told from a connection that broke.
+func hasEnd(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
+}
 
 // Read reads the body. Errors are io.EOF after the complete body, or *Error.
 func (r *PlainResponse) Read(p []byte) (int, error) {
