Revert "endpoint: a plain response with neither a length nor chunks is not taken for a whole one"

A plain service that answers without a length, as HTTP/1.0 servers do, would fail every call. The table that cuts a response at every byte stays.

--- a/internal/endpoint/plain.go
+++ b/internal/endpoint/plain.go
@@ -43,7 +43,7 @@
 
 // Do sends the call and waits for the response header. Errors are *Error. Any status is
 // a response, except 429 and 503 with Retry-After, which mean that the service did not
-// start the request, and one without a length or chunks, of which half would look whole.
+// start the request.
 func (c *Client) Do(ctx context.Context, call PlainCall) (*PlainResponse, error) {
 	x := newExchange(ctx, call.Endpoint.Name, call.SilenceTimeout)
 	target := "http://" + call.Endpoint.Address + call.Path
@@ -73,21 +73,11 @@
 		defer func() { _ = response.Body.Close() }()
 		return nil, x.statusError(response)
 	}
-	if !hasEnd(response) {
-		defer x.cancel(nil)
-		_ = response.Body.Close()
-		return nil, x.responseError(Malformed, "the response has neither a length nor chunks")
-	}
 	return &PlainResponse{
 		Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), exchange: x, body: response.Body,
 	}, nil
 }
 
-// hasEnd reports whether the end of the body can be told from a connection that broke.
-func hasEnd(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
-}
-
 // Read reads the body. Errors are io.EOF after the complete body, or *Error.
 func (r *PlainResponse) Read(p []byte) (int, error) {
 	defer r.exchange.startSilenceTimer()()
