--- a/internal/dispatch/response.go
+++ b/internal/dispatch/response.go
@@ -32,6 +32,8 @@
 	extra    extraContent
 	textOnly bool
 	started  bool
+	// roleSent is true once the caller has received a chunk with the role.
+	roleSent bool
 	// tokens counts the tokens of all attempts whose text is part of the response;
 	// priorTokens counts those of attempts before the current one.
 	tokens      int
@@ -81,9 +83,9 @@
 
 // appendChunk appends a chunk to the response and sends it if the response is streamed.
 func (r *response) appendChunk(c endpoint.Chunk) error {
-	resumedRole := r.priorTokens > 0 && c.Text == "" && c.Role != "" && c.FinishReason == ""
+	repeatedRole := r.roleSent && c.TextOnly && c.Text == "" && c.Role != "" && c.FinishReason == ""
 	r.text.WriteString(c.Text)
-	if c.Text != "" || !c.TextOnly {
+	if c.HasContent() {
 		r.tokens++
 	}
 	if c.Role != "" {
@@ -97,9 +99,10 @@
 		}
 		return nil
 	}
-	if resumedRole {
+	if repeatedRole {
 		return nil
 	}
+	r.roleSent = r.roleSent || c.Role != ""
 	return r.sendChunk(c)
 }
 
@@ -165,7 +168,7 @@
 // completeAtTokenLimit completes a response that had reached its token limit when its
 // endpoint failed.
 func (r *response) completeAtTokenLimit() error {
-	r.finishReason = finishLength
+	r.finishReason, r.pendingFinish = finishLength, nil
 	if r.request.Stream {
 		if err := r.writeEvent(mustJSON(r.finishChunk())); err != nil {
 			return err
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -20,8 +20,15 @@
 	DefaultIdleTimeout        = 30 * time.Second
 	DefaultMaxConnections     = 1024
 	DefaultMaxIdleConnections = 128
+	// DefaultMaxStreamBytes is longer than any response with log probabilities of each token.
+	DefaultMaxStreamBytes = 256 << 20
+	// DefaultMaxPreambleBytes leaves room for comments that keep the connection open.
+	DefaultMaxPreambleBytes = 4 << 20
 )
 
+// maxHeaderBytes is the maximum length of a response header, with interim responses.
+const maxHeaderBytes = 64 << 10
+
 // Options configures a Client. Zero fields take the defaults.
 type Options struct {
 	// ConnectTimeout is the maximum time to establish a connection.
@@ -32,26 +39,37 @@
 	MaxConnections int
 	// MaxIdleConnections is the maximum number of idle pooled connections to each endpoint.
 	MaxIdleConnections int
+	// MaxStreamBytes is the maximum length of one streamed response.
+	MaxStreamBytes int
+	// MaxPreambleBytes is the maximum length of a streamed response before its first content.
+	MaxPreambleBytes int
+	// Dial opens connections; nil means TCP with ConnectTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// Client calls endpoints. It pools connections and is safe for concurrent use.
+// Client calls endpoints. It is safe for concurrent use.
 type Client struct {
-	pooled *http.Transport
-	// singleUse opens a connection for each call. Calls that must not be repeated use it:
+	// reports pools the connections on which reports are read.
+	reports *http.Transport
+	// calls opens a connection for each call. On a pooled one, a late second response to an
+	// earlier request would be taken for the response of this call. Moreover,
 	// http.Transport retries requests on its own, but only on pooled connections, and a
 	// write to a pooled connection that the endpoint has closed can succeed although
 	// nothing reads the bytes. Whether the call ran would then be unknown, whereas a new
 	// connection is refused, so that the call certainly did not start.
-	singleUse *http.Transport
+	calls *http.Transport
+
+	maxStreamBytes   int
+	maxPreambleBytes int
 }
 
 // NewClient returns a client with no open connections.
 func NewClient(options Options) *Client {
 	options = options.withDefaults()
-	pooled := newTransport(options)
-	singleUse := newTransport(options)
-	singleUse.DisableKeepAlives = true
-	return &Client{pooled: pooled, singleUse: singleUse}
+	reports := newTransport(options)
+	calls := newTransport(options)
+	calls.DisableKeepAlives = true
+	return &Client{reports: reports, calls: calls, maxStreamBytes: options.MaxStreamBytes, maxPreambleBytes: options.MaxPreambleBytes}
 }
 
 func (o Options) withDefaults() Options {
@@ -67,14 +85,22 @@
 	if o.MaxIdleConnections <= 0 {
 		o.MaxIdleConnections = DefaultMaxIdleConnections
 	}
+	if o.MaxStreamBytes <= 0 {
+		o.MaxStreamBytes = DefaultMaxStreamBytes
+	}
+	if o.MaxPreambleBytes <= 0 {
+		o.MaxPreambleBytes = DefaultMaxPreambleBytes
+	}
+	if o.Dial == nil {
+		o.Dial = (&net.Dialer{Timeout: o.ConnectTimeout}).DialContext
+	}
 	return o
 }
 
 func newTransport(o Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.ConnectTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := o.Dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -84,13 +110,15 @@
 		MaxIdleConnsPerHost: o.MaxIdleConnections,
 		IdleConnTimeout:     o.IdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
 // Close closes the idle connections.
 func (c *Client) Close() {
-	c.pooled.CloseIdleConnections()
-	c.singleUse.CloseIdleConnections()
+	c.reports.CloseIdleConnections()
+	c.calls.CloseIdleConnections()
 }
 
 // countingConn counts the bytes written to the kernel.
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http/httputil"
 	"strconv"
 	"strings"
@@ -61,33 +62,50 @@
 	Skipped int
 
 	conn *Conn
-	// stopCancel detaches the connection from the exchange's context, and returns false if
-	// that has been cancelled.
-	stopCancel func() bool
+	// detach ends the effect of the exchange's context on the connection.
+	detach func()
 	// headRequest is set for responses to HEAD, which state a length but have no body.
 	headRequest bool
-	writeResult chan error
-	written     bool
-	complete    bool
-	reusable    bool
+	// writeDone is closed when the goroutine that writes a long body has ended; it is nil for a
+	// short body, which has been written when the response is read.
+	writeDone chan struct{}
+	writeErr  error
+	complete  bool
+	reusable  bool
 }
 
 // Exchange sends a request, given as its header block and body, and reads the header of
 // the response whose field idField echoes id. A response without that field is accepted only
 // if the connection carried no request before, and the connection is not reused. Reads and
-// writes fail once ctx is cancelled, until the response is released. After an error the endpoint
-// may have run the request, and the connection is closed.
+// writes fail once ctx is cancelled, until the response is released. After an error the
+// endpoint may have run the request, and the connection is closed. The body must not change
+// until Exchange has failed or the response is released.
 func (c *Conn) Exchange(ctx context.Context, head, body []byte, idField, id string) (*Response, error) {
 	response := &Response{conn: c, headRequest: bytes.HasPrefix(head, []byte("HEAD "))}
-	response.stopCancel = context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	response.detach = c.cancelWith(ctx)
 	if err := response.exchange(head, body, idField, id); err != nil {
-		response.stopCancel()
-		_ = c.Close()
+		response.detach()
+		response.abort()
 		return nil, err
 	}
 	return response, nil
 }
 
+// cancelWith makes reads and writes fail once ctx is cancelled, until detach is called. After
+// detach the deadline is no longer changed: a late change would hit the next request.
+func (c *Conn) cancelWith(ctx context.Context) (detach func()) {
+	cancelled := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = c.SetDeadline(time.Unix(1, 0))
+		close(cancelled)
+	})
+	return func() {
+		if !stop() {
+			<-cancelled
+		}
+	}
+}
+
 // exchange sends the request and reads the header of its response.
 func (response *Response) exchange(head, body []byte, idField, id string) error {
 	c := response.conn
@@ -96,12 +114,12 @@
 		if _, err := c.Write(append(head, body...)); err != nil {
 			return err
 		}
-		response.written = true
 	} else {
-		response.writeResult = make(chan error, 1)
+		response.writeDone = make(chan struct{})
 		go func() {
-			_, err := c.Write(append(head, body...))
-			response.writeResult <- err
+			defer close(response.writeDone)
+			request := net.Buffers{head, body}
+			_, response.writeErr = request.WriteTo(c.Conn)
 		}()
 	}
 	return response.readMatchingHeader(idField, id)
@@ -153,12 +171,16 @@
 		if _, err := response.conn.reader.Peek(1); err != nil {
 			return err // Unwrapped: the header parser would hide the connection's error.
 		}
-		if err := response.Header.Read(response.conn.reader); err != nil {
+		raw, err := response.conn.readHeader(&response.Header)
+		if err != nil {
 			if isTimeout(err) || isDisconnect(err) {
 				return err
 			}
 			return errors.Join(ErrMalformed, err)
 		}
+		if ambiguousFraming(raw, response.Header.ContentLength()) {
+			return ErrMalformed
+		}
 		switch code := response.Header.StatusCode(); {
 		case code >= fasthttp.StatusOK:
 			return nil
@@ -226,9 +248,9 @@
 // Release returns the connection to the dialer if the exchange ended cleanly, and closes
 // it otherwise.
 func (response *Response) Release(d *Dialer, address string) {
-	cancelled := !response.stopCancel() // The cancellation may set the deadline at any later time.
-	if cancelled || !response.connReusable() {
-		_ = response.conn.Close()
+	response.detach()
+	if !response.connReusable() {
+		response.abort()
 		return
 	}
 	if keepAlive := response.KeepAliveTimeout(); keepAlive > 0 {
@@ -244,17 +266,25 @@
 		response.conn.reader.Buffered() == 0 && response.conn.Uses() < maxRequestsPerConn
 }
 
+// abort closes the connection and waits until the request body is no longer read.
+func (response *Response) abort() {
+	_ = response.conn.Close()
+	if response.writeDone != nil {
+		<-response.writeDone
+	}
+}
+
 // requestWritten reports whether the complete request has been written.
 func (response *Response) requestWritten() bool {
-	if response.written {
+	if response.writeDone == nil {
 		return true
 	}
 	select {
-	case err := <-response.writeResult:
-		response.written = err == nil
+	case <-response.writeDone:
+		return response.writeErr == nil
 	default: // The endpoint responded early; it must not read the rest of the body as a new request.
+		return false
 	}
-	return response.written
 }
 
 // eofTracker marks its response as complete when r returns io.EOF.
--- a/internal/ingress/response.go
+++ b/internal/ingress/response.go
@@ -50,6 +50,8 @@
 	started   chan responseHead
 	chunks    chan []byte
 	remaining []byte
+	// lost is true if a chunk was not queued; the dispatcher sets it before it finishes.
+	lost bool
 
 	finishOnce sync.Once
 	finished   chan struct{}
@@ -79,6 +81,7 @@
 	case r.chunks <- bytes.Clone(p):
 		return nil
 	case <-r.ctx.Done():
+		r.lost = true
 		return failure.New(failure.ClientGone, "the caller left")
 	}
 }
@@ -95,6 +98,9 @@
 // completed or ended with an error event. Any other end closes the connection, so that
 // a truncated response never looks complete.
 func (r *streamedResponse) Read(p []byte) (int, error) {
+	// The deadline applies to the write that follows, which may be that of the end; the
+	// complete response has none.
+	defer func() { _ = r.conn.SetWriteDeadline(time.Now().Add(r.writeTimeout)) }()
 	for len(r.remaining) == 0 {
 		chunk, err := r.next()
 		if err != nil {
@@ -104,8 +110,6 @@
 	}
 	n := copy(p, r.remaining)
 	r.remaining = r.remaining[n:]
-	// The deadline applies to the write that follows; the complete response has none.
-	_ = r.conn.SetWriteDeadline(time.Now().Add(r.writeTimeout))
 	return n, nil
 }
 
@@ -132,6 +136,9 @@
 		return chunk, nil
 	default:
 	}
+	if r.lost {
+		return nil, failure.New(failure.ClientGone, "the caller left")
+	}
 	if r.result.Failure != nil && !r.result.ErrorEventSent {
 		return nil, r.result.Failure
 	}
