--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -163,7 +163,7 @@
 		return a.handleErrorStatus(response, status)
 	case len(response.Header.ContentEncoding()) > 0 || (h.ResponseSignature != "" && len(response.Header.Peek(h.ResponseSignature)) == 0):
 		return attemptOutcome{mayHaveRun: true, result: balance.Broken, status: status, cause: "not an answer of the endpoint"}
-	case a.writer.Started() && !isEventStream(response):
+	case a.writer.Started() && (status != fasthttp.StatusOK || !isEventStream(response)):
 		return attemptOutcome{mayHaveRun: true, result: balance.Broken, status: status, cause: "not the rest of a stream"}
 	case a.shouldStream(response):
 		return a.forwardStream(response)
--- a/internal/forward/mixed_test.go
+++ b/internal/forward/mixed_test.go
@@ -125,6 +125,12 @@
 		Expect(body).To(Equal(whole))
 		Expect(complete).To(BeTrue())
 
+		noContent := reply(204, signatureField+"Content-Type: text/event-stream\r\n", "")
+		r = newFixture(threeAttempts(), inTurn(3, brokenStream(event(1)), noContent, rest)...).call("/resume/x")
+		body, complete = readBody(r)
+		Expect(body).To(Equal(whole))
+		Expect(complete).To(BeTrue())
+
 		r = newFixture(spec(), inTurn(2, brokenStream(event(1)), ok("{}"))...).call("/resume/x")
 		body, complete = readBody(r)
 		Expect(body).To(Equal(event(1)))
