--- a/internal/forward/withdrawal.go
+++ b/internal/forward/withdrawal.go
@@ -25,7 +25,7 @@
 		return // Another process has the address.
 	}
 	now := time.Now()
-	if name := a.f.Headers.Leaving; name != "" && len(response.Header.Peek(name)) > 0 {
+	if a.saysLeaving(response) {
 		a.choice.MarkLeaving(now, a.responseKind(response))
 		a.f.Dialer.CloseIdle(a.choice.Address)
 		response.CloseWhenReleased()
@@ -36,6 +36,12 @@
 	}
 }
 
+// saysLeaving reports whether the response says that its endpoint leaves: the field is "1".
+func (a *attempt) saysLeaving(response *httpio.Response) bool {
+	name := a.f.Headers.Leaving
+	return name != "" && string(response.Header.Peek(name)) == "1"
+}
+
 // responseKind returns the kind of a response, as the cause of a change of its endpoint's state.
 func (a *attempt) responseKind(response *httpio.Response) balance.Cause {
 	switch {
--- a/internal/forward/withdrawal_test.go
+++ b/internal/forward/withdrawal_test.go
@@ -51,6 +51,14 @@
 		})),
 	)
 
+	It("is not one whose answers say that it stays", func() {
+		e := newEndpoint(reply(200, signatureField+headers.Default().Leaving+": 0\r\n", "fine"))
+		fx := newFixture(spec(), e)
+		for range 2 {
+			Expect(fx.call("/safe/x").StatusCode).To(Equal(http.StatusOK))
+		}
+	})
+
 	It("does not pass that on to callers", func() {
 		r := newFixture(spec(), newEndpoint(reply(200, signatureField+leavingField, "fine"))).call("/safe/x")
 		Expect(r.Header).NotTo(HaveKey(headers.Default().Leaving))
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -31,8 +31,8 @@
 	LastEventID string `json:"last_event_id"`
 	// Resumes names the request whose response began the stream that the caller resumes.
 	Resumes string `json:"resumes"`
-	// Leaving is set by an endpoint that shuts down on all its responses; it is not forwarded
-	// to callers.
+	// Leaving is set to "1" by an endpoint that shuts down, on all its responses; it is not
+	// forwarded to callers.
 	Leaving string `json:"leaving"`
 	// NotRun is set by an endpoint on the response to a request that it did not run.
 	NotRun string `json:"not_run"`
