--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -73,7 +73,7 @@
 		return attemptOutcome{result: balance.Unreachable, cause: "connect: " + err.Error()}
 	}
 	if withdrawal := choice.Withdrawn(time.Now()); withdrawal != balance.NotWithdrawn {
-		a.f.Dialer.Put(choice.Address, conn)
+		_ = conn.Close() // Rare, and a leaving endpoint's connections are of no further use.
 		return attemptOutcome{result: balance.NotSent, cause: "the endpoint was withdrawn while the connection was opened: " + withdrawal.String()}
 	}
 	a.transmissions++
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -22,8 +22,8 @@
 type stream struct {
 	*attempt
 	response *httpio.Response
-	status   int
-	fields   []httpio.Field
+	// fields are the header fields that the caller gets if the stream begins here.
+	fields []httpio.Field
 	// resumable is set if the stream can continue at another endpoint.
 	resumable bool
 	// position tells whether the bytes received end with a complete event.
@@ -35,7 +35,7 @@
 // resumable stream continues at another endpoint after its last complete event.
 func (a *attempt) forwardStream(response *httpio.Response) attemptOutcome {
 	s := &stream{
-		attempt: a, response: response, status: response.Header.StatusCode(), fields: a.responseFields(response),
+		attempt: a, response: response, fields: a.responseFields(response),
 		resumable: a.route.Resumable && isEventStream(response),
 	}
 	buffer := make([]byte, copyBufferSize)
@@ -80,7 +80,7 @@
 	if s.writer.Started() {
 		return s.writer.WriteChunk(data)
 	}
-	s.job.status = s.status
+	s.status = s.response.Header.StatusCode()
 	s.streamBegan(s.choice)
 	return s.writer.StartStream(s.status, s.fields, data)
 }
