--- a/Makefile
+++ b/Makefile
@@ -28,9 +28,10 @@
 
 SEEDS ?= 1-50
 LENGTH ?= 12s
+FLEET ?= 6x6
 
-soak: ## Random faults against gateways as processes: make soak SEEDS=1-50 LENGTH=12s.
-	SOAK_SEEDS=$(SEEDS) SOAK_LENGTH=$(LENGTH) CGO_ENABLED=1 go test -count=1 -timeout 120m ./test/e2e -ginkgo.label-filter soak -ginkgo.fail-on-empty -v -ginkgo.v | grep -aE "sent,|FAIL|^ok"
+soak: ## Random faults against gateways as processes: make soak SEEDS=1-50 LENGTH=12s FLEET=6x6.
+	SOAK_SEEDS=$(SEEDS) SOAK_LENGTH=$(LENGTH) SOAK_FLEET=$(FLEET) CGO_ENABLED=1 go test -count=1 -timeout 120m ./test/e2e -ginkgo.label-filter soak -ginkgo.fail-on-empty -v -ginkgo.v | grep -aE "sent,|FAIL|^ok"
 
 repeat: ## The failure tests, ten times over.
 	for i in 1 2 3 4 5 6 7 8 9 10; do CGO_ENABLED=1 go test -count=1 -timeout 30m ./test/e2e || exit 1; done
--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -24,10 +24,12 @@
 )
 
 // Environment of the soak: SOAK_SEEDS is a range such as "1-50", SOAK_LENGTH the time with
-// faults in each run. Without them CI's short run is played.
+// faults in each run, SOAK_FLEET the numbers of gateways and endpoints, such as "24x8". Without
+// them CI's short run is played.
 const (
 	seedsVariable  = "SOAK_SEEDS"
 	lengthVariable = "SOAK_LENGTH"
+	fleetVariable  = "SOAK_FLEET"
 	shortLength    = 6 * time.Second
 )
 
@@ -85,7 +87,12 @@
 	case generation < versionsGeneration:
 		return soak.Fleet{Gateways: 6, Endpoints: 3}
 	}
-	return soak.Fleet{Gateways: 6, Endpoints: 6}
+	fleet := soak.Fleet{Gateways: 6, Endpoints: 6}
+	if given := os.Getenv(fleetVariable); given != "" {
+		_, err := fmt.Sscanf(given, "%dx%d", &fleet.Gateways, &fleet.Endpoints)
+		Expect(err).NotTo(HaveOccurred(), fleetVariable)
+	}
+	return fleet
 }
 
 // soakCases are those that the environment asks for, or CI's.
