dispatch: a request that waited for its claim is not sent if its content was blocked meanwhile

A caller's poison request with an idempotency key could crash a third endpoint, and a suspect could run beside other requests. Cause: the quarantine state was compared with the permit once, when the permit arrived. A keyed request then claims its key, which takes a call to the platform. Evidence recorded in that time was not looked at again: the request was sent with the permit of a clear one. Copies of the content that run during the claim (placement allows them on two endpoints) are two crashes; the keyed one is the third run. Change: the check is made again after the claim. A permit that no longer fits is returned unused, and the attempt starts again: a blocked request ends as quarantined and not run, and its key is released; a suspect gets a permit that isolates it.

--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -92,6 +92,11 @@
 		if f := r.checkClaimFresh(permitRequest, grant); f != nil {
 			return f
 		}
+		if !r.permitFits(permitRequest) { // claiming the key takes time.
+			r.attempts--
+			d.releaseUnused(permitRequest, grant)
+			continue
+		}
 		attempt := r.exchange.attempt(permitRequest, grant)
 		if attempt.err != nil && attempt.err.MayHaveStarted() {
 			r.mayHaveStarted = true
@@ -122,7 +127,7 @@
 			return permitRequest, grant, r.permitFailure(err)
 		}
 		r.queueWait += grant.QueueWait
-		if now := r.quarantineState(); r.attemptCtx.Err() == nil && (now == state || now == quarantine.Clear) {
+		if r.attemptCtx.Err() == nil && r.permitFits(permitRequest) {
 			r.attempts = permitRequest.Attempt
 			r.endpoint = grant.Endpoint.Name
 			return permitRequest, grant, nil
@@ -139,6 +144,13 @@
 	return r.dispatcher.options.Quarantine.State(r.now(), r.digest)
 }
 
+// permitFits reports whether the permit was requested for the request's present quarantine
+// state or a more severe one.
+func (r *run) permitFits(permitRequest routing.PermitRequest) bool {
+	state := r.quarantineState()
+	return state == quarantine.Clear || state == quarantine.Suspect && permitRequest.Suspect
+}
+
 // nextAttemptID returns a unique ID for the next permit request.
 func (r *run) nextAttemptID() string {
 	r.permitRequests++
