dispatch: a hedge whose grant arrives after a crash is not sent

A hedge could be the third run of a poison request, and the hedge of a request whose first call had crashed its endpoint ran beside other requests instead of isolated. Cause: a hedge waits for its permit in a goroutine of its own, while the first call and copies of the content run. The quarantine state was read only when the first call's permit arrived; a grant in transit while endpoints crashed was used. Evidence: the spec holds the hedge's grant until a copy's crash and the first call's crash have blocked the content. Before the change the second engine accepted and completed the call (1 run where none is allowed). Change: a hedge's permit is returned unused if it no longer fits the quarantine state, by the same check as other permits.

--- a/internal/dispatch/hedge.go
+++ b/internal/dispatch/hedge.go
@@ -79,13 +79,15 @@
 	go func() { results <- e.openHedge(ctx, permitRequest, prior) }()
 }
 
-// openHedge acquires a permit for another endpoint and opens a call there.
+// openHedge acquires a permit for another endpoint and opens a call there, unless an endpoint
+// crashed under the request meanwhile.
 func (e *engineExchange) openHedge(ctx context.Context, permitRequest routing.PermitRequest, prior progress) callResult {
 	grant, err := e.run.dispatcher.options.Broker.Acquire(ctx, permitRequest)
 	if err != nil {
 		return callResult{}
 	}
-	if ctx.Err() != nil || grant.Endpoint.Name == permitRequest.Avoid[len(permitRequest.Avoid)-1] {
+	sameEndpoint := grant.Endpoint.Name == permitRequest.Avoid[len(permitRequest.Avoid)-1]
+	if ctx.Err() != nil || sameEndpoint || !e.run.permitFits(permitRequest) {
 		e.run.dispatcher.releaseUnused(permitRequest, grant)
 		return callResult{}
 	}
