placement: a suspect does not return to an endpoint that it crashed under the broker before

After a change of the broker a poison request could crash an endpoint of a small pool three times. Cause: sightings of a crash within 3 s count once, so an endpoint takes no suspect for 6 s after a crash. The time of the crash was kept by the fleet that had placed the request alone. The fleet of a new broker, and that of a daemon that decides by itself, begin without it: they sent the suspect to the same endpoint at once, its second crash was taken for the first, and a third run was allowed. Evidence: the spec gives a fleet that takes over the evidence of the one before; on a pool of one endpoint it saw 3 crashes, 2 allowed. Change: the quarantine register, whose evidence every daemon has, names the endpoints that crashed under a digest within the 6 s; a suspect is not placed there. Left: a resend that reaches the new broker before the evidence does.

--- a/internal/placement/filter.go
+++ b/internal/placement/filter.go
@@ -17,6 +17,9 @@
 	// copyEndpoints holds the endpoints that run copies of the request, if no copy has
 	// completed yet; empty means no restriction.
 	copyEndpoints []*endpoint
+	// crashedOn names the endpoints that crashed a moment ago under a suspect's digest,
+	// whichever broker had placed it.
+	crashedOn []string
 }
 
 // filter excludes endpoints that must not run a request.
--- a/internal/placement/suspect.go
+++ b/internal/placement/suspect.go
@@ -33,7 +33,10 @@
 		f.suspects.lastWait, f.suspects.waitingTier = now, request.Tier
 		return routing.Placement{}, false
 	}
-	d := &decision{now: now, request: request, enforceAvoid: f.enforceAvoid(request)}
+	d := &decision{
+		now: now, request: request, enforceAvoid: f.enforceAvoid(request),
+		crashedOn: f.cfg.Quarantine.CrashedSince(now, now.Add(-crashCooldown), request.Digest),
+	}
 	e := f.leastBusy(d)
 	if e == nil || !f.mayReserve(e, request.Tier) {
 		return routing.Placement{}, false
@@ -85,6 +88,7 @@
 
 func (f *Fleet) canTakeSuspect(d *decision, e *endpoint) bool {
 	cooledDown := e.lastCrash.IsZero() || d.now.Sub(e.lastCrash) >= crashCooldown
+	cooledDown = cooledDown && !slices.Contains(d.crashedOn, e.config.Name)
 	allowed := leavingFilter{}.keep(d, e) && healthFilter{}.keep(d, e) && avoidFilter{}.keep(d, e)
 	return cooledDown && allowed && e.suspects == 0
 }
--- a/internal/placement/suspect_test.go
+++ b/internal/placement/suspect_test.go
@@ -235,3 +235,17 @@
 		}
 	})
 }
+
+var _ = Describe("A poison request after a change of the broker", func() {
+	It("crashes its only endpoint twice at most", func() {
+		first := newSimulation(placement.Config{}, 1)
+		first.send(poison)
+		first.runFor(crashAfter)
+		Expect(first.crashes).To(Equal(1))
+		next := &simulation{harness: newHarness(placement.Config{Quarantine: first.register}, 1, 16), register: first.register}
+		next.now = first.now
+		next.send(poison)
+		next.runFor(time.Minute)
+		Expect(first.crashes + next.crashes).To(Equal(2))
+	})
+})
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -76,6 +76,16 @@
 	return true
 }
 
+func (e *evidence) crashedSince(since time.Time) []string {
+	var endpoints []string
+	for endpoint, count := range e.byEndpoint {
+		if count.uncleared() > 0 && !count.lastCrash.Before(since) {
+			endpoints = append(endpoints, endpoint)
+		}
+	}
+	return endpoints
+}
+
 func (e *evidence) clearCrashes() {
 	for endpoint, count := range e.byEndpoint {
 		count.cleared = count.total
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -143,6 +143,12 @@
 	return r.shard(digest).state(now, digest)
 }
 
+// CrashedSince returns the endpoints on which an uncleared crash was counted under digest
+// at or after since.
+func (r *Register) CrashedSince(now, since time.Time, digest string) []string {
+	return r.shard(digest).crashedSince(now, since, digest)
+}
+
 // Admit decides whether a request with that digest may run now. Suspects may. A blocked
 // digest that completed before its block may run as a probe, once in each ProbeInterval.
 func (r *Register) Admit(now time.Time, digest string) Decision {
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -50,6 +50,23 @@
 		Expect(r.State(start, poison)).To(Equal(quarantine.Blocked))
 	})
 
+	It("names the endpoints with a recent uncleared crash, merged evidence included", func() {
+		other := quarantine.New(quarantine.Config{})
+		other.Crashed(start, "e2", []string{poison})
+		r.Crashed(start, "e1", []string{poison})
+		later := start.Add(time.Second)
+		r.Merge(later, other.Entries(later))
+		Expect(r.CrashedSince(later, start, poison)).To(ConsistOf("e1", "e2"))
+		Expect(r.CrashedSince(later, later, poison)).To(ConsistOf("e2"))
+		Expect(r.CrashedSince(later, start, "elsewhere")).To(BeEmpty())
+	})
+
+	It("names no endpoint whose crash a completion cleared", func() {
+		r.Crashed(start, "e1", []string{poison})
+		r.Cleared(start, poison)
+		Expect(r.CrashedSince(start, start, poison)).To(BeEmpty())
+	})
+
 	It("combines the evidence of two daemons that recorded one crash each", func() {
 		other := quarantine.New(quarantine.Config{})
 		r.Crashed(start, "e1", []string{poison})
--- a/internal/quarantine/shard.go
+++ b/internal/quarantine/shard.go
@@ -174,6 +174,16 @@
 	return e.state()
 }
 
+func (s *shard) crashedSince(now, since time.Time, digest string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.lookup(now, digest)
+	if e == nil {
+		return nil
+	}
+	return e.crashedSince(since)
+}
+
 func (s *shard) appendSince(out []Entry, now time.Time, version uint64) []Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
