--- a/internal/placement/suspect_test.go
+++ b/internal/placement/suspect_test.go
@@ -208,6 +208,43 @@
 	})
 })
 
+var _ = Describe("A poison request whose crash reports are late", func() {
+	retry := func(avoid ...string) routing.PermitRequest {
+		return routing.PermitRequest{Digest: poison, Repeatable: true, Avoid: avoid}
+	}
+
+	It("gets no third endpoint before the reports arrive, nor after", func() {
+		s := newSimulation(placement.Config{}, 5)
+		first, e := s.place(retry())
+		second, f := s.place(retry(e))
+		Expect(f).NotTo(Or(BeEmpty(), Equal(e)))
+		_, third := s.place(retry(e, f))
+		Expect(third).To(BeEmpty())
+		s.end(second, routing.ResultCrashed)
+		_, third = s.place(retry(e, f))
+		Expect(third).To(BeEmpty())
+		s.end(first, routing.ResultCrashed)
+		_, third = s.place(retry(e, f))
+		Expect(third).To(BeEmpty())
+		Expect(s.Refuses(s.now, poison)).To(BeTrue())
+	})
+
+	It("is counted once for two copies on one endpoint, and placed on another", func() {
+		s := newSimulation(placement.Config{}, 5)
+		first, e := s.place(retry())
+		s.now = s.now.Add(tick)
+		second, f := s.place(retry())
+		Expect(f).To(Equal(e), "a copy joins the running one")
+		s.now = s.now.Add(tick)
+		s.end(second, routing.ResultCrashed)
+		s.end(first, routing.ResultCrashed)
+		Expect(s.register.State(s.now, poison)).To(Equal(quarantine.Suspect))
+		_, next := s.place(retry())
+		Expect(next).NotTo(Or(BeEmpty(), Equal(e)))
+		Expect(s.status(next).ReservedForSuspect).To(BeTrue())
+	})
+})
+
 // TestPoisonCrashesAtMostTwoEndpoints sends copies of a poison request, by generated
 // schedules, at the same time and repeatedly, among requests that share its endpoints.
 // It guards against more than two crashes, and against requests that are blocked or never
