claim: a caller that leaves does not wait for another claim's check of the layout

The first claim of a daemon compares the number of shards with the stored one and held a mutex meanwhile; claims that came after it waited for the mutex whatever their own context said. While the platform hung, a caller that had left, or whose limit was shorter, was kept for as long as the claim that checked (2 s at the default). The turn is now a channel, so the wait ends with the caller's context, as not run.

The new spec failed before: "Timed out after 2.003s. Expected ... to receive something", since the second claim did not return until the first did. It passes now.

--- a/internal/claim/layout.go
+++ b/internal/claim/layout.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"sync"
 
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/platform"
@@ -20,7 +19,8 @@
 
 // layout is the stored number of shards, and whether it was compared with the setting.
 type layout struct {
-	mu      sync.Mutex
+	// turn holds one token while the layout is checked; unlike a mutex, a wait for it can end early.
+	turn    chan struct{}
 	checked bool
 	// Shards is the number of shards; two daemons with different numbers would look for one
 	// key in different shards.
@@ -30,8 +30,12 @@
 // checkLayout compares the stored number of shards with the setting. The first daemon
 // stores its own.
 func (l *Log) checkLayout(ctx context.Context) error {
-	l.layout.mu.Lock()
-	defer l.layout.mu.Unlock()
+	select {
+	case l.layout.turn <- struct{}{}:
+	case <-ctx.Done():
+		return l.abandonedFailure(ctx)
+	}
+	defer func() { <-l.layout.turn }()
 	if l.layout.checked {
 		return nil
 	}
--- a/internal/claim/log.go
+++ b/internal/claim/log.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, failure.Wrap(err, failure.Internal, "claim log cache")
 	}
-	l := &Log{options: options, store: options.Store, segments: segments, metrics: newMetrics(options.Scope)}
+	l := &Log{options: options, store: options.Store, segments: segments, layout: layout{turn: make(chan struct{}, 1)}, metrics: newMetrics(options.Scope)}
 	for i := range options.Shards {
 		s := newShard(l, i)
 		l.shards = append(l.shards, s)
@@ -229,11 +229,16 @@
 	if !p.abandon() {
 		return l.resolve(<-p.done)
 	}
+	return Result{}, l.abandonedFailure(ctx)
+}
+
+// abandonedFailure is the failure of a claim whose context ended before it was decided.
+func (l *Log) abandonedFailure(ctx context.Context) error {
 	l.metrics.abandoned.Inc(1)
 	if errors.Is(ctx.Err(), context.Canceled) {
-		return Result{}, failure.Wrap(ctx.Err(), failure.ClientGone, "the caller left before the claim was decided").WithOutcome(failure.NotRun)
+		return failure.Wrap(ctx.Err(), failure.ClientGone, "the caller left before the claim was decided").WithOutcome(failure.NotRun)
 	}
-	return Result{}, unavailableFailure(ctx.Err(), l.options.MaxRetryInterval)
+	return unavailableFailure(ctx.Err(), l.options.MaxRetryInterval)
 }
 
 // resolve converts a reply into a result or a failure.
