claim: a collection of garbage takes at most half of a claim's time

A caller's claim could be refused as not run although the platform took appends: the shard's goroutine deletes garbage between two batches, with a time limit as long as a claim's. A claim that was queued during the append before a collection whose deletion hung was out of time before the collection was. The collection now has half of a claim's time, as an append and a forwarded call have, so a claim that arrives just before it keeps the other half for its append.

--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -99,12 +99,12 @@
 
 // collectGarbage deletes a few of the objects that no head will link again, and returns
 // whether more are left. It is best effort: the sweep of an epoch finds what a crash left
-// behind.
+// behind. It takes at most half of the time that a claim has, since claims wait for it.
 func (s *shard) collectGarbage(ctx context.Context) bool {
 	if len(s.garbage) == 0 && s.pendingSweep < 0 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.log.options.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, s.log.options.Timeout/2)
 	defer cancel()
 	if epoch := s.pendingSweep; epoch >= 0 {
 		s.pendingSweep = -1
--- a/internal/claim/waits_test.go
+++ b/internal/claim/waits_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,7 +17,7 @@
 // gatedStore runs a hook before each call of one kind. An error of the hook ends the call without an effect.
 type gatedStore struct {
 	platform.Store
-	beforeGet func(ctx context.Context, name string) error
+	beforeGet, beforeUpdate, beforeDelete func(ctx context.Context, name string) error
 }
 
 func gate(ctx context.Context, name string, hook func(context.Context, string) error) error {
@@ -32,6 +34,26 @@
 	return g.Store.Get(ctx, collection, name)
 }
 
+func (g *gatedStore) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+	if err := gate(ctx, o.Name, g.beforeUpdate); err != nil {
+		return platform.Object{}, err
+	}
+	return g.Store.Update(ctx, o)
+}
+
+func (g *gatedStore) Delete(ctx context.Context, collection, name string, version int64) error {
+	if err := gate(ctx, name, g.beforeDelete); err != nil {
+		return err
+	}
+	return g.Store.Delete(ctx, collection, name, version)
+}
+
+// hang blocks until the call's own time limit.
+func hang(ctx context.Context, name string) error {
+	<-ctx.Done()
+	return &platform.Error{Reason: platform.Uncertain, Op: "hang", Key: name, Cause: ctx.Err()}
+}
+
 // asyncClaim claims in the background and sends the error, or nil.
 func asyncClaim(ctx context.Context, l *Log, c Claim) <-chan error {
 	result := make(chan error, 1)
@@ -42,6 +64,13 @@
 	return result
 }
 
+// awaitQueued waits until n requests are queued for the log's only shard.
+func awaitQueued(l *Log, n int) {
+	GinkgoHelper()
+	s := l.shards[0]
+	Eventually(func() int { s.mu.Lock(); defer s.mu.Unlock(); return len(s.queue) }).WithTimeout(eventuallyTimeout).Should(Equal(n))
+}
+
 var _ = Describe("waits of a claim in the worst order", func() {
 	var server *platformstandin.Server
 
@@ -75,4 +104,53 @@
 		close(release)
 		Eventually(first).WithTimeout(eventuallyTimeout).Should(Receive(BeNil()))
 	})
+
+	// The worst order: the claim is queued during an append, after which a collection begins.
+	It("end with a grant behind a collection of garbage that hangs", func() {
+		const orphans = maxGarbage + 2*collectBatchSize
+		clock := specClock()
+		store := &gatedStore{Store: server.Store()}
+		l := newLog(Options{Store: store, Daemon: "a", Clock: clock, Retention: time.Hour})
+		mustClaim(l, newClaim("r", "k", "d"))
+		for i := range orphans {
+			_, err := server.Store().Create(context.Background(), platform.Object{Collection: platform.ClaimCollection, Name: fmt.Sprint(headName(0), ".0.orphan", i)})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		results := make(chan error, 2)
+		queue := func(key string) {
+			go func() {
+				_, _, err := l.Claim(context.Background(), newClaim("r", key, "d"))
+				results <- err
+			}()
+			awaitQueued(l, 1)
+		}
+		var deletions atomic.Int64
+		appending := false
+		store.beforeDelete = func(ctx context.Context, name string) error {
+			n := deletions.Add(1)
+			if n == 1 {
+				queue("first")
+				appending = true
+			}
+			if n > collectBatchSize {
+				return hang(ctx, name)
+			}
+			return nil
+		}
+		store.beforeUpdate = func(context.Context, string) error {
+			if appending {
+				appending = false
+				queue("second")
+			}
+			return nil
+		}
+		clock.Advance(time.Hour / retentionEpochs)
+		mustClaim(l, newClaim("r", "k2", "d"))
+		for range 2 {
+			var err error
+			Eventually(results).WithTimeout(eventuallyTimeout).Should(Receive(&err))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(deletions.Load()).To(BeNumerically(">", collectBatchSize), "the collection hung")
+	})
 })
