--- a/internal/claim/waits_test.go
+++ b/internal/claim/waits_test.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -54,6 +55,9 @@
 	return &platform.Error{Reason: platform.Uncertain, Op: "hang", Key: name, Cause: ctx.Err()}
 }
 
+// shortTimeout is the time limit of a claim that is meant to reach it.
+const shortTimeout = 300 * time.Millisecond
+
 // asyncClaim claims in the background and sends the error, or nil.
 func asyncClaim(ctx context.Context, l *Log, c Claim) <-chan error {
 	result := make(chan error, 1)
@@ -64,6 +68,20 @@
 	return result
 }
 
+// hungForwarder forwards to a usual writer that does not answer.
+type hungForwarder struct{ onForward func() }
+
+func (*hungForwarder) Local(int) bool { return false }
+
+func (h *hungForwarder) Forward(ctx context.Context, _ int, _ []Claim) ([]Result, error) {
+	if h.onForward != nil {
+		h.onForward()
+		h.onForward = nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
 // awaitQueued waits until n requests are queued for the log's only shard.
 func awaitQueued(l *Log, n int) {
 	GinkgoHelper()
@@ -82,6 +100,85 @@
 		Expect(failure.From(err).Outcome).To(Equal(failure.NotRun))
 	}
 
+	It("end at its time limit while each append loses, and the next claim is granted", func() {
+		store := &gatedStore{Store: server.Store()}
+		l := newLog(Options{Store: store, Daemon: "a", Timeout: shortTimeout})
+		winner := newLog(Options{Store: server.Store(), Daemon: "b"})
+		mustClaim(l, newClaim("warm", "warm", "d"))
+		var lost atomic.Int64
+		var stopped atomic.Bool
+		store.beforeUpdate = func(context.Context, string) error {
+			if !stopped.Load() {
+				mustClaim(winner, newClaim("winner", fmt.Sprint("w", lost.Add(1)), "d"))
+			}
+			return nil
+		}
+		_, _, err := l.Claim(context.Background(), newClaim("r1", "k", "d"))
+		expectNotRun(err)
+		Expect(lost.Load()).To(BeNumerically(">", 1))
+		stopped.Store(true)
+		outcome, _ := mustClaim(l, newClaim("r2", "k", "d"))
+		Expect(outcome).To(Equal(Granted))
+	})
+
+	It("end at its time limit while reads stay stale after a conflict, and the next claim is granted", func() {
+		l := newLog(Options{Store: server.Store(), Daemon: "a", Timeout: shortTimeout})
+		winner := newLog(Options{Store: server.Store(), Daemon: "b"})
+		mustClaim(l, newClaim("warm", "warm", "d"))
+		mustClaim(winner, newClaim("winner", "w", "d"))
+		server.SetFaults(platformstandin.Faults{StaleVersions: 1})
+		_, _, err := l.Claim(context.Background(), newClaim("r1", "k", "d"))
+		expectNotRun(err)
+		server.SetFaults(platformstandin.Faults{})
+		outcome, _ := mustClaim(l, newClaim("r2", "k", "d"))
+		Expect(outcome).To(Equal(Granted))
+	})
+
+	It("end at its time limit while the platform asks for a longer wait, after which the next claim is granted", func() {
+		clock := specClock()
+		store := &gatedStore{Store: server.Store()}
+		l := newLog(Options{Store: store, Daemon: "a", Clock: clock, Timeout: shortTimeout})
+		mustClaim(l, newClaim("warm", "warm", "d"))
+		var limited atomic.Bool
+		limited.Store(true)
+		store.beforeUpdate = func(_ context.Context, name string) error {
+			if limited.Load() {
+				return &platform.Error{Reason: platform.RateLimited, Op: "update", Key: name, RetryAfter: time.Hour}
+			}
+			return nil
+		}
+		_, _, err := l.Claim(context.Background(), newClaim("r1", "k", "d"))
+		expectNotRun(err)
+		limited.Store(false)
+		Expect(clock.BlockUntilContext(context.Background(), 1)).To(Succeed())
+		clock.Advance(time.Hour)
+		outcome, _ := mustClaim(l, newClaim("r2", "k", "d"))
+		Expect(outcome).To(Equal(Granted))
+	})
+
+	It("end with a grant behind a forwarded batch that hangs", func() {
+		forwarder := &hungForwarder{}
+		l := newLog(Options{Store: server.Store(), Daemon: "a", Forwarder: forwarder})
+		second := make(chan error, 1)
+		forwarder.onForward = func() {
+			go func() {
+				_, _, err := l.Claim(context.Background(), newClaim("r2", "k2", "d"))
+				second <- err
+			}()
+			awaitQueued(l, 1)
+		}
+		mustClaim(l, newClaim("r1", "k1", "d"))
+		Eventually(second).WithTimeout(eventuallyTimeout).Should(Receive(BeNil()))
+	})
+
+	It("end with a grant when the forwarded claim is lost, and then the reply to its append", func() {
+		forwarder := &delayedForwarder{onForward: func() { server.SetFaults(platformstandin.Faults{LoseReplies: 1}) }}
+		l := newLog(Options{Store: server.Store(), Daemon: "a", Forwarder: forwarder})
+		outcome, _ := mustClaim(l, newClaim("r1", "k1", "d"))
+		Expect(outcome).To(Equal(Granted))
+		Expect(server.Faults().LoseReplies).To(BeZero())
+	})
+
 	It("end at its own context while another claim checks the layout", func() {
 		held, release := make(chan struct{}), make(chan struct{})
 		store := &gatedStore{Store: server.Store()}
@@ -153,4 +250,15 @@
 		}
 		Expect(deletions.Load()).To(BeNumerically(">", collectBatchSize), "the collection hung")
 	})
+
+	It("end at its time limit while the log's clock stands still, and the next claim is granted once it runs", func() {
+		clock := clockwork.NewFakeClock()
+		l := newLog(Options{Store: server.Store(), Daemon: "a", Clock: clock, AppendInterval: time.Nanosecond, Timeout: shortTimeout})
+		mustClaim(l, newClaim("r1", "k1", "d"))
+		_, _, err := l.Claim(context.Background(), newClaim("r2", "k2", "d"))
+		expectNotRun(err)
+		clock.Advance(time.Nanosecond)
+		outcome, _ := mustClaim(l, newClaim("r3", "k2", "d"))
+		Expect(outcome).To(Equal(Granted))
+	})
 })
