--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -40,7 +40,7 @@
 type crashProber struct {
 	dialer *httpio.Dialer
 	// dial opens the connection of a probe.
-	dial func(ctx context.Context, address string, timeout time.Duration) (*httpio.Conn, error)
+	dial func(ctx context.Context, address, id string, timeout time.Duration) (*httpio.Conn, error)
 	// contents holds the evidence on whole requests, and parts that on parts of prompts.
 	contents, parts *parts.Ledger
 	log             *logrus.Logger
@@ -177,7 +177,7 @@
 // run dials the endpoint. If that fails, the endpoint is marked as dead and its recently
 // broken requests are reported as having run at the crash.
 func (p *crashProber) run(probe *crashProbe, choice *balance.Choice) {
-	conn, err := p.dial(context.Background(), choice.Address, dialTimeout)
+	conn, err := p.dial(context.Background(), choice.Address, "", dialTimeout)
 	if err == nil {
 		p.dialer.Put(choice.Address, conn)
 		choice.CrashProbeSucceeded(time.Now())
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -36,7 +36,7 @@
 	}
 	p := newCrashProber(httpio.NewDialer(), contents, alwaysTried(parts.PartPolicy()), telemetry.SilentLogger())
 	release := make(chan struct{})
-	p.dial = func(context.Context, string, time.Duration) (*httpio.Conn, error) {
+	p.dial = func(context.Context, string, string, time.Duration) (*httpio.Conn, error) {
 		<-release
 		return nil, errors.New("connection refused")
 	}
@@ -66,7 +66,7 @@
 	pool.Update(time.Now(), []routetable.Endpoint{{ID: "e", Service: "s", Address: "192.0.2.1:1", DataCentre: "dc", Slots: 4}})
 	contents := alwaysTried(parts.RequestPolicy())
 	p := newCrashProber(httpio.NewDialer(), contents, alwaysTried(parts.PartPolicy()), telemetry.SilentLogger())
-	p.dial = func(context.Context, string, time.Duration) (*httpio.Conn, error) {
+	p.dial = func(context.Context, string, string, time.Duration) (*httpio.Conn, error) {
 		return nil, errors.New("connection refused")
 	}
 	const first, second parts.Key = 1, 2
@@ -89,11 +89,11 @@
 	dialer := httpio.NewDialer()
 	p := newCrashProber(dialer, contents, alwaysTried(parts.PartPolicy()), telemetry.SilentLogger())
 	var exited atomic.Bool
-	p.dial = func(ctx context.Context, address string, timeout time.Duration) (*httpio.Conn, error) {
+	p.dial = func(ctx context.Context, address, id string, timeout time.Duration) (*httpio.Conn, error) {
 		if exited.Load() { // Another process may listen on the address by now.
 			return nil, syscall.ECONNREFUSED
 		}
-		return dialer.Dial(ctx, address, timeout)
+		return dialer.Dial(ctx, address, id, timeout)
 	}
 	const lost, crashed parts.Key = 1, 2
 	choice := pool.Pick(time.Now(), balance.Request{})
--- a/internal/forward/reset_test.go
+++ b/internal/forward/reset_test.go
@@ -52,9 +52,9 @@
 		}
 		endpoints = []*fakeEndpoint{newEndpoint(script).behindRelay(), newEndpoint(script).behindRelay()}
 		var netDialer net.Dialer
-		fx = newFixtureWith(httpio.NewDialerWith(func(ctx context.Context, network, address string) (net.Conn, error) {
+		fx = newFixtureWith(httpio.NewDialerWith(func(ctx context.Context, address, _ string) (net.Conn, error) {
 			dials.Add(1)
-			return netDialer.DialContext(ctx, network, address)
+			return netDialer.DialContext(ctx, "tcp4", address)
 		}), spec(), endpoints...)
 		received := func() int { return len(endpoints[0].received()) + len(endpoints[1].received()) }
 		streamed, unsafe = make([]answer, streams), make([]answer, unsafeRequests)
--- a/internal/forward/withdrawal_test.go
+++ b/internal/forward/withdrawal_test.go
@@ -106,8 +106,8 @@
 		func(firstResponse script, status int) {
 			connected, sayIt, goOn := make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
 			dials := 0
-			dialer := httpio.NewDialerWith(func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := new(net.Dialer).DialContext(ctx, network, address)
+			dialer := httpio.NewDialerWith(func(ctx context.Context, address, _ string) (net.Conn, error) {
+				conn, err := new(net.Dialer).DialContext(ctx, "tcp4", address)
 				if dials++; dials == 2 { // The second request has chosen the endpoint.
 					connected <- struct{}{}
 					<-goOn
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"net"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,8 @@
 	Version string
 	Adapter adapter.Adapter
 	Log     *logrus.Logger
+	// Dial opens direct connections to endpoints. Default: TCP from the VM's address.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Gateway is a daemon that forwards requests on opaque routes. Create it with New.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/samber/do/v2"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primrosewell/primrosewell/internal/platform"
+	"github.com/primrosewell/primrosewell/internal/reach"
 	"github.com/primrosewell/primrosewell/internal/retry"
 )
 
@@ -20,6 +22,9 @@
 	scope.Gauge("platform_away").Update(boolToFloat(g.endpointList.PlatformUnreachable()))
 	scope.Gauge("parts_blocked").Update(float64(l.parts.CountBlocked()))
 	scope.Gauge("contents_blocked").Update(float64(l.contents.CountBlocked()))
+	suspect, cut := do.MustInvoke[*reach.Paths](g.injector).Count()
+	scope.Tagged(map[string]string{"state": string(reach.Suspect)}).Gauge("paths").Update(float64(suspect))
+	scope.Tagged(map[string]string{"state": string(reach.Cut)}).Gauge("paths").Update(float64(cut))
 	live, oldest := g.members.Live(now)
 	scope.Gauge("peers_live").Update(float64(live))
 	scope.Gauge("peers_oldest_seconds").Update(oldest.Seconds())
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -16,7 +16,8 @@
 // provide registers the constructors of a gateway's components with its injector.
 func provide(g *Gateway) {
 	do.ProvideValue(g.injector, telemetry.NewMetrics())
-	do.ProvideValue(g.injector, httpio.NewDialer())
+	do.ProvideValue(g.injector, g.newPaths())
+	do.Provide(g.injector, g.newDialer)
 	do.ProvideValue(g.injector, g.newLedgers())
 	do.Provide(g.injector, g.newBudget)
 	do.Provide(g.injector, g.newWatcher)
--- a/internal/httpio/dial.go
+++ b/internal/httpio/dial.go
@@ -106,17 +106,28 @@
 	idle map[string][]*Conn
 }
 
-// DialFunc opens a connection, like net.Dialer.DialContext.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+// DialFunc opens a connection to an endpoint for the request with this id, or for none if the id
+// is empty.
+type DialFunc func(ctx context.Context, address, id string) (net.Conn, error)
 
-// NewDialer returns a dialer with an empty pool.
+// NewDialer returns a dialer with an empty pool that opens TCP connections.
 func NewDialer() *Dialer {
+	dial := DialTCP(nil)
+	return NewDialerWith(func(ctx context.Context, address, _ string) (net.Conn, error) { return dial(ctx, address) })
+}
+
+// DialTCP returns a function that opens TCP connections from a local address, or from any if it is
+// nil. A connection to a host that has vanished breaks after userTimeout.
+func DialTCP(local net.IP) func(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 		Control:         setUserTimeout,
 	}
+	if local != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: local}
+	}
 	dialer.SetMultipathTCP(false)
-	return NewDialerWith(dialer.DialContext)
+	return func(ctx context.Context, address string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp4", address) }
 }
 
 // NewDialerWith returns a dialer with an empty pool that opens connections with dial.
@@ -150,14 +161,14 @@
 		}
 		_ = c.Close()
 	}
-	return d.Dial(ctx, address, timeout)
+	return d.Dial(ctx, address, id, timeout)
 }
 
-// Dial opens a new connection within timeout.
-func (d *Dialer) Dial(ctx context.Context, address string, timeout time.Duration) (*Conn, error) {
+// Dial opens a new connection within timeout for the request with this id.
+func (d *Dialer) Dial(ctx context.Context, address, id string, timeout time.Duration) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := d.dial(ctx, "tcp4", address)
+	conn, err := d.dial(ctx, address, id)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/reach/paths.go
@@ -0,0 +1,212 @@
+// Package reach decides how a gateway connects to an endpoint: directly, or through a carrier,
+// which is another gateway that reaches the endpoint. One gateway can't tell a link that is cut
+// from an endpoint that is down; what a carrier finds tells them apart. The package performs no
+// I/O and reads no clock.
+package reach
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// probeInterval is the time between two probes of a path that is not whole.
+	probeInterval = time.Second
+	// recoveryInterval is the time between the probes that find a path whole again, and
+	// recoverySuccesses their number in a row: a link that is being repaired comes and goes.
+	recoveryInterval  = 300 * time.Millisecond
+	recoverySuccesses = 2
+	// surveyInterval is the minimum time between two surveys of all paths.
+	surveyInterval = time.Second
+	// maxProbesPerSecond bounds the probes of a gateway that is cut from many endpoints, and
+	// maxProbesAtOnce those that are started together.
+	maxProbesPerSecond = 32
+	maxProbesAtOnce    = 32
+)
+
+// State is the state of the path from this gateway to an endpoint's address.
+type State string
+
+const (
+	// Whole is the state of a path on which no direct connection has failed lately.
+	Whole State = "whole"
+	// Suspect begins with a direct connection that failed: the endpoint may be down, or the link cut.
+	Suspect State = "suspect"
+	// Cut begins when a carrier reaches the endpoint and this gateway does not.
+	Cut State = "cut"
+)
+
+// Transition is a change of a path's state.
+type Transition struct {
+	Address  string
+	From, To State
+	// Lasted is how long the path was in the state From; zero if From is Whole.
+	Lasted time.Duration
+}
+
+// path is a path that is not whole.
+type path struct {
+	state State
+	since time.Time
+	// successes counts the direct connections in a row that succeeded.
+	successes int
+	probeAt   time.Time
+	probing   bool
+}
+
+// Paths holds the state of the paths to all endpoints, by address. It is safe for concurrent use.
+type Paths struct {
+	mu sync.Mutex
+	// broken holds the paths that are not whole.
+	broken map[string]*path
+	// surveyDue is set while all paths are to be probed, surveyedAt when they last were.
+	surveyDue  bool
+	surveyedAt time.Time
+	report     func(Transition)
+	noted      []Transition
+}
+
+// NewPaths returns the state of a gateway to which all paths are whole. report receives each
+// transition once, outside the lock.
+func NewPaths(report func(Transition)) *Paths {
+	return &Paths{broken: make(map[string]*path), report: report}
+}
+
+// State returns the state of the path to an address.
+func (p *Paths) State(address string) State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b := p.broken[address]; b != nil {
+		return b.state
+	}
+	return Whole
+}
+
+// Count returns the number of paths in each state but Whole.
+func (p *Paths) Count() (suspect, cut int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, b := range p.broken {
+		if b.state == Cut {
+			cut++
+		} else {
+			suspect++
+		}
+	}
+	return suspect, cut
+}
+
+// DirectConnected records a direct connection that succeeded. After a cut it takes
+// recoverySuccesses of them, recoveryInterval apart, for the path to be whole. The first one shows
+// that links are being repaired, so that all other broken paths are probed too.
+func (p *Paths) DirectConnected(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.unlock()
+	b := p.broken[address]
+	if b == nil {
+		return
+	}
+	b.probing = false
+	if b.state == Cut {
+		if b.successes++; b.successes < recoverySuccesses {
+			b.probeAt = now.Add(recoveryInterval)
+			p.probeBroken(now)
+			return
+		}
+	}
+	p.note(now, address, b, Whole)
+	delete(p.broken, address)
+}
+
+// DirectFailed records a direct connection that failed.
+func (p *Paths) DirectFailed(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.unlock()
+	b := p.broken[address]
+	if b == nil {
+		b = &path{state: Whole}
+		p.broken[address] = b
+		p.note(now, address, b, Suspect)
+	}
+	b.probing, b.successes = false, 0
+	b.probeAt = now.Add(p.pace() + rand.N(probeInterval/4))
+}
+
+// Carried records that a carrier connected to an endpoint to which a direct connection failed.
+func (p *Paths) Carried(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.unlock()
+	b := p.broken[address]
+	if b == nil || b.state == Cut {
+		return
+	}
+	p.note(now, address, b, Cut)
+	p.surveyDue = true
+}
+
+// Due returns the listed addresses to probe now by a direct connection, whose result must be
+// recorded, and forgets those that are not listed. A path that was cut has all others probed,
+// once per surveyInterval.
+func (p *Paths) Due(now time.Time, listed []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address := range p.broken {
+		if !slices.Contains(listed, address) {
+			delete(p.broken, address)
+		}
+	}
+	survey := p.surveyDue && now.Sub(p.surveyedAt) >= surveyInterval
+	if survey {
+		p.surveyDue, p.surveyedAt = false, now
+	}
+	var due []string
+	for _, address := range listed {
+		b := p.broken[address]
+		switch {
+		case b == nil && survey:
+			due = append(due, address)
+		case b != nil && !b.probing && !now.Before(b.probeAt) && len(due) < maxProbesAtOnce:
+			b.probing = true
+			due = append(due, address)
+		}
+	}
+	return due
+}
+
+// probeBroken has all broken paths probed now; p.mu is held.
+func (p *Paths) probeBroken(now time.Time) {
+	for _, b := range p.broken {
+		if b.successes == 0 {
+			b.probeAt = now
+		}
+	}
+}
+
+// pace is the time between two probes of one path; p.mu is held.
+func (p *Paths) pace() time.Duration {
+	return max(probeInterval, time.Second*time.Duration(len(p.broken))/maxProbesPerSecond)
+}
+
+// note changes the state of a path; p.mu is held.
+func (p *Paths) note(now time.Time, address string, b *path, to State) {
+	t := Transition{Address: address, From: b.state, To: to}
+	if b.state != Whole {
+		t.Lasted = now.Sub(b.since)
+	}
+	b.state, b.since = to, now
+	if p.report != nil {
+		p.noted = append(p.noted, t)
+	}
+}
+
+// unlock releases p.mu and reports the transitions noted meanwhile.
+func (p *Paths) unlock() {
+	noted := p.noted
+	p.noted = nil
+	p.mu.Unlock()
+	for _, t := range noted {
+		p.report(t)
+	}
+}
