--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -115,6 +115,11 @@
 }
 
 func start(p ports, ip, platformURL string, seeds ...string) *daemon {
+	return startWith(p, ip, platformURL, nil, seeds...)
+}
+
+// startWith starts a gateway that connects to endpoints by dial.
+func startWith(p ports, ip, platformURL string, dial func(ctx context.Context, address string) (net.Conn, error), seeds ...string) *daemon {
 	s := gateway.Settings{
 		VM:        gateway.VM{ID: "vm-" + ip, DataCentre: "dc"},
 		Callers:   gateway.Listener{Listen: fmt.Sprintf("%s:%d", ip, p.callers)},
@@ -124,7 +129,7 @@
 		Retries:   gateway.Retries{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		Drain:     gateway.Drain{Grace: eventualTimeout},
 	}
-	g, err := gateway.New(s, gateway.Options{Adapter: gateway.NativeAdapter(), Log: telemetry.SilentLogger()})
+	g, err := gateway.New(s, gateway.Options{Adapter: gateway.NativeAdapter(), Log: telemetry.SilentLogger(), Dial: dial})
 	Expect(err).NotTo(HaveOccurred())
 	d := &daemon{Gateway: g, ip: ip, done: make(chan error, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
