--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -14,13 +14,13 @@
 	"github.com/primrosewell/primrosewell/internal/eventstream"
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/reach"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
 const (
-	// dialTimeout bounds the opening of a connection: it takes a few milliseconds within
-	// a region, and an endpoint that went down without notice never replies.
-	dialTimeout = 250 * time.Millisecond
+	// dialTimeout bounds the opening of a connection, directly or through another gateway.
+	dialTimeout = reach.ConnectTimeout
 	// maxBufferedBody bounds a response body, in bytes, that is buffered before it is forwarded.
 	maxBufferedBody = 256 << 10
 	// copyBufferSize is the size in bytes of one read from a stream.
@@ -81,6 +81,7 @@
 		_ = conn.Close() // Rare, and a leaving endpoint's connections are of no further use.
 		return attemptOutcome{result: balance.NotSent, cause: "the endpoint was withdrawn while the connection was opened: " + withdrawal.String()}
 	}
+	a.logCarrier(conn)
 	a.sentAt = time.Now()
 	a.transmissions++
 	a.possibleRuns++ // Decremented again if the endpoint reports that it has not run the request.
--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -11,6 +11,7 @@
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/httpio"
 	"github.com/primrosewell/primrosewell/internal/resume"
+	"github.com/primrosewell/primrosewell/internal/tunnel"
 )
 
 // latencyBuckets are the bounds of the latency histograms: 1 ms to about 16 s.
@@ -84,6 +85,11 @@
 	m.scope.Tagged(map[string]string{"verdict": string(verdict)}).Counter("resumed_streams").Inc(1)
 }
 
+// countCarried counts a request that was sent through another gateway.
+func (m metrics) countCarried(service string) {
+	m.scope.Tagged(map[string]string{"service": service}).Counter("carried").Inc(1)
+}
+
 // recordWait records the wait predicted when an endpoint was chosen.
 func (m metrics) recordWait(wait time.Duration) { m.predictedWait.RecordDuration(wait) }
 
@@ -135,6 +141,14 @@
 	}
 }
 
+// logCarrier logs a request that is sent through another gateway.
+func (a *attempt) logCarrier(conn *httpio.Conn) {
+	if through, ok := conn.Conn.(*tunnel.Conn); ok {
+		a.f.Log.WithFields(logrus.Fields{"event": "carried", "request_id": a.id, "endpoint": a.choice.ID, "address": a.choice.Address, "carrier": through.Carrier, "tunnel": through.ID}).Info("sent through another gateway")
+		a.f.metrics.countCarried(a.service)
+	}
+}
+
 // log logs an attempt that did not complete the request, one that completed it after
 // another, and one whose response was unusual.
 func (a *attempt) log(outcome attemptOutcome) {
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -5,7 +5,10 @@
 	"net"
 	"time"
 
+	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
+
+	"github.com/primrosewell/primrosewell/internal/tunnel"
 )
 
 const (
@@ -45,7 +48,7 @@
 }
 
 // awaitDrain waits for the load balancer to stop sending connections, closes the listener
-// and waits for the requests in progress.
+// and waits for the requests in progress and for the connections that it carries for peers.
 func (g *Gateway) awaitDrain(ctx context.Context, listener net.Listener) {
 	started := time.Now()
 	acceptFor, giveUpAfter := drainTimes(g.settings.Drain.Grace)
@@ -56,12 +59,13 @@
 	if err := listener.Close(); err != nil {
 		g.log.WithFields(logrus.Fields{"event": "listener_failed", "listener": "callers", "error": err}).Warn("the callers' listener did not close")
 	}
+	carrying := do.MustInvoke[*tunnel.Server](g.injector)
 	for {
 		g.server.CloseIdle()
-		if g.server.Active() == 0 || time.Now().After(deadline) || ctx.Err() != nil {
+		if g.server.Active() == 0 && carrying.Active() == 0 || time.Now().After(deadline) || ctx.Err() != nil {
 			break
 		}
 		sleep(ctx, drainPollInterval)
 	}
-	g.log.WithFields(logrus.Fields{"event": "drained", "in_flight": g.server.Active(), "took": time.Since(started)}).Info("drained")
+	g.log.WithFields(logrus.Fields{"event": "drained", "in_flight": g.server.Active(), "carried": carrying.Active(), "took": time.Since(started)}).Info("drained")
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/reach"
 	"github.com/primrosewell/primrosewell/internal/retry"
+	"github.com/primrosewell/primrosewell/internal/tunnel"
 )
 
 // updateGauges sets the gauges of the gateway's load, versions, peers and pools.
@@ -25,6 +26,8 @@
 	suspect, cut := do.MustInvoke[*reach.Paths](g.injector).Count()
 	scope.Tagged(map[string]string{"state": string(reach.Suspect)}).Gauge("paths").Update(float64(suspect))
 	scope.Tagged(map[string]string{"state": string(reach.Cut)}).Gauge("paths").Update(float64(cut))
+	scope.Gauge("connections_carried").Update(float64(do.MustInvoke[*tunnel.Server](g.injector).Active()))
+	scope.Gauge("connections_through_carriers").Update(float64(do.MustInvoke[*tunnel.Connector](g.injector).Carried()))
 	live, oldest := g.members.Live(now)
 	scope.Gauge("peers_live").Update(float64(live))
 	scope.Gauge("peers_oldest_seconds").Update(oldest.Seconds())
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -10,6 +10,7 @@
 
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/gossip"
+	"github.com/primrosewell/primrosewell/internal/tunnel"
 )
 
 // remoteLoadInterval is the minimum time between two aggregations of the other daemons'
@@ -60,7 +61,10 @@
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "peers' listener")
 	}
-	g.serveHTTP(gossip.NewFetchServer(publisher.SnapshotFor), listener, "peers")
+	server := gossip.NewFetchServer(publisher.SnapshotFor)
+	server.Handler = do.MustInvoke[*tunnel.Server](g.injector).Wrap(server.Handler)
+	g.serveHTTP(server, listener, "peers")
+	go do.MustInvoke[*tunnel.Connector](g.injector).Run(ctx)
 	return nil
 }
 
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -17,7 +17,9 @@
 func provide(g *Gateway) {
 	do.ProvideValue(g.injector, telemetry.NewMetrics())
 	do.ProvideValue(g.injector, g.newPaths())
+	do.Provide(g.injector, g.newConnector)
 	do.Provide(g.injector, g.newDialer)
+	do.Provide(g.injector, g.newTunnelServer)
 	do.ProvideValue(g.injector, g.newLedgers())
 	do.Provide(g.injector, g.newBudget)
 	do.Provide(g.injector, g.newWatcher)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -181,7 +181,7 @@
 	m := Message{
 		Node: g.Node, Incarnation: g.incarnation, Address: g.Address.String(), TableVersion: g.TableVersion(), ListNumber: list.Number, ListEra: list.Era,
 		Watching: g.Watching(), PlatformUnreachable: g.PlatformUnreachable(), Leaving: g.Leaving(),
-		DataCentre: g.DataCentre, DaemonCount: g.Members.ObservedCount(time.Now()),
+		DataCentre: g.DataCentre, DaemonCount: g.Members.ObservedCount(time.Now()), Carries: true,
 	}
 	m.WatcherCount = g.Members.CountWatchers(m.Watching && !m.PlatformUnreachable && !m.Leaving)
 	return m
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -44,10 +44,12 @@
 	platformUnreachable bool
 	unreachableSince    time.Time
 	leaving             bool
-	lastReceived        time.Time
-	addedAt             time.Time
-	lost                bool
-	loads               map[balance.EndpointKey]balance.Load
+	// carries is set if the peer carries connections of others to endpoints.
+	carries      bool
+	lastReceived time.Time
+	addedAt      time.Time
+	lost         bool
+	loads        map[balance.EndpointKey]balance.Load
 	// introducedAt is when this daemon was last introduced to the peer, which another peer
 	// had reported as a watcher and which had not sent a message.
 	introducedAt time.Time
@@ -139,7 +141,7 @@
 	}
 	m.role.noteReport(now, message.WatcherCount)
 	p.node, p.dataCentre, p.incarnation = message.Node, message.DataCentre, message.Incarnation
-	p.daemonCount = message.DaemonCount
+	p.daemonCount, p.carries = message.DaemonCount, message.Carries
 	p.watching, p.platformUnreachable, p.leaving = message.Watching, message.PlatformUnreachable, message.Leaving
 	p.tableVersion, p.listVersion = message.TableVersion, message.listVersion()
 	p.lastReceived, p.lost = now, false
--- a/internal/httpio/dial.go
+++ b/internal/httpio/dial.go
@@ -127,7 +127,9 @@
 		dialer.LocalAddr = &net.TCPAddr{IP: local}
 	}
 	dialer.SetMultipathTCP(false)
-	return func(ctx context.Context, address string) (net.Conn, error) { return dialer.DialContext(ctx, "tcp4", address) }
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp4", address)
+	}
 }
 
 // NewDialerWith returns a dialer with an empty pool that opens connections with dial.
@@ -205,6 +207,9 @@
 	d.idle[address] = append(d.idle[address], c)
 }
 
+// Adopt adds an open connection that has carried no request to the pool.
+func (d *Dialer) Adopt(address string, conn net.Conn) { d.Put(address, newConn(conn)) }
+
 // CloseIdle closes the idle connections to an address.
 func (d *Dialer) CloseIdle(address string) {
 	d.mu.Lock()
@@ -216,14 +221,14 @@
 	}
 }
 
-// CloseExpired closes the connections that have been idle for longer than their timeout.
+// CloseExpired closes the connections that are stale or have been idle for longer than their timeout.
 func (d *Dialer) CloseExpired() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for address, conns := range d.idle {
 		kept := conns[:0]
 		for _, c := range conns {
-			if time.Since(c.idleSince) < c.idleTimeout {
+			if time.Since(c.idleSince) < c.idleTimeout && !c.stale() {
 				kept = append(kept, c)
 				continue
 			}
@@ -237,10 +242,16 @@
 	}
 }
 
+// stale reports whether the connection says of itself that it should carry no further request.
+func (c *Conn) stale() bool {
+	s, ok := c.Conn.(interface{ Stale() bool })
+	return ok && s.Stale()
+}
+
 // reusable reports whether the connection is open and has no unread bytes. Bytes received
 // between two exchanges belong to no request.
 func (c *Conn) reusable() bool {
-	if c.reader.Buffered() > 0 {
+	if c.reader.Buffered() > 0 || c.stale() {
 		return false
 	}
 	tcp, ok := c.Conn.(syscall.Conn)
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -66,12 +66,14 @@
 	surveyedAt time.Time
 	report     func(Transition)
 	noted      []Transition
+	// firstBroken signals that a path has ceased to be whole.
+	firstBroken chan struct{}
 }
 
 // NewPaths returns the state of a gateway to which all paths are whole. report receives each
 // transition once, outside the lock.
 func NewPaths(report func(Transition)) *Paths {
-	return &Paths{broken: make(map[string]*path), report: report}
+	return &Paths{broken: make(map[string]*path), report: report, firstBroken: make(chan struct{}, 1)}
 }
 
 // State returns the state of the path to an address.
@@ -129,21 +131,37 @@
 		b = &path{state: Whole}
 		p.broken[address] = b
 		p.note(now, address, b, Suspect)
+		select {
+		case p.firstBroken <- struct{}{}:
+		default: // The signal is pending.
+		}
 	}
 	b.probing, b.successes = false, 0
 	b.probeAt = now.Add(p.pace() + rand.N(probeInterval/4))
 }
 
-// Carried records that a carrier connected to an endpoint to which a direct connection failed.
-func (p *Paths) Carried(now time.Time, address string) {
+// Carried records that a carrier connected to an endpoint, and reports whether that shows that the
+// path is cut: a direct connection failed, and the path was not known to be cut.
+func (p *Paths) Carried(now time.Time, address string) bool {
 	p.mu.Lock()
 	defer p.unlock()
 	b := p.broken[address]
 	if b == nil || b.state == Cut {
-		return
+		return false
 	}
 	p.note(now, address, b, Cut)
 	p.surveyDue = true
+	return true
+}
+
+// Broken returns a channel that receives a value after a path has ceased to be whole.
+func (p *Paths) Broken() <-chan struct{} { return p.firstBroken }
+
+// NeedsProbes reports whether Due may return any address.
+func (p *Paths) NeedsProbes() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.broken) > 0 || p.surveyDue
 }
 
 // Due returns the listed addresses to probe now by a direct connection, whose result must be
