--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -40,9 +41,12 @@
 	id := fmt.Sprintf("%s/%d", c.vm, c.count.Add(1))
 	verdict, err := c.connect(ctx, conn, target.Address, requestID, id)
 	tcp, isTCP := conn.(*net.TCPConn)
-	if verdict != reach.Connected || !isTCP {
+	if err == nil && !isTCP {
+		verdict, err = reach.Lost, oops.Errorf("not a TCP connection")
+	}
+	if verdict != reach.Connected {
 		_ = conn.Close()
-		return nil, verdict, oops.Wrapf(err, "carrier %s: %s", carrier, verdict)
+		return nil, verdict, errors.Join(oops.Errorf("carrier %s: %s", carrier, verdict), err)
 	}
 	var once sync.Once
 	return &Conn{
--- a/internal/tunnel/connector.go
+++ b/internal/tunnel/connector.go
@@ -15,9 +15,14 @@
 	"github.com/primrosewell/primrosewell/internal/reach"
 )
 
-// ErrUnconfirmed is the error of a connection that nobody could open, if nobody could tell either
-// whether the endpoint is down: this gateway may be cut off.
-var ErrUnconfirmed = errors.New("neither this gateway nor a carrier reaches the service")
+// Errors of connections that could not be opened.
+var (
+	// ErrDown means that the endpoint accepts no connections, as far as anybody can tell.
+	ErrDown = errors.New("the endpoint accepts no connection")
+	// ErrUnconfirmed means that nobody could tell whether the endpoint is down: this gateway may be
+	// cut off.
+	ErrUnconfirmed = errors.New("neither this gateway nor a carrier reaches the service")
+)
 
 const (
 	// maxReferences bounds the other endpoints that are dialled to tell a cut link from an endpoint
@@ -82,7 +87,7 @@
 }
 
 // Dial opens a connection to an endpoint's address for the request with this id. Its error wraps
-// ErrUnconfirmed unless the endpoint is down as far as anybody can tell.
+// ErrDown or ErrUnconfirmed, unless the address is not listed.
 func (c *Connector) Dial(ctx context.Context, address, requestID string) (net.Conn, error) {
 	target, listed := c.Find(address)
 	if !listed {
@@ -95,23 +100,29 @@
 	return run.play(reach.NewRace(time.Now(), c.Paths.State(address), len(candidates)))
 }
 
-// dialDirect opens a direct connection, and records whether the path is whole. The caller's leaving
-// says nothing about the path, so that the connection is opened nevertheless.
+// dialDirect opens a direct connection, and records whether the path is whole; idle connections over
+// one that has ceased to be are closed. The caller's leaving says nothing about the path, so that the
+// connection is opened nevertheless.
 func (c *Connector) dialDirect(ctx context.Context, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reach.DirectTimeout)
 	defer cancel()
 	conn, err := c.Direct(ctx, address)
 	if err != nil {
-		c.Paths.DirectFailed(time.Now(), address)
+		if c.Paths.DirectFailed(time.Now(), address) {
+			c.Abandon(address)
+		}
 		return nil, err
 	}
 	c.Paths.DirectConnected(time.Now(), address)
 	return conn, nil
 }
 
-// reference connects to other endpoints of the service.
+// reference connects to other endpoints, of the same service if it has any.
 func (c *Connector) reference(ctx context.Context, target reach.Target) reach.Reference {
-	others := lo.Filter(c.Targets(), func(t reach.Target, _ int) bool { return t.Service == target.Service && t.Address != target.Address })
+	others := lo.Filter(c.Targets(), func(t reach.Target, _ int) bool { return t.Address != target.Address })
+	if same := lo.Filter(others, func(t reach.Target, _ int) bool { return t.Service == target.Service }); len(same) > 0 {
+		others = same
+	}
 	if len(others) == 0 {
 		return reach.NoReference
 	}
@@ -245,10 +256,11 @@
 		"event": "unreached", "request_id": r.requestID, "address": r.target.Address, "service": r.target.Service, "verdict": verdict,
 		"carriers": r.tried, "error": r.lastErr,
 	}).Info("an endpoint was not reached")
-	if verdict != reach.Down {
-		return oops.Wrapf(errors.Join(ErrUnconfirmed, r.lastErr), "connection to %s", r.target.Address)
+	reason := ErrUnconfirmed
+	if verdict == reach.Down {
+		reason = ErrDown
 	}
-	return oops.Wrapf(r.lastErr, "connection to %s", r.target.Address)
+	return oops.Wrapf(errors.Join(reason, r.lastErr), "connection to %s", r.target.Address)
 }
 
 // abandonRest closes the connections that are still being opened when they are open. If a carrier
@@ -286,24 +298,34 @@
 		}
 		for c.Paths.NeedsProbes() && ctx.Err() == nil {
 			c.carriers.Retain(c.Candidates())
-			for _, address := range c.Paths.Due(time.Now(), lo.Map(c.Targets(), func(t reach.Target, _ int) string { return t.Address })) {
+			probes, checks := c.Paths.Due(time.Now(), lo.Map(c.Targets(), func(t reach.Target, _ int) string { return t.Address }))
+			for _, address := range probes {
 				go c.probe(ctx, address)
 			}
+			for _, address := range checks {
+				go c.check(ctx, address)
+			}
 			time.Sleep(proberTick)
 		}
 	}
 }
 
-// probe connects directly. Idle connections over a path that has turned out to be broken are of no
-// use, and those through carriers none once it is whole.
+// probe connects directly. Idle connections through carriers are of no use once the path is whole.
 func (c *Connector) probe(ctx context.Context, address string) {
 	before := c.Paths.State(address)
 	conn, err := c.dialDirect(ctx, address)
-	after := c.Paths.State(address)
-	if before != after && (after == reach.Whole || before == reach.Whole) {
+	if err != nil {
+		return // It is recorded.
+	}
+	if before == reach.Cut && c.Paths.State(address) == reach.Whole {
 		c.Abandon(address)
 	}
-	if err == nil {
+	c.Keep(address, conn)
+}
+
+// check connects directly and through carriers.
+func (c *Connector) check(ctx context.Context, address string) {
+	if conn, err := c.Dial(ctx, address, ""); err == nil {
 		c.Keep(address, conn)
 	}
 }
--- a/internal/tunnel/protocol.go
+++ b/internal/tunnel/protocol.go
@@ -37,7 +37,7 @@
 	switch verdict {
 	case reach.Connected:
 		return http.StatusOK
-	case reach.Down, reach.CantTell:
+	case reach.Down, reach.CantTell, reach.Unreached:
 		return http.StatusBadGateway
 	case reach.Unlisted:
 		return http.StatusNotFound
