--- a/internal/reach/carriers.go
+++ b/internal/reach/carriers.go
@@ -17,8 +17,10 @@
 	Connected Verdict = "connected"
 	// Down means that the carrier did not reach the endpoint, but others of its service.
 	Down Verdict = "down"
-	// CantTell means that the carrier reached neither the endpoint nor others of its service.
+	// CantTell means that the carrier reached neither the endpoint nor others.
 	CantTell Verdict = "cant_tell"
+	// Unreached means that the carrier did not reach the endpoint and has no other to try.
+	Unreached Verdict = "unreached"
 	// Unlisted means that the carrier's list of endpoints does not have the address.
 	Unlisted Verdict = "unlisted"
 	// Busy means that the carrier has as many connections as it carries at most, or drains.
@@ -29,7 +31,8 @@
 	Lost Verdict = "lost"
 )
 
-// avoidance is how long a carrier is asked only if there is no other, by its answer.
+// avoidance is how long a carrier is asked only if there is no other, by its answer. It doubles with
+// each such answer in a row, up to maxDoublings times: links stay cut for seconds.
 var avoidance = map[Verdict]time.Duration{
 	CantTell:  time.Second,
 	Unlisted:  500 * time.Millisecond,
@@ -38,6 +41,8 @@
 	Lost:      2 * time.Second,
 }
 
+const maxDoublings = 3
+
 // Candidate is a peer that may be asked to carry connections.
 type Candidate struct {
 	Address, DataCentre string
@@ -59,8 +64,14 @@
 // carrier is the state of a carrier that answered lately or carries connections.
 type carrier struct {
 	open int
-	// avoidUntil is by service: links may be cut to the endpoints of one service only.
-	avoidUntil map[string]time.Time
+	// avoided is by service: links may be cut to the endpoints of one service only.
+	avoided map[string]avoided
+}
+
+// avoided is until when a carrier is avoided, after that many answers of the kind in a row.
+type avoided struct {
+	until   time.Time
+	answers int
 }
 
 // NewCarriers returns the state of a gateway in dataCentre that has asked no carrier yet.
@@ -69,7 +80,7 @@
 }
 
 // Choose returns the candidate to ask next for a connection to target, without those in tried;
-// ok is false if none is left. Candidates in the data centre of this gateway or of the endpoint
+// ok is false if none is left. If all are to be avoided, one is asked for each connection. Candidates in the data centre of this gateway or of the endpoint
 // come first, since bytes through a third one pass between data centres twice; of two drawn by
 // random, which returns an integer below n, the one that carries less.
 func (c *Carriers) Choose(now time.Time, target Target, candidates []Candidate, tried []string, random func(n int) int) (address string, ok bool) {
@@ -79,13 +90,13 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if usable := lo.Filter(left, func(x Candidate, _ int) bool { return !now.Before(c.avoidUntil(x.Address, target.Service)) }); len(usable) > 0 {
-		left = usable
-	} else {
-		return lo.MinBy(left, func(a, b Candidate) bool {
-			return c.avoidUntil(a.Address, target.Service).Before(c.avoidUntil(b.Address, target.Service))
-		}).Address, true
+	avoidUntil := func(x Candidate) time.Time { return c.avoidUntil(x.Address, target.Service) }
+	usable := lo.Filter(left, func(x Candidate, _ int) bool { return !now.Before(avoidUntil(x)) })
+	if len(usable) == 0 {
+		first := lo.MinBy(left, func(a, b Candidate) bool { return avoidUntil(a).Before(avoidUntil(b)) })
+		return first.Address, len(tried) == 0
 	}
+	left = usable
 	if near := lo.Filter(left, func(x Candidate, _ int) bool {
 		return x.DataCentre == c.dataCentre || x.DataCentre == target.DataCentre
 	}); len(near) > 0 {
@@ -104,14 +115,15 @@
 	defer c.mu.Unlock()
 	x := c.byAddress[address]
 	if x == nil {
-		x = &carrier{avoidUntil: make(map[string]time.Time)}
+		x = &carrier{avoided: make(map[string]avoided)}
 		c.byAddress[address] = x
 	}
-	if verdict == Connected || verdict == Down {
-		delete(x.avoidUntil, service)
+	if avoidance[verdict] == 0 {
+		delete(x.avoided, service)
 		return
 	}
-	x.avoidUntil[service] = now.Add(avoidance[verdict])
+	answers := x.avoided[service].answers
+	x.avoided[service] = avoided{until: now.Add(avoidance[verdict] << min(answers, maxDoublings)), answers: answers + 1}
 }
 
 // Opened and Closed count a connection that a carrier carries for this gateway. A carrier that has
@@ -156,7 +168,7 @@
 
 func (c *Carriers) avoidUntil(address, service string) time.Time {
 	if x := c.byAddress[address]; x != nil {
-		return x.avoidUntil[service]
+		return x.avoided[service].until
 	}
 	return time.Time{}
 }
--- /dev/null
+++ b/internal/reach/fleet_test.go
@@ -0,0 +1,243 @@
+package reach
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	"pgregory.net/rapid"
+)
+
+// simulatedGateway is a gateway of a generated fleet.
+type simulatedGateway struct {
+	address string
+	// cut gateways reach no endpoint; their connections hang or are refused. lost ones answer nobody,
+	// and ones of the build before carry nothing.
+	cut, hangs, lost, old bool
+	paths                 *Paths
+	carriers              *Carriers
+}
+
+// simulatedFleet plays races without a network, each event at its time.
+type simulatedFleet struct {
+	now      time.Time
+	gateways []*simulatedGateway
+	targets  []Target
+	down     map[string]bool
+	random   *rand.Rand
+}
+
+// direct returns whether a direct connection is opened, and after how long it is or fails.
+func (f *simulatedFleet) direct(g *simulatedGateway, address string) (bool, time.Duration) {
+	switch {
+	case g.cut && g.hangs:
+		return false, DirectTimeout
+	case g.cut || f.down[address]:
+		return false, 2 * time.Millisecond
+	}
+	return true, 3 * time.Millisecond
+}
+
+// asked returns the answer of a carrier, and after how long it comes.
+func (f *simulatedFleet) asked(g *simulatedGateway, target Target) (Verdict, time.Duration) {
+	if g.lost {
+		return Lost, 450 * time.Millisecond
+	}
+	if g.paths.State(target.Address) == Cut {
+		return CantTell, 3 * time.Millisecond
+	}
+	connected, took := f.direct(g, target.Address)
+	took = min(took, 150*time.Millisecond) + 3*time.Millisecond
+	if connected {
+		return Connected, took
+	}
+	g.paths.DirectFailed(f.now, target.Address)
+	reference, more := f.reference(g, target)
+	return Judge(reference), took + more
+}
+
+func (f *simulatedFleet) reference(g *simulatedGateway, target Target) (Reference, time.Duration) {
+	others := lo.Filter(f.targets, func(t Target, _ int) bool { return t != target })
+	if len(others) == 0 {
+		return NoReference, 0
+	}
+	for _, other := range f.sample(others) {
+		if connected, took := f.direct(g, other.Address); connected {
+			return ReferenceReached, took
+		}
+	}
+	return ReferenceLost, 150 * time.Millisecond
+}
+
+func (f *simulatedFleet) sample(targets []Target) []Target {
+	f.random.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	return targets[:min(2, len(targets))]
+}
+
+// event is the end of one part of a race.
+type event struct {
+	at        time.Time
+	direct    bool
+	connected bool
+	verdict   Verdict
+	reference *Reference
+}
+
+// connect plays one race, and returns its verdict: Connected, Down or CantTell.
+func (f *simulatedFleet) connect(t *rapid.T, g *simulatedGateway, target Target) Verdict {
+	candidates := lo.FilterMap(f.gateways, func(x *simulatedGateway, _ int) (Candidate, bool) {
+		return Candidate{Address: x.address}, x != g && !x.old
+	})
+	started := f.now
+	race := NewRace(f.now, g.paths.State(target.Address), len(candidates))
+	var events []event
+	var tried []string
+	for {
+		if f.now.Sub(started) > ConnectTimeout {
+			return CantTell
+		}
+		step := race.Next(f.now)
+		switch {
+		case step.Over:
+			return race.Verdict()
+		case step.Direct:
+			connected, took := f.direct(g, target.Address)
+			events = append(events, event{at: f.now.Add(took), direct: true, connected: connected})
+			continue
+		case step.Carrier:
+			address, ok := g.carriers.Choose(f.now, target, candidates, tried, f.random.IntN)
+			if !ok {
+				events = append(events, event{at: f.now, verdict: Lost})
+				continue
+			}
+			tried = append(tried, address)
+			carrier, _ := lo.Find(f.gateways, func(x *simulatedGateway) bool { return x.address == address })
+			verdict, took := f.asked(carrier, target)
+			g.carriers.Answered(f.now.Add(took), address, target.Service, verdict)
+			events = append(events, event{at: f.now.Add(took), connected: verdict == Connected, verdict: verdict})
+			continue
+		case step.Reference:
+			reference, took := f.reference(g, target)
+			events = append(events, event{at: f.now.Add(took), reference: &reference})
+			continue
+		}
+		if len(events) == 0 && step.Wait == 0 {
+			t.Fatalf("a race waits for nothing")
+		}
+		next, i := lo.MinIndexBy(events, func(a, b event) bool { return a.at.Before(b.at) })
+		if wake := f.now.Add(step.Wait); step.Wait > 0 && (len(events) == 0 || wake.Before(next.at)) {
+			f.now = wake
+			continue
+		}
+		f.now = next.at
+		events = slices.Delete(events, i, i+1)
+		switch {
+		case next.connected:
+			if next.direct {
+				g.paths.DirectConnected(f.now, target.Address)
+			} else {
+				if lo.ContainsBy(events, func(e event) bool { return e.direct }) {
+					g.paths.DirectFailed(f.now, target.Address) // It hangs, and fails a moment later.
+				}
+				g.paths.Carried(f.now, target.Address)
+			}
+			return Connected
+		case next.direct:
+			g.paths.DirectFailed(f.now, target.Address)
+			race.DirectFailed()
+		case next.reference != nil:
+			race.ReferenceDone(*next.reference)
+		default:
+			race.CarrierFailed(next.verdict)
+		}
+	}
+}
+
+func drawFleet(t *rapid.T) *simulatedFleet {
+	f := &simulatedFleet{now: time.Unix(1000, 0), down: map[string]bool{}, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))}
+	for i := range rapid.IntRange(1, 12).Draw(t, "endpoints") {
+		f.targets = append(f.targets, Target{Address: fmt.Sprint("e", i), Service: "svc"})
+		f.down[f.targets[i].Address] = i > 0 && rapid.IntRange(0, 4).Draw(t, "state") == 0
+	}
+	cutShare, lostShare, oldShare := rapid.Float64Range(0, 0.9).Draw(t, "cut"), rapid.Float64Range(0, 0.2).Draw(t, "lost"), rapid.SampledFrom([]float64{0, 0, 0.5}).Draw(t, "old")
+	hangs := rapid.Bool().Draw(t, "hangs")
+	for i := range rapid.IntRange(1, 95).Draw(t, "gateways") {
+		f.gateways = append(f.gateways, &simulatedGateway{
+			address: fmt.Sprint("g", i), cut: f.random.Float64() < cutShare, hangs: hangs,
+			lost: f.random.Float64() < lostShare, old: f.random.Float64() < oldShare, paths: NewPaths(nil), carriers: NewCarriers("dc"),
+		})
+	}
+	return f
+}
+
+// TestGatewaysReachWhatAnyCarrierReaches draws fleets with gateways that are cut, lost or of the
+// build before. No endpoint that is up is taken for down while another gateway can tell, and a
+// gateway that is cut connects nearly always once it knows a quarter of its carriers to be whole.
+func TestGatewaysReachWhatAnyCarrierReaches(t *testing.T) {
+	const races = 60
+	rapid.Check(t, func(t *rapid.T) {
+		f := drawFleet(t)
+		serving := lo.Filter(f.gateways, func(g *simulatedGateway, _ int) bool { return !g.lost && !g.old })
+		for _, g := range serving[:min(3, len(serving))] {
+			carriers := lo.Filter(serving, func(x *simulatedGateway, _ int) bool { return x != g })
+			whole := lo.CountBy(carriers, func(x *simulatedGateway) bool { return !x.cut })
+			announced := lo.CountBy(f.gateways, func(x *simulatedGateway) bool { return x != g && !x.old })
+			connected, up := 0, 0
+			for range races {
+				f.now = f.now.Add(50 * time.Millisecond)
+				target := f.targets[f.random.IntN(len(f.targets))]
+				verdict := f.connect(t, g, target)
+				switch {
+				case f.down[target.Address]:
+					if verdict == Connected {
+						t.Fatalf("connected to an endpoint that is down")
+					}
+					continue
+				case verdict == Down && len(f.targets) > 1:
+					t.Fatalf("an endpoint that is up is taken for down")
+				}
+				up++
+				connected += lo.Ternary(verdict == Connected, 1, 0)
+			}
+			if (!g.cut || whole*4 >= announced && whole > 0) && connected*3 < up*2 {
+				t.Fatalf("%d of %d connections, with %d of %d carriers whole", connected, up, whole, announced)
+			}
+		}
+	})
+}
+
+// TestPathsAfterACut checks when a path is cut and whole again.
+func TestPathsAfterACut(t *testing.T) {
+	var seen []State
+	p, now := NewPaths(func(t Transition) { seen = append(seen, t.To) }), time.Unix(1000, 0)
+	listed := []string{"a", "b", "c"}
+	p.DirectFailed(now, "a")
+	if _, checks := p.Due(now, listed); len(checks) != 1 {
+		t.Fatalf("a path that is newly suspect is checked at once: %v", checks)
+	}
+	p.Carried(now, "a")
+	if probes, _ := p.Due(now, listed); len(probes) != 2 {
+		t.Fatalf("a path that is cut has all others probed: %v", probes)
+	}
+	p.DirectConnected(now, "a")
+	if p.State("a") != Cut {
+		t.Fatalf("one connection makes no path whole")
+	}
+	p.DirectFailed(now, "a")
+	p.DirectConnected(now, "a")
+	p.DirectConnected(now.Add(recoveryInterval), "a")
+	if p.State("a") != Whole {
+		t.Fatalf("two connections in a row do")
+	}
+	if want := []State{Suspect, Cut, Whole}; fmt.Sprint(seen) != fmt.Sprint(want) {
+		t.Fatalf("transitions %v", seen)
+	}
+	p.DirectFailed(now, "gone")
+	p.Due(now, listed)
+	if p.NeedsProbes() {
+		t.Fatalf("addresses that are not listed are forgotten")
+	}
+}
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -54,6 +54,8 @@
 	successes int
 	probeAt   time.Time
 	probing   bool
+	// checked is set once carriers are being asked whether the endpoint is down.
+	checked bool
 }
 
 // Paths holds the state of the paths to all endpoints, by address. It is safe for concurrent use.
@@ -122,12 +124,14 @@
 	delete(p.broken, address)
 }
 
-// DirectFailed records a direct connection that failed.
-func (p *Paths) DirectFailed(now time.Time, address string) {
+// DirectFailed records a direct connection that failed, and reports whether the path was whole
+// until then.
+func (p *Paths) DirectFailed(now time.Time, address string) bool {
 	p.mu.Lock()
 	defer p.unlock()
 	b := p.broken[address]
-	if b == nil {
+	first := b == nil
+	if first {
 		b = &path{state: Whole}
 		p.broken[address] = b
 		p.note(now, address, b, Suspect)
@@ -138,6 +142,10 @@
 	}
 	b.probing, b.successes = false, 0
 	b.probeAt = now.Add(p.pace() + rand.N(probeInterval/4))
+	if first {
+		b.probeAt = now
+	}
+	return first
 }
 
 // Carried records that a carrier connected to an endpoint, and reports whether that shows that the
@@ -164,10 +172,11 @@
 	return len(p.broken) > 0 || p.surveyDue
 }
 
-// Due returns the listed addresses to probe now by a direct connection, whose result must be
-// recorded, and forgets those that are not listed. A path that was cut has all others probed,
-// once per surveyInterval.
-func (p *Paths) Due(now time.Time, listed []string) []string {
+// Due returns the listed addresses to probe now, and forgets those that are not listed. Those in
+// probes are probed by a direct connection, whose result must be recorded. Carriers are to be asked
+// as well about those in checks, whose paths are newly suspect, so that a cut is known before the
+// next request comes. A path that was cut has all others probed, once per surveyInterval.
+func (p *Paths) Due(now time.Time, listed []string) (probes, checks []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address := range p.broken {
@@ -179,18 +188,20 @@
 	if survey {
 		p.surveyDue, p.surveyedAt = false, now
 	}
-	var due []string
 	for _, address := range listed {
-		b := p.broken[address]
-		switch {
+		switch b := p.broken[address]; {
 		case b == nil && survey:
-			due = append(due, address)
-		case b != nil && !b.probing && !now.Before(b.probeAt) && len(due) < maxProbesAtOnce:
+			probes = append(probes, address)
+		case b == nil || b.probing || now.Before(b.probeAt) || len(probes)+len(checks) >= maxProbesAtOnce:
+		case b.state == Suspect && !b.checked:
+			b.probing, b.checked = true, true
+			checks = append(checks, address)
+		default:
 			b.probing = true
-			due = append(due, address)
+			probes = append(probes, address)
 		}
 	}
-	return due
+	return probes, checks
 }
 
 // probeBroken has all broken paths probed now; p.mu is held.
--- a/internal/reach/race.go
+++ b/internal/reach/race.go
@@ -10,37 +10,43 @@
 	headStart = 100 * time.Millisecond
 	// carrierPatience is how long a carrier may take before the next one is asked beside it.
 	carrierPatience = 150 * time.Millisecond
-	// maxCarriers bounds the carriers that are asked for one connection.
-	maxCarriers = 4
+	// maxCarriers bounds the carriers that are asked for one connection. Most of them may be cut as well,
+	// which they answer at once.
+	maxCarriers = 8
 	// ConnectTimeout bounds a race: two carriers that don't answer, and one that does.
 	ConnectTimeout = 700 * time.Millisecond
 )
 
-// Reference is the result of connecting to other endpoints of the service, which tells a link that
-// is cut from an endpoint that is down.
+// Reference is the result of connecting to other endpoints, of the same service if it has any, which
+// tells a link that is cut from an endpoint that is down.
 type Reference int
 
 const (
-	// NoReference means that the service has no other endpoint.
+	// NoReference means that no other endpoint is listed.
 	NoReference Reference = iota
-	// ReferenceReached and ReferenceLost say whether one of the others was reached.
+	// ReferenceReached means that one of the others was reached.
 	ReferenceReached
+	// ReferenceLost means that none was.
 	ReferenceLost
 )
 
 // Judge returns the verdict of a gateway that does not reach an endpoint.
 func Judge(reference Reference) Verdict {
-	if reference == ReferenceLost {
-		return CantTell
+	switch reference {
+	case ReferenceReached:
+		return Down
+	case NoReference:
+		return Unreached
+	case ReferenceLost:
 	}
-	return Down
+	return CantTell
 }
 
 // Step is what a race needs next.
 type Step struct {
 	// Direct starts the direct connection, and Carrier asks one more carrier.
 	Direct, Carrier bool
-	// Reference connects to other endpoints of the service.
+	// Reference connects to other endpoints.
 	Reference bool
 	// Over ends the race without a connection.
 	Over bool
@@ -60,9 +66,11 @@
 	// knowsPeers is set if there was a carrier to ask.
 	knowsPeers                  bool
 	directStarted, directFailed bool
-	down                        bool
-	referenceStarted            bool
-	reference                   *Reference
+	// down is set once a carrier has found the endpoint down, and unreached once one that has no
+	// reference has not reached it.
+	down, unreached  bool
+	referenceStarted bool
+	reference        *Reference
 }
 
 // NewRace returns a race over a path in the given state, with that many carriers to choose from.
@@ -123,6 +131,7 @@
 func (r *Race) CarrierFailed(verdict Verdict) {
 	r.asking--
 	r.down = r.down || verdict == Down
+	r.unreached = r.unreached || verdict == Unreached
 }
 
 // ReferenceDone records the result of the reference.
@@ -136,8 +145,10 @@
 		return Down
 	case r.reference == nil:
 		return CantTell
-	case *r.reference == NoReference && r.knowsPeers:
-		return CantTell
+	case *r.reference == NoReference && (r.unreached || !r.knowsPeers):
+		return Down // As far as anybody can tell.
+	case *r.reference == ReferenceReached:
+		return Down
 	}
-	return Judge(*r.reference)
+	return CantTell
 }
