--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -15,6 +16,7 @@
 	"github.com/primrosewell/primrosewell/internal/balance"
 	"github.com/primrosewell/primrosewell/internal/httpio"
 	"github.com/primrosewell/primrosewell/internal/quarantine/parts"
+	"github.com/primrosewell/primrosewell/internal/tunnel"
 )
 
 // Load pattern: connections break while requests are in progress. A crash probe dials the
@@ -175,7 +177,7 @@
 }
 
 // run dials the endpoint. If that fails, the endpoint is marked as dead and its recently
-// broken requests are reported as having run at the crash.
+// broken requests are reported as having run at the crash, unless this gateway may be cut off.
 func (p *crashProber) run(probe *crashProbe, choice *balance.Choice) {
 	conn, err := p.dial(context.Background(), choice.Address, "", dialTimeout)
 	if err == nil {
@@ -188,6 +190,13 @@
 	}
 	now := time.Now()
 	p.dialer.CloseIdle(choice.Address)
+	if errors.Is(err, tunnel.ErrUnconfirmed) {
+		p.mu.Lock()
+		delete(p.broken, choice.ID)
+		p.mu.Unlock()
+		p.log.WithFields(logrus.Fields{"event": "crash_unconfirmed", "endpoint": choice.ID, "address": choice.Address, "error": err}).Warn("a connection broke, and nobody could tell whether the endpoint crashed")
+		return
+	}
 	choice.CrashProbeFailed(now)
 	p.mu.Lock()
 	probe.reporting = p.recentlyBroken(choice.ID, now)
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -17,6 +17,7 @@
 	"github.com/primrosewell/primrosewell/internal/quarantine/parts"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
+	"github.com/primrosewell/primrosewell/internal/tunnel"
 )
 
 // alwaysTried returns a ledger whose daemon makes all trials.
@@ -59,6 +60,23 @@
 	g.Eventually(admitted, 10*time.Second).Should(Receive(HaveField("Admitted", BeFalse())))
 }
 
+// A gateway that is cut from the service can't tell whether an endpoint crashed.
+func TestCutGatewayReportsNoCrash(t *testing.T) {
+	g := NewWithT(t)
+	pool := balance.NewPool("dc", rand.New(rand.NewPCG(1, 2)))
+	pool.Update(time.Now(), []routetable.Endpoint{{ID: "e", Service: "s", Address: "192.0.2.1:1", DataCentre: "dc", Slots: 4}})
+	contents := alwaysTried(parts.RequestPolicy())
+	p := newCrashProber(httpio.NewDialer(), contents, alwaysTried(parts.PartPolicy()), telemetry.SilentLogger())
+	for content, err := range map[parts.Key]error{1: tunnel.ErrUnconfirmed, 2: tunnel.ErrDown} {
+		p.dial = func(context.Context, string, string, time.Duration) (*httpio.Conn, error) { return nil, err }
+		choice := pool.Pick(time.Now(), balance.Request{})
+		p.reportBroken(choice, content, nil)
+		p.await(t.Context(), content)
+		g.Expect(contents.CountCrashes(content)).To(Equal(int(content)-1), err.Error())
+		time.Sleep(minProbeInterval)
+	}
+}
+
 // Two connections break in one crash, the second one after the crash probe has ended.
 func TestRequestThatBreaksAfterTheProbeIsEvidence(t *testing.T) {
 	g := NewWithT(t)
