--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build dev gateway test lint fmt generate bench bench-decisions soak limits repeat
+.PHONY: build dev gateway test lint fmt generate bench bench-decisions soak limits recover repeat
 
 build: ## Build the one binary into bin/.
 	CGO_ENABLED=1 go build -o bin/primrosewell ./cmd/primrosewell
@@ -35,7 +35,10 @@
 	SOAK_SEEDS=$(SEEDS) SOAK_LENGTH=$(LENGTH) SOAK_FLEET=$(FLEET) CGO_ENABLED=1 go test -count=1 -timeout 120m ./test/e2e -ginkgo.label-filter soak -ginkgo.fail-on-empty -v -ginkgo.v | tee bench-out/soak-$(SEEDS)-$(FLEET).log | grep -aE "sent,|FAIL|^ok"
 
 limits: ## Endpoints that name limits before gateways as processes: make limits LENGTH=30s FLEET=24x8.
-	LIMIT_RIG_LENGTH=$(LENGTH) SOAK_FLEET=$(FLEET) CGO_ENABLED=1 go test -count=1 -timeout 30m ./test/e2e -ginkgo.label-filter limits -ginkgo.fail-on-empty -v -ginkgo.v | grep -aE "gateways, |which names|FAIL|^ok"
+	RIG_LENGTH=$(LENGTH) SOAK_FLEET=$(FLEET) CGO_ENABLED=1 go test -count=1 -timeout 30m ./test/e2e -ginkgo.label-filter limits -ginkgo.fail-on-empty -v -ginkgo.v | grep -aE "gateways, |which names|FAIL|^ok"
+
+recover: ## Gateways as processes that reach no endpoint: make recover LENGTH=30s FLEET=24x8.
+	RIG_LENGTH=$(LENGTH) SOAK_FLEET=$(FLEET) CGO_ENABLED=1 go test -count=1 -timeout 30m ./test/e2e -ginkgo.label-filter recover -ginkgo.fail-on-empty -v -ginkgo.v | grep -aE "gateways, |cut gateways|FAIL|^ok"
 
 repeat: ## The failure tests, ten times over.
 	for i in 1 2 3 4 5 6 7 8 9 10; do CGO_ENABLED=1 go test -count=1 -timeout 30m ./test/e2e || exit 1; done
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,7 @@
 	members      *gossip.Members
 	fleet        fleet
 	limitEnds    *balance.LimitEnds
+	drill        drill
 	server       *httpio.Server
 	draining     atomic.Bool
 	// shuttingDown is set when a draining gateway stops accepting requests.
@@ -91,6 +92,7 @@
 	g.pools = newPools(settings.VM.DataCentre, g.directory, g.fleet, g.noteTransition)
 	g.limitEnds = balance.NewLimitEnds(g.pools.EndLimits)
 	g.endpointList = &endpointList{directory: g.directory, onChange: g.refreshPools, onNewVersion: g.pushToPeers, log: options.Log, platformUnavailable: true}
+	g.drill.set(settings.Drill.CutFromEndpoints)
 	g.injector = do.New()
 	provide(g)
 	server, err := do.Invoke[*httpio.Server](g.injector)
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -70,9 +70,9 @@
 
 func (g *Gateway) directDial() func(ctx context.Context, address string) (net.Conn, error) {
 	if g.options.Dial != nil {
-		return g.options.Dial
+		return g.drill.wrap(g.options.Dial)
 	}
-	return httpio.DialTCP(net.ParseIP(g.settings.Peers.Address))
+	return g.drill.wrap(httpio.DialTCP(net.ParseIP(g.settings.Peers.Address)))
 }
 
 // logPath logs and counts a change of the path to an endpoint.
--- a/internal/gateway/reload.go
+++ b/internal/gateway/reload.go
@@ -9,6 +9,7 @@
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/primrosewell/primrosewell/internal/httpio"
 	"github.com/primrosewell/primrosewell/internal/retry"
 )
 
@@ -40,7 +41,7 @@
 }
 
 // Reload reads the settings file and applies the settings that can change at run time: the
-// bounds of the retry budget, new seeds and the log level. If the file is invalid, the
+// bounds of the retry budget, new seeds, the drill and the log level. If the file is invalid, the
 // current settings stay in force.
 func (g *Gateway) Reload(file string) {
 	s, err := LoadSettings(file)
@@ -50,6 +51,15 @@
 	}
 	do.MustInvoke[*retry.SharedBudget](g.injector).SetBounds(s.Retries.Ratio, s.Retries.Slack)
 	g.members.AddSeeds(time.Now(), s.Peers.seedAddresses())
+	if mode := s.Drill.CutFromEndpoints; g.drill.set(mode) {
+		g.log.WithFields(logrus.Fields{"event": "drill", "cut_from_endpoints": mode}).Warn("a drill begins or ends")
+		if mode != "" {
+			dialer := do.MustInvoke[*httpio.Dialer](g.injector)
+			for _, e := range g.directory.Endpoints() {
+				dialer.CloseIdle(e.Address)
+			}
+		}
+	}
 	if level, err := logrus.ParseLevel(s.Log.Level); err == nil {
 		g.log.SetLevel(level)
 	}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -24,6 +24,7 @@
 	Platform  Platform  `json:"platform"`
 	Retries   Retries   `json:"retries"`
 	Drain     Drain     `json:"drain"`
+	Drill     Drill     `json:"drill"`
 	Log       LogOutput `json:"log"`
 }
 
@@ -87,6 +88,12 @@
 	Grace time.Duration `json:"grace"`
 }
 
+// Drill rehearses failures; it can be changed at run time.
+type Drill struct {
+	// CutFromEndpoints makes new connections to endpoints fail: "refuse" or "hang". Default: none do.
+	CutFromEndpoints string `json:"cut_from_endpoints"`
+}
+
 // LogOutput configures the log on standard output.
 type LogOutput struct {
 	// Level is debug, info, warning or error. Default "info".
@@ -168,6 +175,9 @@
 	if s.Retries.Ratio < 0 || s.Retries.Slack < 0 || s.Retries.Window <= 0 {
 		problems.Add("retries", s.Retries, "a ratio and a slack of zero or more and a window above zero")
 	}
+	if mode := s.Drill.CutFromEndpoints; mode != "" && mode != drillRefuse && mode != drillHang {
+		problems.Add("drill.cut_from_endpoints", mode, "refuse, hang or nothing")
+	}
 	if s.Drain.Grace <= 0 {
 		problems.Add("drain.grace", s.Drain.Grace, "a time above zero")
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,8 @@
 	ReloadGateway Kind = "reload_gateway"
 	// CutFromPlatform stalls the traffic between a gateway and the platform.
 	CutFromPlatform Kind = "cut_from_platform"
+	// CutFromEndpoints makes new connections of a gateway to endpoints fail; they are refused or hang.
+	CutFromEndpoints Kind = "cut_from_endpoints"
 	// DelayEndpoint delays the traffic between gateways and an endpoint.
 	DelayEndpoint Kind = "delay_endpoint"
 	// ResetEndpoint resets an endpoint's open connections, once.
@@ -101,6 +103,7 @@
 	{DrainGateway, Gateway, 4, 4 * time.Second, 1},
 	{ReloadGateway, Gateway, 3, 0, 1},
 	{CutFromPlatform, Gateway, 4, 6 * time.Second, 2},
+	{CutFromEndpoints, Gateway, 5, 6 * time.Second, 10},
 	{DelayEndpoint, Endpoint, 2, 3 * time.Second, 1},
 	{ResetEndpoint, Endpoint, 3, 0, 1},
 	{CutEndpoint, Endpoint, 3, 3 * time.Second, 1},
@@ -154,7 +157,7 @@
 // Generation is the current version of plan generation. It increases when a change would
 // alter the plans of existing seeds; passing an earlier generation to Plan reproduces the
 // plan of a run that failed with it.
-const Generation = 9
+const Generation = 10
 
 // One seed in streamPlanShare has only streamKinds from generation streamPlansSince on, so that
 // callers resume many streams at gateways that no other fault disturbs.
@@ -237,7 +240,7 @@
 // relay (network proxy), the responses of the platform. Other kinds exclude only themselves.
 func exclusionGroup(k Kind) string {
 	switch k {
-	case KillGateway, FreezeGateway, DrainGateway, ReloadGateway:
+	case KillGateway, FreezeGateway, DrainGateway, ReloadGateway, CutFromEndpoints:
 		return "process"
 	case DelayEndpoint, ResetEndpoint, CutEndpoint, CrashEndpoint:
 		return "relay"
--- a/test/e2e/limit_rig_test.go
+++ b/test/e2e/limit_rig_test.go
@@ -11,23 +11,23 @@
 	"github.com/primrosewell/primrosewell/internal/soak"
 )
 
-// Environment of the rig: the time for which endpoints name limits; SOAK_FLEET gives the fleet.
-const limitRigVariable = "LIMIT_RIG_LENGTH"
+// Environment of the rigs: how long one runs; SOAK_FLEET gives the fleet.
+const rigVariable = "RIG_LENGTH"
 
-// limitRigLength is that of CI: two windows of the users' rule after it holds.
-const limitRigLength = 11 * time.Second
+// ciRigLength is that of CI: two windows of the users' rule on limits after it holds.
+const ciRigLength = 11 * time.Second
+
+func rigLength() time.Duration {
+	if given, err := time.ParseDuration(os.Getenv(rigVariable)); err == nil {
+		return given
+	}
+	return ciRigLength
+}
 
 // limitVariant selects the limit among limits.
 const limitVariant = 2
 
 var _ = Describe("Limits before gateways as processes", Label("limits"), func() {
-	rigLength := func() time.Duration {
-		if given, err := time.ParseDuration(os.Getenv(limitRigVariable)); err == nil {
-			return given
-		}
-		return limitRigLength
-	}
-
 	// run has the first endpoints name a limit for nearly the whole run, beside other faults.
 	run := func(seed uint64, limited func(soak.Fleet) int, faults ...soak.Fault) (served, refused int) {
 		length, fleet := rigLength(), fleetOf(soak.Generation)
--- a/test/e2e/soak_faults_test.go
+++ b/test/e2e/soak_faults_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -24,7 +25,7 @@
 	span := soak.Span{Fault: f, Started: time.Now()}
 	until := func() { time.Sleep(time.Until(s.started.Add(f.To))) }
 	switch f.Kind {
-	case soak.KillGateway, soak.DrainGateway, soak.FreezeGateway, soak.ReloadGateway:
+	case soak.KillGateway, soak.DrainGateway, soak.FreezeGateway, soak.ReloadGateway, soak.CutFromEndpoints:
 		s.strikeGateway(f, until)
 	case soak.CutFromPlatform:
 		s.links[f.Index].Cut(relay.Direction(1 + f.Variant%3))
@@ -81,6 +82,11 @@
 	case soak.ReloadGateway:
 		s.reload(g, f.Variant%2 == 0)
 		return
+	case soak.CutFromEndpoints:
+		s.cutFromEndpoints(g, []string{"refuse", "hang"}[f.Variant%2])
+		until()
+		s.cutFromEndpoints(g, "")
+		return
 	case soak.KillGateway:
 		g.signal(syscall.SIGKILL)
 		<-g.session.Exited
@@ -105,6 +111,15 @@
 	}
 }
 
+// cutFromEndpoints begins or ends a drill of the gateway.
+func (s *soakRun) cutFromEndpoints(g *gatewayProcess, mode string) {
+	settings := strings.TrimSuffix(strings.TrimSpace(g.settings), "}") + fmt.Sprintf(`,"drill":{"cut_from_endpoints":%q}}`, mode)
+	if err := os.WriteFile(g.file, []byte(settings), 0o600); err != nil {
+		s.faults.add("settings: %s", err)
+	}
+	g.signal(syscall.SIGHUP)
+}
+
 func accepts(address string) bool {
 	conn, err := net.DialTimeout("tcp4", address, time.Second)
 	if err != nil {
