resume, gateway: the recent versions of services outlast a kill of all gateways

Callers saw, in a report from a system like this one: streams joined from two versions, without a sign, after all gateways were killed while a version left. Cause: a gateway that has just started had seen one version in its empty window and took it for the only one; peers that know as little confirmed it. Class: a conclusion from an empty memory. Shown by a spec with three gateways (the resumption went on at v2, the stream began at v1), which failed before.

One version is the only one now if this gateway, or a peer that answers, has observed the whole window, or has read the versions that were recent before it started. The spec that all gateways which have just started and list one version go on asserted the fault; two stricter ones replace it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -143,6 +143,7 @@
 	go w.watchTable(ctx, g.tableHolder)
 	go w.watchEndpoints(ctx, g.endpointList)
 	do.MustInvoke[blockStores](g.injector).Run(ctx)
+	go do.MustInvoke[*versionStore](g.injector).Run(ctx)
 	go watchSuspensions(ctx, bootTime, g.log, w.Relist)
 }
 
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -24,6 +24,7 @@
 	do.Provide(g.injector, g.newBudget)
 	do.Provide(g.injector, g.newWatcher)
 	do.Provide(g.injector, g.newBlockStores)
+	do.Provide(g.injector, g.newVersionStore)
 	do.Provide(g.injector, g.newPeerSync)
 	do.Provide(g.injector, g.newForwarder)
 	do.Provide(g.injector, g.newServer)
@@ -66,6 +67,14 @@
 	}, nil
 }
 
+func (g *Gateway) newVersionStore(i do.Injector) (*versionStore, error) {
+	w, err := do.Invoke[*watcher](i)
+	if err != nil {
+		return nil, err
+	}
+	return &versionStore{store: w.store, streams: g.streams, chosen: g.isChosen, log: g.log, stored: map[string]foundVersions{}}, nil
+}
+
 func (g *Gateway) newPeerSync(i do.Injector) (*peerSync, error) {
 	w, err := do.Invoke[*watcher](i)
 	if err != nil {
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -105,3 +105,61 @@
 		}
 	})
 })
+
+var _ = Describe("After all gateways were killed at once", func() {
+	var (
+		s *standIns
+		f *fleet
+	)
+	serve := func(versions ...string) {
+		s = newStandIns()
+		s.put("routes", "table", routetable.Spec{Version: 1, KeysRequired: true, Routes: []routetable.Route{{
+			Name: "r", Host: "h", PathPrefix: "/x/", Kind: routetable.Streaming, Resumable: true, Timeout: time.Minute, MaxAttempts: 1,
+			Backends: []routetable.Backend{{Service: "svc", Weight: 1}},
+		}}, Workspaces: []routetable.Workspace{{Name: "acme", Keys: []string{"k"}}}})
+		for _, version := range versions {
+			s.putVersioned(version, version)
+		}
+		f = newFleet(3, s.url)
+		f.start()
+		for i := range f.daemons {
+			Eventually(func() int { status, _ := f.stream(i, fmt.Sprint("ready-", i), "", ""); return status }).WithTimeout(eventualTimeout).Should(Equal(200))
+		}
+	}
+	restart := func() {
+		f.kill()
+		f.start()
+		for i := range f.daemons {
+			Eventually(func() int { status, _ := f.stream(i, fmt.Sprint("again-", i), "", ""); return status }).WithTimeout(eventualTimeout).Should(Equal(200))
+		}
+	}
+
+	It("no stream is joined from two versions if the one that began it has left meanwhile", func() {
+		serve("v1")
+		_, began := f.stream(0, "stream", "", "")
+		Expect(began).To(Equal("v1"))
+		s.putVersioned("v2", "v2")
+		Eventually(func() string { _, v := f.stream(1, "probe", "", ""); return v }).WithTimeout(eventualTimeout).Should(Equal("v2"))
+		time.Sleep(time.Second) // What is to outlive the gateways is written.
+		old, err := s.store.Get(context.Background(), "endpoints", "v1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.store.Delete(context.Background(), "endpoints", "v1", old.Version)).To(Succeed())
+		restart()
+		for i := range f.daemons {
+			status, version := f.stream(i, fmt.Sprint("resumption-", i), "1", "stream")
+			Expect(version).To(BeEmpty(), "began at v1")
+			Expect(status).To(Equal(503))
+		}
+	})
+
+	It("streams of a service that had one version all along go on", func() {
+		serve("v1")
+		_, began := f.stream(0, "stream", "", "")
+		Expect(began).To(Equal("v1"))
+		time.Sleep(time.Second)
+		restart()
+		for i := range f.daemons {
+			Eventually(func() string { _, v := f.stream(i, fmt.Sprint("resumption-", i), "1", "stream"); return v }).WithTimeout(eventualTimeout).Should(Equal("v1"))
+		}
+	})
+})
--- a/internal/resume/decide.go
+++ b/internal/resume/decide.go
@@ -28,6 +28,9 @@
 	// recent are the recent versions of the service, as seen here and by the peers that
 	// answered.
 	recent []string
+	// complete is set if one of them covers all of Window. What a gateway that has just started has
+	// seen says nothing about the versions before.
+	complete bool
 }
 
 // decide returns where the stream may go on.
@@ -38,7 +41,7 @@
 		return *e.own, KnownHere
 	case e.peer != nil:
 		return *e.peer, KnownByPeer
-	case len(recent) == 1:
+	case len(recent) == 1 && e.complete:
 		return Origin{Service: e.service, Version: recent[0]}, OnlyVersion
 	}
 	return Origin{Service: e.service}, Unknown
--- a/internal/resume/origin.go
+++ b/internal/resume/origin.go
@@ -50,4 +50,6 @@
 	Record *Record `cbor:"2,keyasint,omitempty"`
 	// Recent are the versions of the service that the gateway has seen within Window.
 	Recent []string `cbor:"3,keyasint,omitempty"`
+	// Complete is set if Recent covers all of Window. Gateways of earlier builds don't say so.
+	Complete bool `cbor:"4,keyasint,omitempty"`
 }
--- a/internal/resume/tracker.go
+++ b/internal/resume/tracker.go
@@ -77,6 +77,18 @@
 	}
 }
 
+// Restore adds the versions by service that were recent before this gateway started, as something
+// that outlasts gateways has them.
+func (t *Tracker) Restore(now time.Time, byService map[string][]string) {
+	t.versions.restore(now, byService)
+}
+
+// RecentVersions returns, by service, the sorted versions that must outlast this gateway. observed
+// is set if no other version is recent.
+func (t *Tracker) RecentVersions(now time.Time) (byService map[string][]string, observed bool) {
+	return t.versions.keep(now)
+}
+
 // Began records that the first event of the stream that answers a request comes from origin.
 // until is when the stream ends at the latest. It must be called before the caller receives
 // the event.
@@ -153,7 +165,7 @@
 
 // HandleQuery answers a peer's query.
 func (t *Tracker) HandleQuery(now time.Time, query Query) Answer {
-	answer := Answer{Number: query.Number, Recent: t.versions.recent(now, query.Service)}
+	answer := Answer{Number: query.Number, Recent: t.versions.recent(now, query.Service), Complete: t.versions.complete(now)}
 	if e, found := t.registry.get(now, query.Key); found {
 		record := e.record(now, query.Key)
 		answer.Record = &record
@@ -176,12 +188,12 @@
 // delay between gateways, at most askRounds times askInterval.
 func (t *Tracker) Resolve(ctx context.Context, requestID, service string) Resolution {
 	now := time.Now()
-	e := evidence{service: service, recent: t.versions.recent(now, service)}
+	e := evidence{service: service, recent: t.versions.recent(now, service), complete: t.versions.complete(now)}
 	if found, ok := t.registry.get(now, KeyOf(requestID)); ok {
 		e.own = &found.origin
 	}
 	resolution := Resolution{}
-	if e.own == nil && (len(e.recent) > 1 || !t.versions.complete(now)) {
+	if e.own == nil && (len(e.recent) > 1 || !e.complete) {
 		resolution.Asked, resolution.Answered = t.ask(ctx, Query{Key: KeyOf(requestID), Service: service}, &e)
 	}
 	resolution.Origin, resolution.Verdict = decide(e)
@@ -231,6 +243,7 @@
 		case answer := <-answers:
 			answered++
 			e.recent = append(e.recent, answer.Recent...)
+			e.complete = e.complete || answer.Complete
 			if answer.Record != nil {
 				e.peer = &Origin{answer.Record.Service, answer.Record.Version}
 				return answered
--- a/internal/resume/tracker_test.go
+++ b/internal/resume/tracker_test.go
@@ -166,11 +166,20 @@
 		Expect(resolution.Asked).To(BeZero())
 	})
 
-	It("goes on if all gateways have just started and list one version", func() {
+	It("goes on at gateways that have all just started if one version was recent before", func() {
 		f := newSimulatedFleet(4)
 		f.observe(time.Now(), endpointOf("v1"))
+		Expect(f.trackers["10.0.0.1"].Resolve(ctx, "a", "svc").Verdict).To(Equal(Unknown), "they know nothing of before")
+		f.trackers["10.0.0.2"].Restore(time.Now(), map[string][]string{"svc": {"v1"}})
 		Expect(f.trackers["10.0.0.1"].Resolve(ctx, "a", "svc").Verdict).To(Equal(OnlyVersion))
 	})
+
+	It("does not go on at gateways that have all just started if another version was recent before", func() {
+		f := newSimulatedFleet(4)
+		f.observe(time.Now(), endpointOf("v2"))
+		f.trackers["10.0.0.2"].Restore(time.Now(), map[string][]string{"svc": {"v1", "v2"}})
+		Expect(f.trackers["10.0.0.1"].Resolve(ctx, "a", "svc").Verdict).To(Equal(Unknown))
+	})
 })
 
 var _ = Describe("The registry", func() {
@@ -208,7 +217,9 @@
 	f := newSimulatedFleet(rapid.IntRange(2, 9).Draw(t, "gateways"))
 	addresses := lo.Keys(f.trackers)
 	listed := []string{"v1"}
+	var outlasting []string // What is stored: versions are dropped only after Window.
 	observe := func() {
+		outlasting = lo.Union(outlasting, listed)
 		f.observe(time.Now(), lo.Map(listed, func(v string, _ int) routetable.Endpoint { return endpointOf(v) })...)
 	}
 	observe()
@@ -231,11 +242,18 @@
 				listed = lo.Union(listed, []string{version})
 			}
 			observe()
-		case 3: // A gateway restarts; one that others still know is left.
-			if len(addresses) > 2 {
-				f.start(rapid.SampledFrom(addresses[1:]).Draw(t, "restarted"))
-				observe()
+		case 3: // A gateway restarts, or all at once; what was recent outlasts them.
+			restarted := addresses
+			if rapid.Bool().Draw(t, "one") {
+				restarted = []string{rapid.SampledFrom(addresses).Draw(t, "restarted")}
+			}
+			for _, address := range restarted {
+				fresh := f.start(address)
+				if rapid.Bool().Draw(t, "restored") {
+					fresh.Restore(time.Now(), map[string][]string{"svc": outlasting})
+				}
 			}
+			observe()
 		default:
 			if len(origins) == 0 {
 				continue
--- a/internal/resume/versions.go
+++ b/internal/resume/versions.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/primrosewell/primrosewell/internal/routetable"
 )
 
@@ -14,7 +16,9 @@
 	mu sync.Mutex
 	// observedSince is when this gateway first had a list of endpoints.
 	observedSince time.Time
-	byService     map[string]map[string]versionState
+	// restored is set once this gateway has the versions that outlasted it.
+	restored  bool
+	byService map[string]map[string]versionState
 }
 
 // versionState is the state of one version of a service.
@@ -86,9 +90,51 @@
 	return n > 1
 }
 
-// complete reports whether recent covers the whole of Window.
+// complete reports whether recent covers the whole of Window: this gateway has run for so long, or
+// knows what was recent before.
 func (v *versions) complete(now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	return v.restored || v.observedAll(now)
+}
+
+// observedAll reports whether this gateway itself has observed the whole of Window; v.mu is held.
+func (v *versions) observedAll(now time.Time) bool {
 	return !v.observedSince.IsZero() && now.Sub(v.observedSince) >= Window
 }
+
+// restore adds the versions that outlasted this gateway, as if they had been listed until now.
+func (v *versions) restore(now time.Time, byService map[string][]string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.byService == nil {
+		v.byService = make(map[string]map[string]versionState)
+	}
+	for service, versions := range byService {
+		if v.byService[service] == nil {
+			v.byService[service] = make(map[string]versionState)
+		}
+		for _, version := range versions {
+			state := v.byService[service][version]
+			state.lastSeen = now
+			v.byService[service][version] = state
+		}
+	}
+	v.restored = true
+}
+
+// keep returns, by service, the sorted versions that must outlast this gateway: those that are
+// recent. observed is set if it has observed all of Window itself, so that no others are recent.
+func (v *versions) keep(now time.Time) (byService map[string][]string, observed bool) {
+	v.mu.Lock()
+	services := lo.Keys(v.byService)
+	observed = v.observedAll(now)
+	v.mu.Unlock()
+	byService = make(map[string][]string, len(services))
+	for _, service := range services {
+		if recent := v.recent(now, service); len(recent) > 0 {
+			byService[service] = recent
+		}
+	}
+	return byService, observed
+}
