--- a/internal/balance/filter.go
+++ b/internal/balance/filter.go
@@ -9,13 +9,13 @@
 
 // filter returns the endpoints that may get the request. If health rules out all of them, it
 // returns the one whose ejection ends first, so that a wrong suspicion of the whole pool does
-// not reject every request. Endpoints that leave or are in backoff are never returned.
+// not reject every request. Endpoints that leave, are in backoff or are brittle without known room are never returned.
 func (p *Pool) filter(now time.Time, request Request) []*endpoint {
 	available := p.candidates[:0]
 	var nextAvailable *endpoint
 	var returning []*endpoint
 	for _, e := range p.order {
-		if e.backedOff() || !request.permits(e) || !p.hasPermit(now, e, request.Priority) {
+		if e.backedOff() || !request.permits(e) || !p.hasPermit(now, e, request.Priority) || !p.takesBrittle(now, e) {
 			continue
 		}
 		if e.health.available(now) {
--- a/internal/balance/pool.go
+++ b/internal/balance/pool.go
@@ -51,6 +51,7 @@
 	leaving   leavingInstances
 	backoffs  backoffs
 	limits    limits
+	brittle   brittleEndpoints
 	// fleet tells of the daemons that share the limits.
 	fleet Fleet
 	// report gets the transitions, which are collected while mu is held.
@@ -119,7 +120,7 @@
 
 // NewPool returns a pool without endpoints. dataCentre is that of this daemon.
 func NewPool(dataCentre string, random *rand.Rand) *Pool {
-	return &Pool{dataCentre: dataCentre, random: random, endpoints: make(map[string]*endpoint), leaving: make(leavingInstances), backoffs: make(backoffs), limits: make(limits), fleet: aloneFleet{}}
+	return &Pool{dataCentre: dataCentre, random: random, endpoints: make(map[string]*endpoint), leaving: make(leavingInstances), backoffs: make(backoffs), limits: make(limits), brittle: make(brittleEndpoints), fleet: aloneFleet{}}
 }
 
 // Update replaces the set of listed endpoints. An endpoint that stays in the set keeps its
@@ -151,6 +152,7 @@
 	p.endpoints = next
 	p.expireLeaving(now)
 	p.forgetLimits(now)
+	p.forgetBrittle(now)
 	p.resetReservation()
 }
 
@@ -258,6 +260,7 @@
 	}
 	c.limited = p.limits.of(e.Endpoint) != nil
 	p.spendPermit(e)
+	p.noteBrittleSent(now, e)
 	e.running++
 	if c.Interactive {
 		e.runningInteractive++
@@ -306,6 +309,7 @@
 		c.endpoint.runningInteractive--
 	}
 	c.endpoint.health.observeResult(now, result)
+	c.pool.noteBrittleResult(now, c.endpoint, result)
 	if result == NotSent || result == Unreachable {
 		c.returnPermit()
 	}
@@ -345,6 +349,8 @@
 	Leaving, InBackoff int
 	// Limited counts those of Endpoints that name a limit.
 	Limited int
+	// Brittle counts those that say that they are brittle.
+	Brittle int
 	// Running counts this daemon's requests in progress; PendingTokens is the sum of their
 	// prompt tokens that are not prefilled yet.
 	Running, PendingTokens int
@@ -366,6 +372,9 @@
 		if p.limits.of(e.Endpoint) != nil {
 			s.Limited++
 		}
+		if p.brittle.of(e.Endpoint) != nil {
+			s.Brittle++
+		}
 	}
 	for _, e := range p.endpoints {
 		s.Running += e.running
--- a/internal/balance/transition.go
+++ b/internal/balance/transition.go
@@ -16,6 +16,8 @@
 	StateBackoff State = "backoff"
 	// StateLimited begins with an answer that names the requests a second that the endpoint takes.
 	StateLimited State = "limited"
+	// StateBrittle begins with an answer that says how many rejections a second the endpoint bears.
+	StateBrittle State = "brittle"
 )
 
 // Cause is what decided that a state begins or ends. Its text is a metric label.
@@ -38,6 +40,8 @@
 	Replaced Cause = "replaced"
 	// ToldByPeer ends a limit after another daemon had a response without one.
 	ToldByPeer Cause = "told_by_peer"
+	// NamedToPeer begins a state that another daemon had a response about.
+	NamedToPeer Cause = "named_to_peer"
 	// Forgotten ends the memory of a leaving process that was not listed for long.
 	Forgotten Cause = "forgotten"
 )
@@ -54,8 +58,8 @@
 	// Asked is the time that the latest refusal asked for, and Until the end of the backoff.
 	Asked time.Duration
 	Until time.Time
-	// Limit is the limit that the endpoint names, in requests a second, and Sharing the number of
-	// daemons that share it at a time.
+	// Limit is the limit that the endpoint names, in requests or, if it is brittle, rejections a second,
+	// and Sharing the number of daemons that share it at a time.
 	Limit   float64
 	Sharing int
 	// SentAt is when the request was sent whose response ended a limit; zero if none did.
@@ -82,6 +86,9 @@
 	if l := p.limits[listed.ID]; l != nil && listed.StartedAt > l.StartedAt {
 		p.endLimit(now, l, Replaced)
 	}
+	if b := p.brittle[listed.ID]; b != nil && listed.StartedAt > b.StartedAt {
+		p.endBrittle(now, b, Replaced)
+	}
 	if b := p.backoffs[listed.ID]; b != nil && !b.ended && listed.StartedAt > b.StartedAt {
 		p.endBackoff(now, b, Replaced)
 	}
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -29,7 +29,7 @@
 	for _, name := range append([]string{h.Deadline, h.APIKey, h.Workspace, h.Endpoint, h.Priority, h.FetchFrom, h.NotRun, h.ResponseSignature, h.Load}, h.Reserved...) {
 		f.request[strings.ToLower(name)] = true
 	}
-	f.response[strings.ToLower(h.Load)], f.response[strings.ToLower(h.Leaving)], f.response[strings.ToLower(h.Limit)] = true, true, true
+	f.response[strings.ToLower(h.Load)], f.response[strings.ToLower(h.Leaving)], f.response[strings.ToLower(h.Limit)], f.response[strings.ToLower(h.Brittle)] = true, true, true, true
 	return f
 }
 
--- a/internal/forward/withdrawal.go
+++ b/internal/forward/withdrawal.go
@@ -27,7 +27,12 @@
 		return // Another process has the address.
 	}
 	now := time.Now()
-	a.recordLimit(now, response)
+	a.recordNumber(response, a.f.Headers.Limit, func(limit float64, named bool) {
+		a.choice.NoteLimit(now, a.sentAt, limit, named, a.responseKind(response))
+	})
+	a.recordNumber(response, a.f.Headers.Brittle, func(rejections float64, named bool) {
+		a.choice.NoteBrittle(now, a.sentAt, rejections, named, a.responseKind(response))
+	})
 	if a.saysLeaving(response) {
 		a.choice.MarkLeaving(now, a.responseKind(response))
 		a.f.Dialer.CloseIdle(a.choice.Address)
@@ -39,13 +44,13 @@
 	}
 }
 
-// recordLimit records the limit that a response names, or that it names none. One that can't be read
-// changes nothing; of several the least counts.
-func (a *attempt) recordLimit(now time.Time, response *httpio.Response) {
-	if a.f.Headers.Limit == "" {
+// recordNumber passes on the number that a field of a response names, or that there is none. One that
+// can't be read changes nothing; of several the least counts.
+func (a *attempt) recordNumber(response *httpio.Response, field string, note func(number float64, named bool)) {
+	if field == "" {
 		return
 	}
-	values := response.Header.PeekAll(a.f.Headers.Limit)
+	values := response.Header.PeekAll(field)
 	readable := lo.FilterMap(values, func(value []byte, _ int) (float64, bool) { return parseLimit(string(value)) })
 	if len(readable) < len(values) {
 		a.f.metrics.countUnreadableLimit(a.service)
@@ -54,7 +59,7 @@
 		return // Nothing says that it is the endpoint's.
 	}
 	if len(values) == 0 || len(readable) > 0 {
-		a.choice.NoteLimit(now, a.sentAt, lo.Min(readable), len(readable) > 0, a.responseKind(response))
+		note(lo.Min(readable), len(readable) > 0)
 	}
 }
 
@@ -64,7 +69,7 @@
 	return name == "" || len(response.Header.Peek(name)) > 0
 }
 
-// parseLimit reads a decimal number of requests a second.
+// parseLimit reads a decimal number of requests or rejections a second.
 func parseLimit(value string) (perSecond float64, readable bool) {
 	perSecond, err := strconv.ParseFloat(value, 64)
 	if math.IsNaN(perSecond) || perSecond < 0 || err != nil && !math.IsInf(perSecond, 1) {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -42,6 +42,7 @@
 		tagged.Gauge("endpoints_leaving").Update(float64(state.Leaving))
 		tagged.Gauge("endpoints_in_backoff").Update(float64(state.InBackoff))
 		tagged.Gauge("endpoints_limited").Update(float64(state.Limited))
+		tagged.Gauge("endpoints_brittle").Update(float64(state.Brittle))
 		tagged.Gauge("running").Update(float64(state.Running))
 		tagged.Gauge("reading_tokens").Update(float64(state.PendingTokens))
 		tagged.Gauge("retry_budget_left").Update(budget.Remaining(now, service))
--- a/internal/gateway/pools.go
+++ b/internal/gateway/pools.go
@@ -77,6 +77,21 @@
 	}
 }
 
+// BrittleNews returns the brittle endpoints of which this daemon knows by its own responses.
+func (p *pools) BrittleNews(now time.Time) (news []balance.BrittleNews) {
+	for _, pool := range p.All() {
+		news = append(news, pool.BrittleNews(now)...)
+	}
+	return news
+}
+
+// LearnBrittle records the brittle endpoints of which other daemons know.
+func (p *pools) LearnBrittle(now time.Time, news []balance.BrittleNews) {
+	for _, pool := range p.All() {
+		pool.LearnBrittle(now, news)
+	}
+}
+
 // OwnLoad returns the load that this daemon puts on each endpoint.
 func (p *pools) OwnLoad() map[balance.EndpointKey]balance.Load {
 	p.mu.Lock()
--- a/internal/gateway/transition.go
+++ b/internal/gateway/transition.go
@@ -32,6 +32,9 @@
 	if t.State == balance.StateLimited {
 		fields["limit"], fields["sharing"], fields["daemons"] = t.Limit, t.Sharing, g.fleet.Size()
 	}
+	if t.State == balance.StateBrittle {
+		fields["rejections"] = t.Limit
+	}
 	g.log.WithFields(fields).Info(message)
 	scope := do.MustInvoke[*telemetry.Metrics](g.injector).Scope.SubScope("gateway")
 	scope.Tagged(map[string]string{"service": t.Endpoint.Service, "state": string(t.State), "change": change, "cause": string(t.Cause)}).Counter("endpoint_states").Inc(1)
--- a/internal/gossip/evidence.go
+++ b/internal/gossip/evidence.go
@@ -59,6 +59,23 @@
 	}
 }
 
+// brittleRefresh is the interval between two messages about brittle endpoints: their state lasts for
+// seconds, and the users' rule holds three seconds after it began.
+const brittleRefresh = 400 * time.Millisecond
+
+// publishBrittle sends the endpoints that are brittle, in the same way as evidence.
+func (g *Gossip) publishBrittle(now time.Time, addresses, watchers []string) {
+	if now.Sub(g.brittleSentAt) < brittleRefresh {
+		return
+	}
+	if news := g.BrittleNews(now); len(news) > 0 {
+		g.brittleSentAt = now
+		message := g.state()
+		message.LoadsOmitted, message.BrittleNews = true, news
+		g.sendEvidence(message, addresses, watchers)
+	}
+}
+
 // mergeEvidence merges the evidence of a message, if it has any.
 func (g *Gossip) mergeEvidence(now time.Time, message Message) (found bool) {
 	merge := func(ledger *parts.Ledger, evidence *parts.Evidence, trials []parts.RunningTrial) {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -67,6 +67,10 @@
 	Contents, Parts *parts.Ledger
 	// LimitEnds holds the limits of endpoints that ended lately; it is shared with the rest of the daemon.
 	LimitEnds *balance.LimitEnds
+	// BrittleNews returns the brittle endpoints of which this daemon knows by its own responses, and
+	// OnBrittleNews receives those of others.
+	BrittleNews   func(now time.Time) []balance.BrittleNews
+	OnBrittleNews func(now time.Time, news []balance.BrittleNews)
 	// Streams remembers where streams began; it is shared with the rest of the daemon.
 	Streams StreamTracker
 	// Delta returns the recent changes for peers that were up to date shortly before, or nil
@@ -96,8 +100,9 @@
 	published int
 	// contentsSentAt and partsSentAt are when evidence was last sent.
 	contentsSentAt, partsSentAt time.Time
-	// limitEndsSentAt is when the ends of limits were last sent.
-	limitEndsSentAt time.Time
+	// limitEndsSentAt is when the ends of limits were last sent, and brittleSentAt when brittle endpoints
+	// were.
+	limitEndsSentAt, brittleSentAt time.Time
 	// deltaSequence is the sequence number of the last delta sent.
 	deltaSequence uint32
 	// reassembler is used by the receiving goroutine only.
@@ -173,6 +178,7 @@
 	}
 	g.publishEvidence(now, addresses, watchers)
 	g.publishLimitEnds(now, addresses, watchers)
+	g.publishBrittle(now, addresses, watchers)
 }
 
 // state returns a message with this daemon's versions and roles, without loads.
@@ -330,6 +336,10 @@
 	if g.mergeEvidence(now, message) {
 		return
 	}
+	if len(message.BrittleNews) > 0 {
+		g.OnBrittleNews(now, message.BrittleNews)
+		return
+	}
 	if len(message.LimitEnds) > 0 {
 		g.LimitEnds.Merge(now, message.LimitEnds)
 		return
--- a/internal/gossip/message.go
+++ b/internal/gossip/message.go
@@ -87,6 +87,9 @@
 	// LimitEnds are the limits of endpoints that ended lately, in a datagram of their own. Older daemons
 	// read the rest of such a message only.
 	LimitEnds []balance.LimitEnd `cbor:"28,keyasint,omitempty"`
+	// BrittleNews are the endpoints that are brittle, in a datagram of their own. Older daemons read the
+	// rest of such a message only.
+	BrittleNews []balance.BrittleNews `cbor:"30,keyasint,omitempty"`
 	// Carries is set by daemons that carry connections of their peers to endpoints. Older daemons don't.
 	Carries bool `cbor:"29,keyasint,omitempty"`
 }
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -37,6 +37,9 @@
 	// Limit names, on all responses of an endpoint in need, the requests a second that it takes from
 	// all daemons together; it is not forwarded to callers.
 	Limit string `json:"limit"`
+	// Brittle names, on all responses of an endpoint in need, the rejections a second that it bears: with
+	// one more it falls over. It is not forwarded to callers.
+	Brittle string `json:"brittle"`
 	// NotRun is set by an endpoint on the response to a request that it did not run.
 	NotRun string `json:"not_run"`
 	// ResponseSignature must be present on every successful response of an endpoint.
@@ -54,6 +57,6 @@
 		RequestID: "Primrosewell-Request-Id", Deadline: "Primrosewell-Deadline-Ms", APIKey: "Primrosewell-Key",
 		Workspace: "Primrosewell-Workspace", Endpoint: "Primrosewell-Endpoint", Priority: "Primrosewell-Priority",
 		PromptSize: "Primrosewell-Prompt-Size", PromptParts: "Primrosewell-Prompt-Parts",
-		LastEventID: "Last-Event-Id", Resumes: "Primrosewell-Resumes", NotRun: "Primrosewell-Not-Run", Leaving: "Primrosewell-Leaving", Limit: "Primrosewell-Limit",
+		LastEventID: "Last-Event-Id", Resumes: "Primrosewell-Resumes", NotRun: "Primrosewell-Not-Run", Leaving: "Primrosewell-Leaving", Limit: "Primrosewell-Limit", Brittle: "Primrosewell-Brittle",
 	}
 }
