--- a/internal/tunnel/connector.go
+++ b/internal/tunnel/connector.go
@@ -91,7 +91,7 @@
 func (c *Connector) Dial(ctx context.Context, address, requestID string) (net.Conn, error) {
 	target, listed := c.Find(address)
 	if !listed {
-		return c.dialDirect(ctx, address)
+		return c.dialDirect(ctx, address, reach.DirectTimeout)
 	}
 	ctx, cancel := context.WithTimeout(ctx, reach.ConnectTimeout)
 	defer cancel()
@@ -102,9 +102,9 @@
 
 // dialDirect opens a direct connection, and records whether the path is whole; idle connections over
 // one that has ceased to be are closed. The caller's leaving says nothing about the path, so that the
-// connection is opened nevertheless.
-func (c *Connector) dialDirect(ctx context.Context, address string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reach.DirectTimeout)
+// connection is opened nevertheless, within timeout.
+func (c *Connector) dialDirect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 	defer cancel()
 	conn, err := c.Direct(ctx, address)
 	if err != nil {
@@ -126,8 +126,6 @@
 	if len(others) == 0 {
 		return reach.NoReference
 	}
-	ctx, cancel := context.WithTimeout(ctx, carrierDialTimeout)
-	defer cancel()
 	// Those that are down already tell nothing.
 	whole, suspect := lo.FilterReject(others, func(t reach.Target, _ int) bool { return c.Paths.State(t.Address) == reach.Whole })
 	chosen := append(lo.Samples(whole, maxReferences), lo.Samples(suspect, maxReferences)...)
@@ -135,7 +133,7 @@
 	reached := make(chan bool, len(chosen))
 	for _, other := range chosen {
 		go func() {
-			conn, err := c.dialDirect(ctx, other.Address)
+			conn, err := c.dialDirect(ctx, other.Address, carrierDialTimeout)
 			if err == nil {
 				c.Keep(other.Address, conn)
 			}
@@ -201,7 +199,7 @@
 	switch {
 	case step.Direct:
 		part = func() result {
-			conn, err := r.c.dialDirect(r.ctx, r.target.Address)
+			conn, err := r.c.dialDirect(r.ctx, r.target.Address, reach.DirectTimeout)
 			return result{direct: true, conn: conn, err: err}
 		}
 	case step.Carrier:
@@ -316,7 +314,7 @@
 // probe connects directly. Idle connections through carriers are of no use once the path is whole.
 func (c *Connector) probe(ctx context.Context, address string) {
 	before := c.Paths.State(address)
-	conn, err := c.dialDirect(ctx, address)
+	conn, err := c.dialDirect(ctx, address, reach.DirectTimeout)
 	if err != nil {
 		return // It is recorded.
 	}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -1,7 +1,6 @@
 package tunnel
 
 import (
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -104,9 +103,7 @@
 	if s.Connector.Paths.State(target.Address) == reach.Cut {
 		return nil, reach.CantTell
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), carrierDialTimeout)
-	defer cancel()
-	conn, err := s.Connector.dialDirect(ctx, target.Address)
+	conn, err := s.Connector.dialDirect(r.Context(), target.Address, carrierDialTimeout)
 	if err != nil {
 		return nil, reach.Judge(s.Connector.reference(r.Context(), target))
 	}
