--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 // run without the disruption.
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"changed-grace":       changedGrace,
+	"killed-at-crash":     killedAtCrash,
 	"moved-store":         movedStore,
 	"raised-header-limit": raisedHeaderLimit,
 	"silent-store":        silentStore,
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -40,7 +41,9 @@
 	// called when it is back, with the id that it had before.
 	crashes func(path string) bool
 	onBack  func(former string)
-	running atomic.Int64
+	// crashAfter is the time from the begin of such a run to the crash.
+	crashAfter time.Duration
+	running    atomic.Int64
 
 	mu sync.Mutex
 	// id is that of the present incarnation, and born when it started.
@@ -49,6 +52,10 @@
 	starts int
 	server *http.Server
 	runs   []run
+	// crashed are the times of the crashes.
+	crashed []time.Time
+	// down is set from a crash until the worker is back.
+	down bool
 }
 
 func startWorker(id, ip string, names headers.Names, rec *record) (*worker, error) {
@@ -56,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, address: listener.Addr().String(), names: names, record: rec, born: time.Now()}
+	w := &worker{id: id, address: listener.Addr().String(), names: names, record: rec, born: time.Now(), crashAfter: crashDelay}
 	w.serve(listener)
 	return w, nil
 }
@@ -90,6 +97,16 @@
 // crash closes all connections and the port, as those of a process that has ended. The worker is
 // back after crashedFor, at its address and with a new id.
 func (w *worker) crash() {
+	w.mu.Lock()
+	down := w.down
+	w.down = true
+	if !down {
+		w.crashed = append(w.crashed, time.Now())
+	}
+	w.mu.Unlock()
+	if down {
+		return
+	}
 	w.record.add("crash", "worker", w.name())
 	w.end()
 	time.AfterFunc(crashedFor, func() {
@@ -102,6 +119,7 @@
 		former := w.id
 		first, _, _ := strings.Cut(former, ".")
 		w.starts++
+		w.down = false
 		w.id, w.born = fmt.Sprintf("%s.%d", first, w.starts), time.Now()
 		w.mu.Unlock()
 		w.record.add("back", "worker", w.name())
@@ -147,8 +165,12 @@
 	w.mu.Unlock()
 	w.record.add("run", "id", id, "worker", name, "path", r.URL.Path)
 	if crashes {
-		time.Sleep(crashDelay)
-		w.crash()
+		select {
+		case <-time.After(w.crashAfter):
+			w.crash()
+		case <-r.Context().Done():
+			w.record.add("run_cut", "id", id, "worker", name)
+		}
 		return
 	}
 	running := w.running.Add(1)
@@ -166,6 +188,13 @@
 	_, _ = io.WriteString(rw, body) // The caller has left.
 }
 
+// crashTimes returns the times of the crashes.
+func (w *worker) crashTimes() []time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.crashed)
+}
+
 // runsOf returns the runs of the requests whose path begins with prefix.
 func (w *worker) runsOf(prefix string) (runs []run) {
 	w.mu.Lock()
