--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -74,7 +74,9 @@
 	body   string
 	// signed is set if the answer bears a worker's proof.
 	signed bool
-	err    error
+	// retryAfter is the delay that a refusal states, or zero.
+	retryAfter time.Duration
+	err        error
 }
 
 // ok reports whether the client got a whole success of a worker.
@@ -118,5 +120,8 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	r.status, r.body, r.err = response.StatusCode, string(body), err
+	if seconds, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		r.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	r.signed = response.Header.Get(c.names.ResponseSignature) != ""
 }
--- a/review/rig/grace.go
+++ b/review/rig/grace.go
@@ -25,6 +25,8 @@
 	reloadTime = 5 * time.Second
 	// stopDelay is the time from the requests to SIGTERM.
 	stopDelay = 300 * time.Millisecond
+	// graceFleet is the number of gateways of this case, of which the first one's settings change.
+	graceFleet = 3
 	// longPath begins the paths of the long requests.
 	longPath = "/slow/"
 )
@@ -40,8 +42,8 @@
 	return shortWork
 }
 
-// changedGrace lengthens the grace period in the settings of a gateway that runs, sends SIGHUP, and
-// stops the gateway with SIGTERM while requests are in progress that fit well into the new period.
+// changedGrace lengthens the grace period in the settings of one of the gateways that run, sends SIGHUP, and
+// stops this gateway with SIGTERM while requests are in progress that fit well into the new period.
 // Without the disruption the gateway starts with the new period.
 func changedGrace(rec *record, trouble bool) (verdict, error) {
 	f, err := newFleet(rec, firstManifest(), 2)
@@ -53,7 +55,7 @@
 	if trouble {
 		f.graceSeconds = graceBefore
 	}
-	if err := f.startAll(1, f.storeURL, f.seeds(1)); err != nil {
+	if err := f.startAll(graceFleet, f.storeURL, f.seeds(graceFleet)); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(settleTime)
--- a/review/rig/poison.go
+++ b/review/rig/poison.go
@@ -13,9 +13,11 @@
 const (
 	// poisonPath is the path of the request that crashes each worker that begins to run it.
 	poisonPath = "/push/poison"
-	// poisonInterval is the time after which the request comes again, at the next gateway, and
-	// refusedInterval that after a refusal, which promises that it has not run.
-	poisonInterval, refusedInterval = time.Second, 100 * time.Millisecond
+	// poisonInterval is the time after which the request comes again, at the next gateway. After a
+	// refusal it comes when the refusal says, but at most longestDelay later: clients honour up to a
+	// third of their time.
+	poisonInterval = time.Second
+	longestDelay   = shortLimit / 3
 	// poisonTime is how long it comes.
 	poisonTime = 40 * time.Second
 	// crashedFor is how long a worker that crashed is down.
@@ -114,7 +116,7 @@
 	for number := 0; time.Now().Before(end); number++ {
 		pause := poisonInterval
 		if r := f.pushTo(number, poisonPath); r.status == http.StatusServiceUnavailable {
-			pause = refusedInterval
+			pause = min(r.retryAfter, longestDelay)
 		}
 		time.Sleep(pause)
 	}
