--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/primrosewell/primrosewell/internal/adapter"
+	"github.com/primrosewell/primrosewell/internal/outage"
 	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/routetable"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
@@ -30,11 +31,6 @@
 	startupPeriod            = 3 * time.Second
 )
 
-// listTimeouts are the timeouts of each call of an attempt to list, used in rotation by
-// successive attempts; a list may take many calls. Most are short, because a platform that
-// is available again responds to the next attempt; a slow platform needs the long one.
-var listTimeouts = []time.Duration{400 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second}
-
 // watcher keeps local state up to date with collections of the platform.
 type watcher struct {
 	store  platform.Store
@@ -119,54 +115,77 @@
 	onStandby func()
 }
 
+// reading is what a watcher knows of how the reads of one collection went.
+type reading struct {
+	*watcher
+	collection string
+	handler    collectionHandler
+	judge      outage.Judge
+	retryDelay *backoff.ExponentialBackOff
+	// unreachableSince is the begin of the current outage, or zero.
+	unreachableSince time.Time
+	// listedAt is the time of the list of the current round, or zero before it.
+	listedAt time.Time
+}
+
+// listed records that a list succeeded.
+func (r *reading) listed() {
+	r.listedAt = time.Now()
+	r.judge.Answered(r.listedAt)
+	r.retryDelay.Reset()
+	if !r.unreachableSince.IsZero() {
+		r.log.WithFields(logrus.Fields{"event": "platform_back", "collection": r.collection, "away": time.Since(r.unreachableSince)}).Info("the platform is available again")
+		r.unreachableSince = time.Time{}
+	}
+	if r.handler.onAvailable != nil {
+		r.handler.onAvailable()
+	}
+}
+
+// listFailed records that a list failed, and returns the delay before the next one. Only a failed list
+// marks the platform as unavailable, as a watch may break while it is available.
+func (r *reading) listFailed(err error, timeout time.Duration) time.Duration {
+	silent := platform.IsSilent(err)
+	if silent {
+		r.retryDelay.Reset() // The list has waited already.
+	}
+	if !r.judge.ListFailed(time.Now(), silent) {
+		r.log.WithFields(logrus.Fields{"event": "list_silent", "collection": r.collection, "timeout": timeout, "error": err}).Info("a list got no response in time and is made again; that is no outage yet")
+		return r.retryDelay.NextBackOff()
+	}
+	if r.unreachableSince.IsZero() {
+		r.unreachableSince = time.Now()
+		r.log.WithFields(logrus.Fields{"event": "platform_lost", "collection": r.collection, "silent": silent, "error": err}).Warn("the platform can't be read; cached state stays in use")
+	}
+	if r.handler.onUnavailable != nil {
+		r.handler.onUnavailable()
+	}
+	return r.retryDelay.NextBackOff()
+}
+
 // watchCollection lists a collection and then watches it, repeatedly until ctx ends, while
 // this gateway has the watcher role.
 func (w *watcher) watchCollection(ctx context.Context, collection string, h collectionHandler) {
-	retryDelay := backoff.NewExponentialBackOff()
-	retryDelay.InitialInterval, retryDelay.MaxInterval = minRetryDelay, maxRetryDelay
-	unreachableSince := time.Time{}
-	failures := 0
+	r := &reading{watcher: w, collection: collection, handler: h, retryDelay: backoff.NewExponentialBackOff()}
+	r.retryDelay.InitialInterval, r.retryDelay.MaxInterval = minRetryDelay, maxRetryDelay
 	for ctx.Err() == nil {
 		if !w.shouldWatch() {
 			w.standBy(ctx, collection, h)
 			continue
 		}
-		listedAt := time.Time{}
-		err := w.listAndWatch(ctx, collection, h, listTimeouts[failures%len(listTimeouts)], func() {
-			failures = 0
-			listedAt = time.Now()
-			retryDelay.Reset()
-			if !unreachableSince.IsZero() {
-				w.log.WithFields(logrus.Fields{"event": "platform_back", "collection": collection, "away": time.Since(unreachableSince)}).Info("the platform is available again")
-				unreachableSince = time.Time{}
-			}
-			if h.onAvailable != nil {
-				h.onAvailable()
-			}
-		})
-		if ctx.Err() != nil {
+		r.listedAt = time.Time{}
+		timeout := r.judge.ListTimeout()
+		err := r.listAndWatch(ctx, timeout)
+		switch {
+		case ctx.Err() != nil:
 			return
+		case errors.Is(err, errNotWatcher), errors.Is(err, errRelist):
+		case !r.listedAt.IsZero():
+			w.log.WithFields(logrus.Fields{"event": "watch_ended", "collection": collection, "error": err, "lasted": time.Since(r.listedAt)}).Info("the watch ended; the collection is listed again")
+			sleep(ctx, time.Until(r.listedAt.Add(minRetryDelay)))
+		default:
+			sleep(ctx, r.listFailed(err, timeout))
 		}
-		if errors.Is(err, errNotWatcher) || errors.Is(err, errRelist) {
-			continue
-		}
-		if !listedAt.IsZero() {
-			// A watch may break while the platform is available, so only a failed list marks
-			// the platform as unavailable. A silence as short as the wait of a watch does not
-			// make entries expire.
-			w.log.WithFields(logrus.Fields{"event": "watch_ended", "collection": collection, "error": err, "lasted": time.Since(listedAt)}).Info("the watch ended; the collection is listed again")
-			sleep(ctx, time.Until(listedAt.Add(minRetryDelay)))
-			continue
-		}
-		failures++
-		if unreachableSince.IsZero() {
-			unreachableSince = time.Now()
-			w.log.WithFields(logrus.Fields{"event": "platform_lost", "collection": collection, "error": err}).Warn("the platform can't be read; cached state stays in use")
-		}
-		if h.onUnavailable != nil {
-			h.onUnavailable()
-		}
-		sleep(ctx, retryDelay.NextBackOff())
 	}
 }
 
@@ -196,22 +215,23 @@
 }
 
 // listAndWatch lists a collection and watches it until a call fails or this gateway loses
-// the watcher role. onListed is called when the list has succeeded.
-func (w *watcher) listAndWatch(ctx context.Context, collection string, h collectionHandler, timeout time.Duration, onListed func()) error {
-	ctx, cancel := w.roundContext(ctx, collection)
+// the watcher role.
+func (r *reading) listAndWatch(ctx context.Context, timeout time.Duration) error {
+	h := r.handler
+	ctx, cancel := r.roundContext(ctx, r.collection)
 	defer cancel()
-	list, err := w.store.List(platform.WithCallTimeout(ctx, timeout), collection, "")
+	list, err := r.store.List(platform.WithCallTimeout(ctx, timeout), r.collection, "")
 	if err != nil && ctx.Err() != nil {
 		return errRelist
 	}
 	if err != nil {
 		return err
 	}
-	w.noteEra(collection, list.Era)
-	onListed()
+	r.noteEra(r.collection, list.Era)
+	r.listed()
 	h.onList(list)
 	h.reportVersion(list.Era, list.Version)
-	watch, err := w.store.Watch(ctx, collection, list.Version)
+	watch, err := r.store.Watch(ctx, r.collection, list.Version)
 	if err != nil {
 		return err
 	}
@@ -221,6 +241,7 @@
 		if err != nil {
 			return err
 		}
+		r.judge.Answered(time.Now())
 		if !platform.SameEra(event.Era, list.Era) {
 			return errEraEnded
 		}
@@ -228,7 +249,7 @@
 			h.onEvent(event)
 		}
 		h.reportVersion(event.Era, event.Object.Version)
-		if !w.shouldWatch() {
+		if !r.shouldWatch() {
 			return errNotWatcher
 		}
 	}
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -138,7 +138,7 @@
 	}
 	e := r.newError(Uncertain, cause)
 	if !errors.Is(ctx.Err(), context.Canceled) { // Else the caller has given up.
-		e.lostWithKeptConn = use.kept.Load()
+		e.lostWithKeptConn, e.Silent = use.kept.Load(), errors.Is(ctx.Err(), context.DeadlineExceeded)
 		route.http.CloseIdleConnections()
 	}
 	return e
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -26,3 +26,10 @@
 	}
 	return Uncertain
 }
+
+// IsSilent reports whether err is that of a call whose connection was open, and on which no whole
+// response came in time.
+func IsSilent(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Silent
+}
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -140,6 +140,8 @@
 	Key        string        // collection/name.
 	RetryAfter time.Duration // Delay before a retry, or 0 if the platform states none.
 	Cause      error
+	// Silent is set if the call was sent on an open connection, and no whole response came in time.
+	Silent bool
 	// lostWithKeptConn is set if the call was sent on a connection that had been used before, and
 	// got no whole response there.
 	lostWithKeptConn bool
