--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -159,6 +159,22 @@
 	return dropped
 }
 
+// ExpiresIn returns the time after which Expire deletes missing entries, or false if there are none,
+// or the platform is unavailable.
+func (d *Directory) ExpiresIn(now time.Time) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.unavailable {
+		return 0, false
+	}
+	for _, e := range d.entries {
+		if !e.missingSince.IsZero() {
+			return max(0, d.availableSince.Add(ReturnGrace).Sub(now)), true
+		}
+	}
+	return 0, false
+}
+
 // ChangeCount increases with every change of an entry.
 func (d *Directory) ChangeCount() uint64 {
 	d.mu.Lock()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -57,6 +57,29 @@
 		Expect(usable()).To(ConsistOf("a"))
 	})
 
+	// Guards against DRAIN: missing entries were dropped by a sweep up to 0.5 s after their grace period.
+	It("says when missing entries are due to be dropped", func() {
+		due := func() time.Duration {
+			in, due := d.ExpiresIn(now)
+			Expect(due).To(BeTrue())
+			return in
+		}
+		d.PlatformUnavailable()
+		d.Remove(now, "a")
+		_, expires := d.ExpiresIn(now)
+		Expect(expires).To(BeFalse(), "not during the outage")
+		now = now.Add(10 * time.Second)
+		d.PlatformAvailable(now)
+		Expect(due()).To(Equal(directory.ReturnGrace))
+		now = now.Add(directory.ReturnGrace - time.Millisecond)
+		Expect(due()).To(Equal(time.Millisecond))
+		now = now.Add(time.Second)
+		Expect(due()).To(BeZero())
+		Expect(d.Expire(now)).To(ConsistOf("a"))
+		_, expires = d.ExpiresIn(now)
+		Expect(expires).To(BeFalse())
+	})
+
 	It("removes an endpoint that a peer does not list, also while the platform is unavailable", func() {
 		d.PlatformUnavailable()
 		d.Apply(directory.Delta{Full: true, Endpoints: []routetable.Endpoint{endpoint("b")}})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -193,6 +193,15 @@
 	}
 }
 
+// untilSweep returns the time until the next sweep: the end of the grace period of missing entries, as
+// an endpoint that has left must not be used longer, or sweepInterval.
+func (g *Gateway) untilSweep(now time.Time) time.Duration {
+	if in, due := g.directory.ExpiresIn(now); due {
+		return min(in, sweepInterval)
+	}
+	return sweepInterval
+}
+
 // sweep periodically closes idle connections, removes entries that did not return after an
 // outage and updates the gauges.
 func (g *Gateway) sweep(ctx context.Context) {
@@ -200,7 +209,7 @@
 	metrics, budget := do.MustInvoke[*telemetry.Metrics](g.injector), do.MustInvoke[*retry.SharedBudget](g.injector)
 	l := do.MustInvoke[ledgers](g.injector)
 	for ctx.Err() == nil {
-		sleep(ctx, sweepInterval)
+		sleep(ctx, g.untilSweep(time.Now()))
 		g.updateGauges(metrics.Scope, budget, l, time.Now())
 		dialer.CloseExpired()
 		g.endpointList.Expire(time.Now())
