--- a/internal/reach/fleet_test.go
+++ b/internal/reach/fleet_test.go
@@ -78,7 +78,10 @@
 
 func (f *simulatedFleet) reference(g *simulatedGateway, target Target) (Reference, time.Duration) {
 	others := lo.Map(f.targets, func(t Target, _ int) Other {
-		return Other{Target: t, State: g.paths.State(t.Address), Down: !g.before && g.paths.IsDown(t.Address), Crashed: !g.before && f.crashedLately(t)}
+		return Other{
+			Target: t, State: g.paths.State(t.Address), Down: !g.before && g.paths.IsDown(t.Address),
+			DownBefore: !g.before && g.paths.DownBefore(f.now, t.Address, target.Address), Crashed: !g.before && f.crashedLately(t),
+		}
 	})
 	references := References(target, others, f.shuffled)
 	for _, other := range references {
@@ -229,6 +232,28 @@
 	})
 }
 
+func TestAnEndpointIsDownBeforeOnlyIfItWasForAWhile(t *testing.T) {
+	p, now := NewPaths(nil), time.Unix(1000, 0)
+	p.DirectFailed(now, "lost")
+	later := now.Add(downLead)
+	if p.DownBefore(later, "lost", "target") {
+		t.Fatal("it has not been found down")
+	}
+	p.FoundDown("lost")
+	if !p.DownBefore(later, "lost", "target") || p.DownBefore(later.Add(-time.Millisecond), "lost", "target") {
+		t.Fatal("it is down before the target once it was out of reach for downLead")
+	}
+	p.DirectFailed(now.Add(downLead/2), "target")
+	if p.DownBefore(later.Add(time.Hour), "lost", "target") {
+		t.Fatal("both ceased to be reached at about the same time")
+	}
+	p.DirectConnected(later, "lost")
+	p.DirectFailed(later, "lost")
+	if p.DownBefore(later.Add(time.Hour), "lost", "target") {
+		t.Fatal("it was reached since")
+	}
+}
+
 // TestPathsAfterACut checks when a path is cut and whole again.
 func TestPathsAfterACut(t *testing.T) {
 	var seen []State
@@ -293,6 +318,22 @@
 	}
 }
 
+// loseForGood has some endpoints vanish that stay listed, which all gateways find.
+func (f *simulatedFleet) loseForGood(t *rapid.T) {
+	for _, target := range f.targets[:rapid.IntRange(0, len(f.targets)-1).Draw(t, "lost for good")] {
+		f.down[target.Address], f.backAt[target.Address] = true, f.now.Add(24*time.Hour)
+		for _, g := range f.gateways {
+			g.paths.DirectFailed(f.now, target.Address)
+			g.paths.FoundDown(target.Address)
+		}
+	}
+	f.now = f.now.Add(downLead + time.Second)
+}
+
+func (f *simulatedFleet) lostForGood(target Target) bool {
+	return f.down[target.Address] && f.backAt[target.Address].Sub(f.now) > restartTime
+}
+
 func (f *simulatedFleet) crash(target Target) {
 	f.down[target.Address], f.backAt[target.Address] = true, f.now.Add(restartTime)
 }
@@ -303,7 +344,8 @@
 }
 
 // TestEachCrashIsFoundAlsoIfNoOtherEndpointIsUp draws requests that crash one endpoint after the
-// other, down to the last one of a service. Gateways that are not cut find each crash, unless carriers
+// other, down to the last one of a service, beside endpoints that are lost for good and still listed.
+// Gateways that are not cut find each crash, unless carriers
 // are lost, which takes time, or those of the build before doubt the last one.
 func TestEachCrashIsFoundAlsoIfNoOtherEndpointIsUp(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -313,6 +355,7 @@
 			g.cut = false
 		}
 		serving := lo.Filter(f.gateways, func(g *simulatedGateway, _ int) bool { return !g.lost && !g.before })
+		f.loseForGood(t)
 		allFound := true
 		pause := time.Duration(rapid.IntRange(300, 2000).Draw(t, "pause")) * time.Millisecond
 		for i := range min(30, 30*len(serving)) {
@@ -349,17 +392,21 @@
 func TestCutGatewayFindsNoCrashBesideRealOnes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := drawCrashes(t)
+		f.loseForGood(t)
 		cut := lo.Filter(f.gateways, func(g *simulatedGateway, _ int) bool { return g.cut && !g.lost && !g.before })
 		for range min(30, 30*len(cut)) {
 			f.advance(time.Duration(f.random.IntN(1000)) * time.Millisecond)
 			target := f.targets[f.random.IntN(len(f.targets))]
+			if f.lostForGood(target) {
+				continue
+			}
 			if f.random.IntN(2) == 0 {
 				f.crash(target)
 				f.crashedAt[target.Address] = f.now
 				continue
 			}
 			lasting := lo.Filter(f.targets, func(x Target, _ int) bool {
-				return x != target && !f.crashedLately(x)
+				return x != target && !f.crashedLately(x) && !f.lostForGood(x)
 			})
 			if f.down[target.Address] || len(lasting) == 0 {
 				continue
@@ -371,14 +418,17 @@
 	})
 }
 
-func TestEndpointFoundDownEarlierIsADoubtfulReference(t *testing.T) {
+// Guards against BUDGET: beside an endpoint that was lost for good and still listed, no crash of the
+// last endpoint of a service was found.
+func TestEndpointFoundDownWithTheTargetIsADoubtfulReference(t *testing.T) {
 	target := Target{Address: "a", Service: "svc"}
 	down := Other{Target: Target{Address: "b", Service: "svc"}, Down: true}
+	lost := Other{Target: Target{Address: "f", Service: "svc"}, Down: true, DownBefore: true}
 	crashed := Other{Target: Target{Address: "c", Service: "svc"}, Crashed: true}
 	for _, c := range []struct {
 		references []Other
 		want       Reference
-	}{{nil, NoReference}, {[]Other{crashed}, NoReference}, {[]Other{down}, ReferenceLost}, {[]Other{crashed, down}, ReferenceLost}} {
+	}{{nil, NoReference}, {[]Other{crashed}, NoReference}, {[]Other{down}, ReferenceLost}, {[]Other{crashed, down}, ReferenceLost}, {[]Other{crashed, lost}, NoReference}, {[]Other{lost, down}, ReferenceLost}} {
 		if got := JudgeReferences(c.references); got != c.want {
 			t.Fatalf("references %v give %v", c.references, got)
 		}
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -20,6 +20,9 @@
 	recoverySuccesses = 2
 	// surveyInterval is the minimum time between two surveys of all paths.
 	surveyInterval = time.Second
+	// downLead is how long an endpoint must have been out of reach before another one ceased to be
+	// reached, so that one cut of links does not explain both. It is probed meanwhile.
+	downLead = probeInterval
 	// maxProbesPerSecond bounds the probes of a gateway that is cut from many endpoints, and
 	// maxProbesAtOnce those that are started together.
 	maxProbesPerSecond = 32
@@ -108,6 +111,18 @@
 	return b != nil && b.state == Suspect && b.down
 }
 
+// DownBefore reports whether the endpoint was found to be down, and had been out of reach for downLead
+// when another one ceased to be reached.
+func (p *Paths) DownBefore(now time.Time, address, other string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	b, lost := p.broken[address], now
+	if o := p.broken[other]; o != nil {
+		lost = o.since
+	}
+	return b != nil && b.state == Suspect && b.down && lost.Sub(b.since) >= downLead
+}
+
 // Count returns the number of paths in each state but Whole.
 func (p *Paths) Count() (suspect, cut int) {
 	p.mu.Lock()
--- a/internal/reach/reference.go
+++ b/internal/reach/reference.go
@@ -7,7 +7,8 @@
 type Reference int
 
 const (
-	// NoReference means that no other endpoint could tell: none is listed, or all have just crashed.
+	// NoReference means that no other endpoint could tell: none is listed, or all have just crashed or
+	// were down before.
 	NoReference Reference = iota
 	// ReferenceReached means that one of the others was reached.
 	ReferenceReached
@@ -24,8 +25,9 @@
 	Target
 	// State is that of the path from this gateway.
 	State State
-	// Down is set if the endpoint was found to be down, and Crashed if it crashed lately.
-	Down, Crashed bool
+	// Down is set if the endpoint was found to be down, DownBefore if that was well before the target
+	// ceased to be reached, and Crashed if it crashed lately.
+	Down, DownBefore, Crashed bool
 }
 
 // knownDown reports whether it tells nothing about links if the endpoint is not reached.
@@ -54,10 +56,10 @@
 }
 
 // JudgeReferences returns the result of connecting to the references, of which none was reached. One
-// that was found to be down earlier may be up by now behind a link that is cut; one that has just
-// crashed is not back yet.
+// that has just crashed is not back yet, and one that was down well before has been probed since. One
+// that was found to be down at about the same time as the target may be up behind a link that is cut.
 func JudgeReferences(references []Other) Reference {
-	if lo.EveryBy(references, func(o Other) bool { return o.Crashed }) {
+	if lo.EveryBy(references, func(o Other) bool { return o.Crashed || o.DownBefore }) {
 		return NoReference
 	}
 	return ReferenceLost
--- a/internal/tunnel/connector.go
+++ b/internal/tunnel/connector.go
@@ -117,7 +117,10 @@
 // reference connects to other endpoints.
 func (c *Connector) reference(ctx context.Context, target reach.Target) reach.Reference {
 	references := reach.References(target, lo.Map(c.Targets(), func(t reach.Target, _ int) reach.Other {
-		return reach.Other{Target: t, State: c.Paths.State(t.Address), Down: c.Paths.IsDown(t.Address), Crashed: c.Crashed(t)}
+		return reach.Other{
+			Target: t, State: c.Paths.State(t.Address), Down: c.Paths.IsDown(t.Address),
+			DownBefore: c.Paths.DownBefore(time.Now(), t.Address, target.Address), Crashed: c.Crashed(t),
+		}
 	}), func(others []reach.Other) []reach.Other { return lo.Samples(others, len(others)) })
 	reached := make(chan bool, len(references))
 	for _, other := range references {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -222,6 +222,27 @@
 		Expect(crash(second)).To(MatchError(tunnel.ErrDown))
 	})
 
+	// Guards against BUDGET: no crash of the last endpoint was found beside one that was lost for good.
+	It("tells that the last endpoint of a service has crashed beside one that is down for good and still listed", func() {
+		lost, _ := newServer()
+		last, _ := newServer()
+		f := newNodes(3, lost, last)
+		down := func(endpoint net.Listener) {
+			reserved, err := testport.CloseAndReserve(endpoint)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(reserved.Release)
+		}
+		down(lost)
+		for _, n := range f.all {
+			_, err := dial(n, lost)
+			Expect(err).To(MatchError(tunnel.ErrDown))
+		}
+		time.Sleep(1100 * time.Millisecond) // It is down for longer than a cut of both would explain.
+		down(last)
+		_, err := dial(f.all[0], last)
+		Expect(err).To(MatchError(tunnel.ErrDown))
+	})
+
 	It("can't tell a crash of the last endpoint of a service from a cut if no endpoint of another one is reached", func() {
 		first, _ := newServer()
 		second, _ := newServer()
