--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -241,7 +241,9 @@
 		Limits: func() httpio.Limits {
 			return httpio.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderTimeout: time.Second, BodyTimeout: 10 * time.Second, IdleTimeout: 5 * time.Second}
 		},
-		OnReject: func(net.Addr, int, httpio.RejectReason) []byte { return nil },
+		OnReject: func(_ net.Addr, status int, _ httpio.RejectReason) httpio.Rejection {
+			return httpio.Rejection{Status: status}
+		},
 	})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
--- a/internal/gateway/rejection.go
+++ b/internal/gateway/rejection.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -9,10 +10,20 @@
 	"github.com/primrosewell/primrosewell/internal/httpio"
 )
 
-// rejectRequest logs a request that could not be read and returns the body of the response.
-func (g *Gateway) rejectRequest(remote net.Addr, status int, reason httpio.RejectReason) []byte {
-	g.log.WithFields(logrus.Fields{"event": "rejected", "remote": remote, "status": status, "reason": reason}).Info("a request could not be read")
-	return failure.Body(rejection(reason), "")
+// rejectedRetryAfter is when a caller may send a request again that exceeds the limits before the first
+// table: other gateways mostly have one.
+const rejectedRetryAfter = 200 * time.Millisecond
+
+// rejectRequest logs a request that could not be read and returns the response.
+func (g *Gateway) rejectRequest(remote net.Addr, status int, reason httpio.RejectReason) httpio.Rejection {
+	f := rejection(reason)
+	if g.tableHolder.Table() == nil && (reason == httpio.HeaderTooLarge || reason == httpio.BodyTooLarge) {
+		// The table that is to come may allow it.
+		f = failure.New(failure.PlatformUnavailable, "no configuration yet, and "+f.Message).WithRetryAfter(rejectedRetryAfter)
+		status = f.Code.HTTPStatus()
+	}
+	g.log.WithFields(logrus.Fields{"event": "rejected", "remote": remote, "status": status, "reason": reason, "table_version": g.tableHolder.Version()}).Info("a request could not be read")
+	return httpio.Rejection{Status: status, RetryAfter: f.RetryAfter, Body: failure.Body(f, "")}
 }
 
 // rejection returns the failure that the caller of a rejected request is told. The request
--- a/internal/httpio/limits_test.go
+++ b/internal/httpio/limits_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -13,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/primrosewell/primrosewell/internal/httpio"
 )
@@ -52,8 +54,10 @@
 			Handler: func(_ context.Context, r *httpio.Request, w *httpio.Writer) {
 				Expect(w.WriteResponse(200, nil, r.Body)).To(Succeed())
 			},
-			Limits:   func() httpio.Limits { return *limits.Load() },
-			OnReject: func(_ net.Addr, _ int, reason httpio.RejectReason) []byte { return []byte(reason) },
+			Limits: func() httpio.Limits { return *limits.Load() },
+			OnReject: func(_ net.Addr, status int, reason httpio.RejectReason) httpio.Rejection {
+				return httpio.Rejection{Status: status, Body: []byte(reason)}
+			},
 		})
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -108,6 +112,34 @@
 		Expect(status()).To(Equal(200))
 	})
 
+	// Guards against DENIED: kept connections went on with the limits of their beginning.
+	It("deny no request that fits those before and after a change, also while it is read", func() {
+		random := rand.New(rand.NewPCG(41, 1))
+		address := conn.RemoteAddr().String()
+		kept := make([]net.Conn, 4)
+		for i := range kept {
+			var err error
+			kept[i], err = net.Dial("tcp4", address)
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(kept[i].Close)
+			Expect(kept[i].SetDeadline(time.Now().Add(2 * long))).To(Succeed())
+		}
+		readers := lo.Map(kept, func(c net.Conn, _ int) *bufio.Reader { return bufio.NewReader(c) })
+		for step := range 300 {
+			before := *limits.Load()
+			after := before
+			after.HeaderBytes, after.BodyBytes = 256+random.IntN(32<<10), 1+random.IntN(64<<10)
+			i := random.IntN(len(kept))
+			conn, reader = kept[i], readers[i]
+			text := request(128+random.IntN(min(before.HeaderBytes, after.HeaderBytes)-127), 1+random.IntN(min(before.BodyBytes, after.BodyBytes)))
+			cut := random.IntN(len(text))
+			send(text[:cut])
+			limits.Store(&after)
+			send(text[cut:])
+			Expect(status()).To(Equal(200), "step %d: from %+v to %+v", step, before, after)
+		}
+	})
+
 	It("keep a connection that is idle when the idle timeout is raised", func() {
 		change(func(l *httpio.Limits) { l.IdleTimeout = short })
 		send(request(200, 1))
--- a/internal/httpio/server.go
+++ b/internal/httpio/server.go
@@ -11,6 +11,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,9 +69,17 @@
 	Handler Handler
 	// Limits returns the current limits.
 	Limits func() Limits
-	// OnReject is called before the server rejects a request. It returns the body of the
-	// response, in JSON.
-	OnReject func(remote net.Addr, status int, reason RejectReason) []byte
+	// OnReject is called before the server rejects a request with a status. It returns the response.
+	OnReject func(remote net.Addr, status int, reason RejectReason) Rejection
+}
+
+// Rejection is the response to a request that was not read completely.
+type Rejection struct {
+	Status int
+	// RetryAfter is when the caller may send the request again, or 0 if it is not to.
+	RetryAfter time.Duration
+	// Body is in JSON.
+	Body []byte
 }
 
 // Server serves callers' connections. Its methods are safe for concurrent use.
@@ -308,9 +317,13 @@
 // reject sends an error response to a request that was not read completely. The response
 // repeats nothing of the request, which may contain an API key.
 func (c *serverConn) reject(status int, reason RejectReason) {
-	body := c.server.options.OnReject(c.conn.RemoteAddr(), status, reason)
+	rejection := c.server.options.OnReject(c.conn.RemoteAddr(), status, reason)
 	w := &Writer{conn: c.conn, close: true, draining: &c.server.draining}
-	if w.WriteResponse(status, []Field{{Name: "Content-Type", Value: "application/json"}}, body) != nil {
+	fields := []Field{{Name: "Content-Type", Value: "application/json"}}
+	if rejection.RetryAfter > 0 {
+		fields = append(fields, Field{Name: "Retry-After", Value: strconv.FormatFloat(rejection.RetryAfter.Seconds(), 'f', 3, 64)})
+	}
+	if w.WriteResponse(rejection.Status, fields, rejection.Body) != nil {
 		return
 	}
 	c.linger()
--- a/internal/httpio/server_test.go
+++ b/internal/httpio/server_test.go
@@ -41,7 +41,9 @@
 			Limits: func() httpio.Limits {
 				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: 200 * time.Millisecond, BodyTimeout: 300 * time.Millisecond, IdleTimeout: 400 * time.Millisecond}
 			},
-			OnReject: func(_ net.Addr, _ int, reason httpio.RejectReason) []byte { return []byte(reason) },
+			OnReject: func(_ net.Addr, status int, reason httpio.RejectReason) httpio.Rejection {
+				return httpio.Rejection{Status: status, Body: []byte(reason)}
+			},
 		})
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -120,7 +122,9 @@
 			Limits: func() httpio.Limits {
 				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: time.Hour, BodyTimeout: time.Hour, IdleTimeout: time.Hour}
 			},
-			OnReject: func(net.Addr, int, httpio.RejectReason) []byte { return nil },
+			OnReject: func(_ net.Addr, status int, _ httpio.RejectReason) httpio.Rejection {
+				return httpio.Rejection{Status: status}
+			},
 		})
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/httpio/unchunked_test.go
+++ b/internal/httpio/unchunked_test.go
@@ -61,7 +61,9 @@
 			Limits: func() httpio.Limits {
 				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: time.Hour, BodyTimeout: time.Hour, IdleTimeout: time.Hour}
 			},
-			OnReject: func(net.Addr, int, httpio.RejectReason) []byte { return nil },
+			OnReject: func(_ net.Addr, status int, _ httpio.RejectReason) httpio.Rejection {
+				return httpio.Rejection{Status: status}
+			},
 		})
 		inner, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/httpio/writer_test.go
+++ b/internal/httpio/writer_test.go
@@ -29,7 +29,9 @@
 		Limits: func() httpio.Limits {
 			return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: time.Hour, BodyTimeout: time.Hour, IdleTimeout: time.Hour}
 		},
-		OnReject: func(net.Addr, int, httpio.RejectReason) []byte { return nil },
+		OnReject: func(_ net.Addr, status int, _ httpio.RejectReason) httpio.Rejection {
+			return httpio.Rejection{Status: status}
+		},
 	})
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
