--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -72,7 +72,7 @@
 	conn, err := a.f.Dialer.Get(a.ctx, choice.Address, a.id, min(dialTimeout, time.Until(a.deadline)))
 	if err != nil {
 		if a.ctx.Err() != nil {
-			return a.callerDisconnected(false)
+			return a.contextEnded(false)
 		}
 		a.f.Dialer.CloseIdle(choice.Address)
 		return attemptOutcome{result: balance.Unreachable, cause: "connect: " + err.Error()}
@@ -267,10 +267,18 @@
 	return attemptOutcome{done: true, mayHaveRun: ran, result: balance.Neutral, failure: failure.New(failure.ClientGone, "the caller left"), cause: "the caller left"}
 }
 
+// contextEnded returns the outcome of an attempt that ended because the caller left or the daemon stops.
+func (j *job) contextEnded(ran bool) attemptOutcome {
+	if !j.aborted() {
+		return j.callerDisconnected(ran)
+	}
+	return attemptOutcome{done: true, mayHaveRun: ran, result: balance.Neutral, failure: j.ended(""), cause: "the gateway stops"}
+}
+
 // exchangeFailed returns the outcome of an exchange that ended without a complete response.
 func (a *attempt) exchangeFailed(err error, stage string) attemptOutcome {
 	if a.ctx.Err() != nil {
-		return a.callerDisconnected(true)
+		return a.contextEnded(true)
 	}
 	outcome := attemptOutcome{mayHaveRun: true, result: balance.Broken, cause: stage + ": " + err.Error()}
 	if time.Until(a.deadline) <= minRemaining {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -196,6 +197,22 @@
 	return j.resumeStream()
 }
 
+// aborted reports whether the daemon ends the requests in progress.
+func (j *job) aborted() bool { return errors.Is(context.Cause(j.ctx), httpio.ErrAborted) }
+
+// ended returns the failure of a request whose context has ended: the caller left, or the daemon stops.
+func (j *job) ended(reason string) *failure.Failure {
+	switch {
+	case !j.aborted():
+		return failure.New(failure.ClientGone, reason)
+	case j.errorResponse != nil && !j.writer.Started():
+		return j.sendErrorResponse()
+	case j.possibleRuns > 0:
+		return failure.New(failure.EndpointFailed, "the gateway stopped before the endpoint had answered")
+	}
+	return failure.New(failure.Draining, "the gateway stopped before an endpoint was chosen").WithRetryAfter(shutdownRetryAfter)
+}
+
 // authenticate finds the workspace of the API key; anonymous routes need none.
 func (j *job) authenticate() *failure.Failure {
 	if !j.table.KeysRequired() || j.route.Anonymous {
@@ -309,6 +326,8 @@
 // retryDenialReason returns why no further attempt may be made, or "" if one may.
 func (j *job) retryDenialReason(outcome attemptOutcome) string {
 	switch {
+	case j.aborted():
+		return "the gateway stops"
 	case j.ctx.Err() != nil:
 		return "the caller left"
 	case outcome.mayHaveRun && !j.route.Repeatable():
@@ -334,7 +353,7 @@
 func (j *job) exhausted(reason string) *failure.Failure {
 	switch {
 	case j.ctx.Err() != nil:
-		return failure.New(failure.ClientGone, reason)
+		return j.ended(reason)
 	case j.errorResponse != nil && !j.writer.Started():
 		return j.sendErrorResponse()
 	case j.possibleRuns > 0 && time.Until(j.deadline) <= minRemaining:
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -24,17 +24,24 @@
 	// maxAcceptShare is the part of a short grace period during which new connections are
 	// accepted; the requests accepted last have the rest of it to complete.
 	maxAcceptShare = 1.0 / 2
-	// drainPollInterval is the interval at which the number of requests in progress is checked.
+	// maxAnswerShare is the part of the time reserved for stopping in which requests that are ended get
+	// their answers.
+	maxAnswerShare = 1.0 / 2
+	// drainPollInterval is the interval at which the number of requests in progress is checked, and
+	// abortPollInterval that at the end.
 	drainPollInterval = 50 * time.Millisecond
+	abortPollInterval = 5 * time.Millisecond
 )
 
 // InFlight returns the number of requests in progress.
 func (g *Gateway) InFlight() int { return g.server.Active() }
 
 // Drain starts a graceful shutdown: the readiness check fails, responses close their
-// connections, and Run returns when no request is in progress or the grace period ends.
+// connections, and Run returns when no request is in
+// progress or the grace period ends.
 func (g *Gateway) Drain() {
 	if g.draining.CompareAndSwap(false, true) {
+		g.setStop(time.Now())
 		g.server.Drain()
 		close(g.drainRequested)
 	}
@@ -47,13 +54,24 @@
 	return min(deregistrationDelay, share(maxAcceptShare)), grace - min(exitMargin, share(maxExitShare))
 }
 
+// setStop plans the end of a drain that started at a time. A grace period that is raised meanwhile holds
+// for it, too.
+func (g *Gateway) setStop(started time.Time) {
+	_, giveUpAfter := drainTimes(g.inForce.Load().Drain.Grace)
+	at := started.Add(giveUpAfter)
+	if before := g.stopAt.Load(); before == nil || at.After(*before) {
+		g.stopAt.Store(&at)
+	}
+}
+
 // awaitDrain waits for the load balancer to stop sending connections, closes the listener
-// and waits for the requests in progress and for the connections that it carries for peers.
+// and waits for the requests in progress and for the connections that it carries for peers. At the
+// planned stop the callers of requests still in progress are told so.
 func (g *Gateway) awaitDrain(ctx context.Context, listener net.Listener) {
 	started := time.Now()
 	grace := g.inForce.Load().Drain.Grace
 	acceptFor, giveUpAfter := drainTimes(grace)
-	g.log.WithFields(logrus.Fields{"event": "drain", "in_flight": g.server.Active(), "grace": grace}).Info("draining")
+	g.log.WithFields(logrus.Fields{"event": "drain", "in_flight": g.server.Active(), "connections": g.server.Busy(), "grace": grace, "stop_in": time.Until(*g.stopAt.Load())}).Info("draining")
 	sleep(ctx, acceptFor)
 	g.shuttingDown.Store(true)
 	if err := listener.Close(); err != nil {
@@ -62,13 +80,24 @@
 	carrying := do.MustInvoke[*tunnel.Server](g.injector)
 	for {
 		g.server.CloseIdle()
-		// A grace period that is raised meanwhile holds for this drain, too.
-		_, raised := drainTimes(g.inForce.Load().Drain.Grace)
-		giveUpAfter = max(giveUpAfter, raised)
-		if g.server.Active() == 0 && carrying.Active() == 0 || time.Since(started) > giveUpAfter || ctx.Err() != nil {
+		g.setStop(started)
+		if g.server.Busy() == 0 && carrying.Active() == 0 || time.Now().After(*g.stopAt.Load()) || ctx.Err() != nil {
 			break
 		}
 		sleep(ctx, drainPollInterval)
 	}
-	g.log.WithFields(logrus.Fields{"event": "drained", "in_flight": g.server.Active(), "carried": carrying.Active(), "took": time.Since(started)}).Info("drained")
+	aborted := g.server.Active()
+	g.abortRequests(ctx, time.Duration(maxAnswerShare*float64(grace-giveUpAfter)))
+	g.log.WithFields(logrus.Fields{
+		"event": "drained", "aborted": aborted, "in_flight": g.server.Active(), "connections": g.server.Busy(), "carried": carrying.Active(), "took": time.Since(started),
+	}).Info("drained")
+}
+
+// abortRequests ends the requests in progress and waits until their callers have the answers, for a
+// limited time.
+func (g *Gateway) abortRequests(ctx context.Context, limit time.Duration) {
+	g.server.Abort()
+	for deadline := time.Now().Add(limit); g.server.Busy() > 0 && time.Now().Before(deadline) && ctx.Err() == nil; {
+		sleep(ctx, abortPollInterval)
+	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,9 @@
 	server     *httpio.Server
 	draining   atomic.Bool
 	// shuttingDown is set when a draining gateway stops accepting requests.
-	shuttingDown   atomic.Bool
+	shuttingDown atomic.Bool
+	// stopAt is when a draining gateway ends the requests in progress; nil before the drain.
+	stopAt         atomic.Pointer[time.Time]
 	drainRequested chan struct{}
 	started        time.Time
 	// peerWait is how long after its start this gateway waits for data from peers that watch
--- a/internal/gateway/rejection.go
+++ b/internal/gateway/rejection.go
@@ -17,6 +17,10 @@
 // rejectRequest logs a request that could not be read and returns the response.
 func (g *Gateway) rejectRequest(remote net.Addr, status int, reason httpio.RejectReason) httpio.Rejection {
 	f := rejection(reason)
+	if reason == httpio.TooSlow && g.draining.Load() {
+		f = failure.New(failure.Draining, "the gateway stops, and the request has not arrived").WithRetryAfter(rejectedRetryAfter)
+		status = f.Code.HTTPStatus()
+	}
 	if g.tableHolder.Table() == nil && (reason == httpio.HeaderTooLarge || reason == httpio.BodyTooLarge) {
 		// The table that is to come may allow it.
 		f = failure.New(failure.PlatformUnavailable, "no configuration yet, and "+f.Message).WithRetryAfter(rejectedRetryAfter)
--- a/internal/httpio/server.go
+++ b/internal/httpio/server.go
@@ -50,7 +50,11 @@
 	Arrived time.Time
 }
 
-// Handler handles one request. ctx is cancelled when the caller disconnects.
+// ErrAborted is the cause with which a handler's context ends because of Server.Abort.
+var ErrAborted = errors.New("the server ends the requests in progress")
+
+// Handler handles one request. ctx is cancelled when the caller disconnects, and with ErrAborted as its
+// cause by Server.Abort, after which the caller can still get a response.
 type Handler func(ctx context.Context, r *Request, w *Writer)
 
 // RejectReason states why the server rejected a request without calling the handler.
@@ -88,6 +92,8 @@
 	mu       sync.Mutex
 	conns    map[*serverConn]struct{}
 	draining atomic.Bool
+	// aborting is set by Abort.
+	aborting atomic.Bool
 	active   atomic.Int64
 }
 
@@ -117,6 +123,31 @@
 // Active returns the number of requests whose handler is running.
 func (s *Server) Active() int { return int(s.active.Load()) }
 
+// Busy returns the number of connections on which a request is being read or handled, or whose caller
+// may still be reading the last response.
+func (s *Server) Busy() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.state.Load() == connBusy {
+			n++
+		}
+	}
+	return n
+}
+
+// Abort ends the requests in progress, those that come later included. Handlers get ErrAborted, and
+// requests that are being read are rejected as TooSlow.
+func (s *Server) Abort() {
+	s.Drain()
+	s.aborting.Store(true)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.abort()
+	}
+}
+
 // CloseIdle closes the connections on which no request is being read or handled.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
@@ -140,6 +171,12 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	state  atomic.Int32
+	// phase guards the fields below.
+	phase sync.Mutex
+	// reading is set while a request is being read.
+	reading bool
+	// cancel ends the context of the request that is being handled; nil if there is none.
+	cancel context.CancelCauseFunc
 	// idleSince is the time since which no request is read or handled, while the state is connIdle.
 	idleSince time.Time
 }
@@ -203,9 +240,8 @@
 		Target:  string(request.Header.RequestURI()),
 		Arrived: time.Now(),
 	}
-	_ = c.conn.SetReadDeadline(time.Time{})
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+	ctx, cancel := c.beginHandling()
+	defer c.endHandling()
 	w := &Writer{
 		conn: c.conn, bodyless: request.Header.IsHead(), unchunked: !request.Header.IsHTTP11(),
 		close: request.Header.ConnectionClose(), draining: &c.server.draining,
@@ -225,7 +261,7 @@
 	}()
 	err := c.awaitByte()
 	if err != nil {
-		cancel() // The caller closed the connection, so that nobody reads the response.
+		cancel(nil) // The caller closed the connection, so that nobody reads the response.
 	}
 	<-done
 	if w.close && w.finished {
@@ -234,11 +270,54 @@
 	return err == nil && !w.close
 }
 
+// beginHandling returns the context of a request that has been read.
+func (c *serverConn) beginHandling() (context.Context, context.CancelCauseFunc) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	c.phase.Lock()
+	defer c.phase.Unlock()
+	c.cancel, c.reading = cancel, false
+	_ = c.conn.SetReadDeadline(time.Time{})
+	if c.server.aborting.Load() {
+		cancel(ErrAborted)
+	}
+	return ctx, cancel
+}
+
+func (c *serverConn) endHandling() {
+	c.phase.Lock()
+	defer c.phase.Unlock()
+	c.cancel(nil)
+	c.cancel = nil
+}
+
+// abort ends the request that is being handled, or the reading of one.
+func (c *serverConn) abort() {
+	c.phase.Lock()
+	defer c.phase.Unlock()
+	switch {
+	case c.cancel != nil:
+		c.cancel(ErrAborted)
+	case c.reading:
+		_ = c.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// limitReading limits the time to read the next part of a request.
+func (c *serverConn) limitReading(d time.Duration) {
+	c.phase.Lock()
+	defer c.phase.Unlock()
+	c.reading = true
+	if c.server.aborting.Load() {
+		d = 0
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(d))
+}
+
 // readRequest reads one request. It returns false if it rejected the request or the caller
 // disconnected.
 func (c *serverConn) readRequest(request *fasthttp.Request) bool {
 	limits := c.server.options.Limits()
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.HeaderTimeout))
+	c.limitReading(limits.HeaderTimeout)
 	if err := c.awaitHeader(limits.HeaderBytes); err != nil {
 		c.rejectHeader(err)
 		return false
@@ -284,7 +363,7 @@
 			return false // The caller has disconnected.
 		}
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
+	c.limitReading(limits.BodyTimeout)
 	err := request.ContinueReadBody(c.reader, limits.BodyBytes, false)
 	switch {
 	case err == nil:
@@ -317,6 +396,9 @@
 // reject sends an error response to a request that was not read completely. The response
 // repeats nothing of the request, which may contain an API key.
 func (c *serverConn) reject(status int, reason RejectReason) {
+	c.phase.Lock()
+	c.reading = false
+	c.phase.Unlock()
 	rejection := c.server.options.OnReject(c.conn.RemoteAddr(), status, reason)
 	w := &Writer{conn: c.conn, close: true, draining: &c.server.draining}
 	fields := []Field{{Name: "Content-Type", Value: "application/json"}}
