drain, forward: a gateway that stops refuses what would not end in time (LOST)

Requests that came late in the grace period of a planned stop were taken for 2.6 s however long they run, and cut at its end, among them requests that may not be repeated.

Cause: the gateway knew its end, the request's time limit and how long requests of the route take, and used none of them. Rule (internal/drain, no I/O): taken is what times out before the end; else what has time enough by the longest request of its route in the last 5 to 10 minutes, and a quarter more; if fewer than 10 have ended, the request is refused, unless no other gateway serves. The refusal is 503 with Retry-After: it has not run, and another gateway has it some milliseconds later.

Evidence: e2e "serves or refuses what comes during it, and cuts nothing" got an unexpected EOF on the code before, and passes; "refuses nothing that has time enough while it takes connections" passes on both. Price: one refusal for each request of a route whose requests are long or not known, while the balancer still sends to the gateway; routes of short requests are served throughout.

--- a/internal/forward/finish.go
+++ b/internal/forward/finish.go
@@ -105,6 +105,9 @@
 		j.writeRefusal(f)
 	}
 	elapsed := time.Since(j.request.Arrived)
+	if j.possibleRuns > 0 && (f == nil || f.Code == failure.TimedOut) {
+		j.f.durations.Record(time.Now(), j.route.Key(), elapsed)
+	}
 	j.f.metrics.elapsed.RecordDuration(elapsed)
 	if !j.firstEvent.IsZero() {
 		j.f.metrics.firstEvent.RecordDuration(j.firstEvent.Sub(j.request.Arrived))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -18,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primrosewell/primrosewell/internal/balance"
+	"github.com/primrosewell/primrosewell/internal/drain"
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/headers"
 	"github.com/primrosewell/primrosewell/internal/httpio"
@@ -62,6 +64,9 @@
 	Pools PoolLookup
 	// ShuttingDown reports whether the daemon is shutting down and refuses new requests.
 	ShuttingDown func() bool
+	// PlannedStop returns when the daemon will end the requests that are in progress, or false if it is
+	// not to stop.
+	PlannedStop func() (drain.Stop, bool)
 	// EndpointsVersion returns the version of the endpoint list in use.
 	EndpointsVersion func() int64
 	// EndpointsAge returns the time since that list was last known to be current.
@@ -87,6 +92,7 @@
 	filters     filters
 	metrics     metrics
 	crashProber *crashProber
+	durations   *drain.Durations
 
 	mu sync.Mutex
 	// unconfigured and noEndpoints track how long requests have been refused for lack of a
@@ -100,6 +106,7 @@
 	return &Forwarder{
 		Options: options, filters: newFilters(options.Headers), metrics: newMetrics(options.Scope),
 		crashProber:  newCrashProber(options.Dialer, options.Contents, options.Parts, options.Log),
+		durations:    drain.NewDurations(time.Now()),
 		unconfigured: outage{start: time.Now()}, // The daemon starts without a configuration.
 	}
 }
@@ -192,11 +199,32 @@
 	}
 	j.urgency = j.table.Urgency(j.workspace, j.route)
 	j.deadline = j.request.Arrived.Add(j.timeout())
+	if err := j.admitBeforeStop(time.Now()); err != nil {
+		return err
+	}
 	j.promptTokens, j.promptParts = parsePrompt(string(j.request.Header.Peek(j.f.Headers.PromptSize)), string(j.request.Header.Peek(j.f.Headers.PromptParts)))
 	j.service = j.route.PickBackend(rand.Float64())
 	return j.resumeStream()
 }
 
+// admitBeforeStop refuses a request that would probably be in progress when this daemon stops.
+func (j *job) admitBeforeStop(now time.Time) *failure.Failure {
+	stop, stops := j.f.PlannedStop()
+	if !stops {
+		return nil
+	}
+	longest, known := j.f.durations.Longest(now, j.route.Key())
+	if stop.Takes(now, j.deadline, longest, known) {
+		return nil
+	}
+	expected := "a duration that is not known"
+	if known {
+		expected = "up to " + longest.Round(time.Millisecond).String()
+	}
+	left := stop.At.Sub(now).Round(time.Millisecond)
+	return failure.New(failure.Draining, fmt.Sprintf("the gateway stops in %s, and requests of this route take %s", left, expected)).WithRetryAfter(shutdownRetryAfter)
+}
+
 // aborted reports whether the daemon ends the requests in progress.
 func (j *job) aborted() bool { return errors.Is(context.Cause(j.ctx), httpio.ErrAborted) }
 
--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/primrosewell/primrosewell/internal/balance"
 	"github.com/primrosewell/primrosewell/internal/directory"
+	"github.com/primrosewell/primrosewell/internal/drain"
 	"github.com/primrosewell/primrosewell/internal/forward"
 	"github.com/primrosewell/primrosewell/internal/headers"
 	"github.com/primrosewell/primrosewell/internal/httpio"
@@ -195,6 +196,8 @@
 	table   *routetable.Table
 	server  *httpio.Server
 	closing atomic.Bool
+	// stop is the planned stop of the daemon, or nil.
+	stop atomic.Pointer[drain.Stop]
 	// kept, if set, keeps the caller's connections open.
 	kept *http.Transport
 	// blocksKnown is closed unless a spec replaces it.
@@ -226,8 +229,14 @@
 		EndpointsVersion: func() int64 { return 1 },
 		EndpointsAge:     func(time.Time) time.Duration { return 0 },
 		ShuttingDown:     fx.closing.Load,
-		Dialer:           dialer,
-		Budget:           retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50, Margin: 1}, 1),
+		PlannedStop: func() (drain.Stop, bool) {
+			if stop := fx.stop.Load(); stop != nil {
+				return *stop, true
+			}
+			return drain.Stop{}, false
+		},
+		Dialer: dialer,
+		Budget: retry.NewSharedBudget(retry.SharedBudgetConfig{Ratio: 0.2, Window: 10 * time.Second, Slack: 50, Margin: 1}, 1),
 
 		Streams:     fx.streams,
 		BlocksKnown: func() <-chan struct{} { return fx.blocksKnown },
--- a/internal/forward/planned_stop_test.go
+++ b/internal/forward/planned_stop_test.go
@@ -5,9 +5,12 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/primrosewell/primrosewell/internal/drain"
 )
 
 // unanswered reads the request and does not answer until the connection ends.
@@ -83,4 +86,19 @@
 		Expect(rest).To(BeEmpty())
 		Expect(complete).To(BeFalse())
 	})
+
+	It("refuses what would not end in time, and says so before it is sent", func() {
+		endpoint := newEndpoint(reply(200, signatureField, "done"))
+		fx := newFixture(spec(), endpoint)
+		fx.stop.Store(&drain.Stop{At: time.Now().Add(time.Second)})
+		r := fx.call("/unsafe/x")
+		Expect(r.StatusCode).To(Equal(503))
+		Expect(endpoint.received()).To(BeEmpty())
+		fx.stop.Store(nil)
+		for range 10 {
+			Expect(fx.call("/unsafe/x").StatusCode).To(Equal(200))
+		}
+		fx.stop.Store(&drain.Stop{At: time.Now().Add(20 * time.Second)})
+		Expect(fx.call("/unsafe/x").StatusCode).To(Equal(200), "its requests are known to be short")
+	})
 })
--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -8,6 +8,7 @@
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/primrosewell/primrosewell/internal/drain"
 	"github.com/primrosewell/primrosewell/internal/tunnel"
 )
 
@@ -37,7 +38,7 @@
 func (g *Gateway) InFlight() int { return g.server.Active() }
 
 // Drain starts a graceful shutdown: the readiness check fails, responses close their
-// connections, and Run returns when no request is in
+// connections, requests that would not end in time are refused, and Run returns when no request is in
 // progress or the grace period ends.
 func (g *Gateway) Drain() {
 	if g.draining.CompareAndSwap(false, true) {
@@ -64,6 +65,15 @@
 	}
 }
 
+// plannedStop returns when a draining gateway ends the requests in progress.
+func (g *Gateway) plannedStop() (drain.Stop, bool) {
+	at := g.stopAt.Load()
+	if at == nil {
+		return drain.Stop{}, false
+	}
+	return drain.Stop{At: *at, Alone: len(g.members.Carriers()) == 0}, true
+}
+
 // awaitDrain waits for the load balancer to stop sending connections, closes the listener
 // and waits for the requests in progress and for the connections that it carries for peers. At the
 // planned stop the callers of requests still in progress are told so.
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -113,6 +113,7 @@
 		EndpointsVersion: g.endpointList.PlatformVersion,
 		EndpointsAge:     g.endpointList.Age,
 		ShuttingDown:     g.shuttingDown.Load,
+		PlannedStop:      g.plannedStop,
 		Dialer:           do.MustInvoke[*httpio.Dialer](i),
 		Budget:           do.MustInvoke[*retry.SharedBudget](i),
 
--- a/test/e2e/planned_stop_test.go
+++ b/test/e2e/planned_stop_test.go
@@ -160,6 +160,22 @@
 	}
 	BeforeEach(func() { f = startStoppedFleet() })
 
+	// Guards against LOST: requests that came late in the grace period were taken, and cut at its end.
+	It("serves or refuses what comes during it, and cuts nothing", func() {
+		serveBefore("/long/1", 12)
+		answers := sendThroughout("/long/1")
+		served := 0
+		for _, a := range answers {
+			note := fmt.Sprintf("%+v", a)
+			Expect(a.status).To(Or(Equal(200), Equal(503)), note)
+			Expect(f.ran(a.id)).To(Equal(map[int]int{200: 1, 503: 0}[a.status]), note)
+			if a.status == 200 {
+				served++
+			}
+		}
+		Expect(served).To(BeNumerically("<", len(answers)), "some come too late")
+	})
+
 	It("refuses nothing that has time enough while it takes connections", func() {
 		serveBefore("/x/1", 12)
 		for _, a := range sendThroughout("/x/1") {
