--- a/test/e2e/planned_stop_test.go
+++ b/test/e2e/planned_stop_test.go
@@ -32,8 +32,8 @@
 	runs map[string]int
 }
 
-func startStoppedFleet() *stoppedFleet {
-	f := &stoppedFleet{gatewayFleet: newGatewayFleet(stopGrace.String()), runs: map[string]int{}}
+func startStoppedFleet(grace time.Duration) *stoppedFleet {
+	f := &stoppedFleet{gatewayFleet: newGatewayFleet(grace.String()), runs: map[string]int{}}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: http.HandlerFunc(f.serve), ReadHeaderTimeout: startTimeout}
@@ -158,10 +158,9 @@
 		Eventually(f.gateways[0].session, startTimeout).Should(gexec.Exit(0))
 		return answers
 	}
-	BeforeEach(func() { f = startStoppedFleet() })
-
 	// Guards against LOST: requests that came late in the grace period were taken, and cut at its end.
 	It("serves or refuses what comes during it, and cuts nothing", func() {
+		f = startStoppedFleet(stopGrace)
 		serveBefore("/long/1", 12)
 		answers := sendThroughout("/long/1")
 		served := 0
@@ -177,6 +176,7 @@
 	})
 
 	It("refuses nothing that has time enough while it takes connections", func() {
+		f = startStoppedFleet(stopGrace)
 		serveBefore("/x/1", 12)
 		for _, a := range sendThroughout("/x/1") {
 			Expect(a.status).To(Equal(200), "%+v", a)
@@ -184,20 +184,32 @@
 	})
 
 	// Guards against LOST: requests in progress at the end of the grace period got no answer.
-	It("tells the callers of requests that are in progress at its end whether these may have run", func() {
-		running, arriving := f.dial(), f.dial()
-		running.send("/endless/1", "running", 0)
-		Eventually(func() int { return f.ran("running") }, startTimeout).Should(Equal(1))
-		f.gateways[0].signal(syscall.SIGTERM)
-		time.Sleep(stopGrace / 8)
-		arriving.send("/x/1", "arriving", 5)
-		status, body := running.receive()
-		Expect(status).To(Equal(502), body)
-		Expect(body).To(ContainSubstring("unknown"))
-		status, body = arriving.receive()
-		Expect(status).To(Equal(503), body)
-		Expect(body).To(ContainSubstring("not_run"))
-		Expect(f.ran("arriving")).To(BeZero())
-		Eventually(f.gateways[0].session, startTimeout).Should(gexec.Exit(0))
-	})
+	DescribeTable("tells the callers of requests that are in progress at its end whether these may have run",
+		func(grace time.Duration, disturb func(g *gatewayProcess)) {
+			f = startStoppedFleet(grace)
+			running, arriving := f.dial(), f.dial()
+			running.send("/endless/1", "running", 0)
+			Eventually(func() int { return f.ran("running") }, startTimeout).Should(Equal(1))
+			f.gateways[0].signal(syscall.SIGTERM)
+			time.Sleep(grace / 8)
+			arriving.send("/x/1", "arriving", 5)
+			disturb(f.gateways[0])
+			status, body := running.receive()
+			Expect(status).To(Equal(502), body)
+			Expect(body).To(ContainSubstring("unknown"))
+			status, body = arriving.receive()
+			Expect(status).To(Equal(503), body)
+			Expect(body).To(ContainSubstring("not_run"))
+			Expect(f.ran("arriving")).To(BeZero())
+			Eventually(f.gateways[0].session, startTimeout).Should(gexec.Exit(0))
+		},
+		Entry("undisturbed", stopGrace, func(*gatewayProcess) {}),
+		Entry("with a short grace period", time.Second, func(*gatewayProcess) {}),
+		Entry("after a second signal", stopGrace, func(g *gatewayProcess) { g.signal(syscall.SIGTERM) }),
+		Entry("after a freeze beyond its end", stopGrace, func(g *gatewayProcess) {
+			g.signal(syscall.SIGSTOP)
+			time.Sleep(stopGrace)
+			g.signal(syscall.SIGCONT)
+		}),
+	)
 })
