--- a/internal/gateway/drain.go
+++ b/internal/gateway/drain.go
@@ -76,7 +76,7 @@
 
 // awaitDrain waits for the load balancer to stop sending connections, closes the listener
 // and waits for the requests in progress and for the connections that it carries for peers. At the
-// planned stop the callers of requests still in progress are told so.
+// planned stop, requests still in progress are ended and answered.
 func (g *Gateway) awaitDrain(ctx context.Context, listener net.Listener) {
 	started := time.Now()
 	grace := g.inForce.Load().Drain.Grace
--- a/internal/httpio/server.go
+++ b/internal/httpio/server.go
@@ -136,7 +136,7 @@
 	return n
 }
 
-// Abort ends the requests in progress, those that come later included. Handlers get ErrAborted, and
+// Abort ends the requests in progress and those that come later. Handlers get ErrAborted, and
 // requests that are being read are rejected as TooSlow.
 func (s *Server) Abort() {
 	s.Drain()
--- a/internal/reach/fleet_test.go
+++ b/internal/reach/fleet_test.go
@@ -318,9 +318,9 @@
 	}
 }
 
-// loseForGood has some endpoints vanish that stay listed, which all gateways find.
-func (f *simulatedFleet) loseForGood(t *rapid.T) {
-	for _, target := range f.targets[:rapid.IntRange(0, len(f.targets)-1).Draw(t, "lost for good")] {
+// losePermanently has some endpoints vanish that stay listed, which all gateways find.
+func (f *simulatedFleet) losePermanently(t *rapid.T) {
+	for _, target := range f.targets[:rapid.IntRange(0, len(f.targets)-1).Draw(t, "lost permanently")] {
 		f.down[target.Address], f.backAt[target.Address] = true, f.now.Add(24*time.Hour)
 		for _, g := range f.gateways {
 			g.paths.DirectFailed(f.now, target.Address)
@@ -330,7 +330,7 @@
 	f.now = f.now.Add(downLead + time.Second)
 }
 
-func (f *simulatedFleet) lostForGood(target Target) bool {
+func (f *simulatedFleet) lostPermanently(target Target) bool {
 	return f.down[target.Address] && f.backAt[target.Address].Sub(f.now) > restartTime
 }
 
@@ -344,7 +344,7 @@
 }
 
 // TestEachCrashIsFoundAlsoIfNoOtherEndpointIsUp draws requests that crash one endpoint after the
-// other, down to the last one of a service, beside endpoints that are lost for good and still listed.
+// other, down to the last one of a service, beside endpoints that are lost permanently and still listed.
 // Gateways that are not cut find each crash, unless carriers
 // are lost, which takes time, or those of the build before doubt the last one.
 func TestEachCrashIsFoundAlsoIfNoOtherEndpointIsUp(t *testing.T) {
@@ -355,7 +355,7 @@
 			g.cut = false
 		}
 		serving := lo.Filter(f.gateways, func(g *simulatedGateway, _ int) bool { return !g.lost && !g.before })
-		f.loseForGood(t)
+		f.losePermanently(t)
 		allFound := true
 		pause := time.Duration(rapid.IntRange(300, 2000).Draw(t, "pause")) * time.Millisecond
 		for i := range min(30, 30*len(serving)) {
@@ -392,12 +392,12 @@
 func TestCutGatewayFindsNoCrashBesideRealOnes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := drawCrashes(t)
-		f.loseForGood(t)
+		f.losePermanently(t)
 		cut := lo.Filter(f.gateways, func(g *simulatedGateway, _ int) bool { return g.cut && !g.lost && !g.before })
 		for range min(30, 30*len(cut)) {
 			f.advance(time.Duration(f.random.IntN(1000)) * time.Millisecond)
 			target := f.targets[f.random.IntN(len(f.targets))]
-			if f.lostForGood(target) {
+			if f.lostPermanently(target) {
 				continue
 			}
 			if f.random.IntN(2) == 0 {
@@ -406,7 +406,7 @@
 				continue
 			}
 			lasting := lo.Filter(f.targets, func(x Target, _ int) bool {
-				return x != target && !f.crashedLately(x) && !f.lostForGood(x)
+				return x != target && !f.crashedLately(x) && !f.lostPermanently(x)
 			})
 			if f.down[target.Address] || len(lasting) == 0 {
 				continue
@@ -418,7 +418,7 @@
 	})
 }
 
-// Guards against BUDGET: beside an endpoint that was lost for good and still listed, no crash of the
+// Guards against BUDGET: beside an endpoint that was lost permanently and still listed, no crash of the
 // last endpoint of a service was found.
 func TestEndpointFoundDownWithTheTargetIsADoubtfulReference(t *testing.T) {
 	target := Target{Address: "a", Service: "svc"}
--- a/internal/telemetry/build.go
+++ b/internal/telemetry/build.go
@@ -11,7 +11,7 @@
 
 // BuildFields describe this program and its machine: the revision that it was built from (empty if
 // the build left it out) and whether its sources were modified, when its file was written, the
-// architecture, and the processors that it may use. They tell a build that was carried over, or a
+// architecture, and the processors that it may use. They distinguish a build that was carried over, or a
 // slower machine, from the expected one.
 func BuildFields() logrus.Fields {
 	fields := logrus.Fields{"arch": runtime.GOARCH, "go": runtime.Version(), "processors": runtime.GOMAXPROCS(0), "revision": "", "modified": false, "built_at": ""}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -222,8 +222,8 @@
 		Expect(crash(second)).To(MatchError(tunnel.ErrDown))
 	})
 
-	// Guards against BUDGET: no crash of the last endpoint was found beside one that was lost for good.
-	It("tells that the last endpoint of a service has crashed beside one that is down for good and still listed", func() {
+	// Guards against BUDGET: no crash of the last endpoint was found beside one that was lost permanently.
+	It("tells that the last endpoint of a service has crashed beside one that is down permanently and still listed", func() {
 		lost, _ := newServer()
 		last, _ := newServer()
 		f := newNodes(3, lost, last)
