drain: a gateway that stops refuses what would more likely be ended than not

Callers of a release lost requests: refused all that might take as long as the longest request of its route lately, and what had fewer than ten before.

The rule goes by the share of the last 32 requests of the route that took longer than what is left (a half), and knows a route from three; what is not known is taken if it may be repeated. The specs of planned stops pass as before; the generated check states the new rule exactly. The length that the memory of a route takes is bounded (32 entries).

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -8,65 +8,96 @@
 )
 
 const (
-	// memory is how long a request's duration counts at least; it counts for at most twice as long.
-	memory = 5 * time.Minute
-	// minSamples is the number of requests of a route from which their longest duration is known. The
-	// next one is longer than all n before it with a probability of 1/(n+1).
-	minSamples = 10
-	// headroom is the factor by which a request may take longer than the longest before it, and
-	// answerTime the time to pass the answer on.
-	headroom   = 1.25
+	// memory is how long a request's duration counts.
+	memory = 10 * time.Minute
+	// maxSamples is the number of the latest requests of a route whose durations are kept, and minSamples
+	// that from which they say how long the next one takes.
+	maxSamples, minSamples = 32, 3
+	// maxLateShare is the share of a route's requests that may have taken longer than the time that is
+	// left: a request is refused if it would more likely be ended than not. Callers try a few times only,
+	// so that a refusal may cost a request, too.
+	maxLateShare = 1.0 / 2
+	// answerTime is the time to pass the answer on.
 	answerTime = 100 * time.Millisecond
 )
 
 // Durations holds how long the requests of each route took lately. It is safe for concurrent use.
 type Durations struct {
-	mu sync.Mutex
-	// current and previous hold the longest duration by route, of the current period of memory and of
-	// the one before.
-	current, previous map[string]longest
-	since             time.Time
+	mu       sync.Mutex
+	routes   map[string]*samples
+	prunedAt time.Time
 }
 
-type longest struct {
-	duration time.Duration
-	samples  int
+// samples are the latest requests of a route.
+type samples struct {
+	// list is a ring once it is full, whose oldest entry is at next.
+	list []sample
+	next int
+	last time.Time
+}
+
+type sample struct {
+	at   time.Time
+	took time.Duration
 }
 
 // NewDurations returns an empty record.
 func NewDurations(now time.Time) *Durations {
-	return &Durations{current: make(map[string]longest), previous: make(map[string]longest), since: now}
+	return &Durations{routes: make(map[string]*samples), prunedAt: now}
 }
 
 // Record records that a request of a route took d from its arrival to the end of its response.
 func (d *Durations) Record(now time.Time, route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.advance(now)
-	l := d.current[route]
-	d.current[route] = longest{duration: max(l.duration, took), samples: l.samples + 1}
+	d.prune(now)
+	s := d.routes[route]
+	if s == nil {
+		s = &samples{}
+		d.routes[route] = s
+	}
+	s.last = now
+	if len(s.list) < maxSamples {
+		s.list = append(s.list, sample{now, took})
+		return
+	}
+	s.list[s.next] = sample{now, took}
+	s.next = (s.next + 1) % maxSamples
 }
 
-// Longest returns the longest duration of a route's requests, or false if too few have ended lately.
-func (d *Durations) Longest(now time.Time, route string) (time.Duration, bool) {
+// LateShare returns the share of a route's latest requests that took longer than left, or false if too
+// few have ended lately.
+func (d *Durations) LateShare(now time.Time, route string, left time.Duration) (share float64, known bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.advance(now)
-	current, previous := d.current[route], d.previous[route]
-	return max(current.duration, previous.duration), current.samples+previous.samples >= minSamples
+	s := d.routes[route]
+	if s == nil {
+		return 0, false
+	}
+	n, late := 0, 0
+	for _, x := range s.list {
+		if now.Sub(x.at) > memory {
+			continue
+		}
+		n++
+		if x.took+answerTime > left {
+			late++
+		}
+	}
+	return float64(late) / float64(max(1, n)), n >= minSamples
 }
 
-// advance begins a new period if the current one is over; d.mu is held.
-func (d *Durations) advance(now time.Time) {
-	switch elapsed := now.Sub(d.since); {
-	case elapsed < memory:
+// prune forgets the routes that have had no requests for memory; d.mu is held.
+func (d *Durations) prune(now time.Time) {
+	if now.Sub(d.prunedAt) < memory {
 		return
-	case elapsed < 2*memory:
-		d.previous = d.current
-	default:
-		d.previous = make(map[string]longest)
 	}
-	d.current, d.since = make(map[string]longest), now
+	d.prunedAt = now
+	for route, s := range d.routes {
+		if now.Sub(s.last) > memory {
+			delete(d.routes, route)
+		}
+	}
 }
 
 // Stop is the planned end of a daemon that drains.
@@ -77,15 +108,22 @@
 	Alone bool
 }
 
-// Takes reports whether a daemon that drains takes a request with this deadline. longest is the longest
-// duration of the route's requests, if known. A caller that is refused at once is served by another
-// daemon some milliseconds later; one whose request is ended may have lost it.
-func (s Stop) Takes(now, deadline time.Time, longest time.Duration, known bool) bool {
-	switch left := s.At.Sub(now); {
-	case !deadline.After(s.At):
+// Candidate is a request that a daemon which drains may take.
+type Candidate struct {
+	Route    string
+	Deadline time.Time
+	// Repeatable is set if another daemon may send it once more.
+	Repeatable bool
+}
+
+// Takes reports whether a daemon that drains takes a request. A caller that is refused at once is mostly
+// served by another daemon some milliseconds later; one whose request is ended may have lost it.
+func (s Stop) Takes(now time.Time, r Candidate, durations *Durations) bool {
+	if !r.Deadline.After(s.At) {
 		return true // It ends before, if only as timed out.
-	case known:
-		return time.Duration(headroom*float64(longest))+answerTime <= left
 	}
-	return s.Alone
+	if share, known := durations.LateShare(now, r.Route, s.At.Sub(now)); known {
+		return share <= maxLateShare
+	}
+	return s.Alone || r.Repeatable
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -213,16 +213,11 @@
 	if !stops {
 		return nil
 	}
-	longest, known := j.f.durations.Longest(now, j.route.Key())
-	if stop.Takes(now, j.deadline, longest, known) {
+	if stop.Takes(now, drain.Candidate{Route: j.route.Key(), Deadline: j.deadline, Repeatable: j.route.Repeatable()}, j.f.durations) {
 		return nil
 	}
-	expected := "a duration that is not known"
-	if known {
-		expected = "up to " + longest.Round(time.Millisecond).String()
-	}
 	left := stop.At.Sub(now).Round(time.Millisecond)
-	return failure.New(failure.Draining, fmt.Sprintf("the gateway stops in %s, and requests of this route take %s", left, expected)).WithRetryAfter(shutdownRetryAfter)
+	return failure.New(failure.Draining, fmt.Sprintf("the gateway stops in %s, which may be too soon for requests of this route", left)).WithRetryAfter(shutdownRetryAfter)
 }
 
 // aborted reports whether the daemon ends the requests in progress.
