memory: what was released counts until it is collected

Callers saw a gateway end: 150 clients that each send 3.9 MB of a body without its end, are refused or stay for 0.2 s, close and come again brought it over its VM's memory of 144 MB.

Cause: the account counts what is held. What was given back a moment ago is still resident until it is collected, and what a connection gave up is referred to until its reader wakes. The soft limit of the collector (0.6 of the memory) does not bound the sum: bodies hold nothing to scan, so assists are small, and a body of 4 MB is allocated in a fraction of a collection. The faster the clients and the slower the processor, the more.

Change: the account sums up released bytes, too. They count until a collection that began later has ended; those that gave way, from when their connection has dropped them. If held and released bytes exceed one and a half times the limit, whoever was admitted waits for a collection that the account starts, before it allocates. That bounds the sum at any rate of arrival and on a processor of any speed. The runtime's own collections count, so that ordinary traffic rarely waits. Gauges held_released_bytes and held_collections.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -80,9 +80,10 @@
 	onRefusal func(Refusal)
 	began     time.Time
 
-	mu      sync.Mutex
-	totals  Totals
-	holders map[*Holder]struct{}
+	mu       sync.Mutex
+	totals   Totals
+	holders  map[*Holder]struct{}
+	released released
 	// scratchHolders and scratchHoldings are the arguments of the last decision, whose memory is used again.
 	scratchHolders  []*Holder
 	scratchHoldings []Holding
@@ -90,7 +91,9 @@
 
 // NewAccount returns an empty account. limits returns the limits in force.
 func NewAccount(limits func() Limits, onRefusal func(Refusal)) *Account {
-	return &Account{limits: limits, onRefusal: onRefusal, began: time.Now(), holders: make(map[*Holder]struct{})}
+	a := &Account{limits: limits, onRefusal: onRefusal, began: time.Now(), holders: make(map[*Holder]struct{})}
+	a.watchCollections()
+	return a
 }
 
 // Holder is a connection in an account. Its methods are safe for concurrent use, and those of a nil
@@ -108,6 +111,8 @@
 	base int64
 	// The fields below are guarded by the account's lock.
 	bytes int64
+	// givenUp are bytes that had to give way and that the connection may still refer to.
+	givenUp int64
 	// ended is set if the holder had to give way or is closed. It holds no bytes any more.
 	ended bool
 }
@@ -181,9 +186,32 @@
 	for _, r := range refusals {
 		a.onRefusal(r)
 	}
+	if lacks == Enough && !a.awaitCollected(limits, h) {
+		h.takeBack(ask)
+		a.onRefusal(Refusal{Class: h.class, Shortage: TooFewBytes, State: State(h.state.Load()), Bytes: ask.Held + ask.Bytes, Remote: h.remote})
+		return false
+	}
 	return lacks == Enough
 }
 
+// takeBack undoes the admission of an ask, for which nothing has been allocated.
+func (h *Holder) takeBack(ask Ask) {
+	a := h.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !h.ended {
+		h.bytes -= ask.Bytes
+		a.totals.Bytes -= ask.Bytes
+	} else {
+		h.givenUp -= ask.Bytes
+		a.released.referred -= ask.Bytes
+	}
+	if _, counted := a.holders[h]; counted && ask.Connection {
+		a.totals.Connections[h.class]--
+		delete(a.holders, h)
+	}
+}
+
 // makeRoom returns the holders that have to give way. The lock is held.
 func (a *Account) makeRoom(limits Limits, now time.Duration, asker *Holder, ask Ask) ([]*Holder, Shortage) {
 	holders, holdings := a.scratchHolders[:0], a.scratchHoldings[:0]
@@ -207,6 +235,8 @@
 // held.
 func (a *Account) giveUp(h *Holder, connection bool) {
 	a.totals.Bytes -= h.bytes
+	a.released.referred += h.bytes
+	h.givenUp += h.bytes
 	h.bytes, h.ended = 0, true
 	if _, counted := a.holders[h]; counted && connection {
 		a.totals.Connections[h.class]--
@@ -214,6 +244,14 @@
 	}
 }
 
+// Released returns the bytes that are not held any more and that the collector may not have freed yet, and
+// how many collections the account has started to free such bytes.
+func (a *Account) Released() (bytes, collections int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.released.bytes(), a.released.collections
+}
+
 // Totals returns the sums over all connections.
 func (a *Account) Totals() Totals {
 	a.mu.Lock()
@@ -242,6 +280,7 @@
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
 	h.account.giveUp(h, true)
+	h.drop(h.givenUp)
 }
 
 // GaveWay reports whether the connection had to give way, or is closed.
@@ -272,11 +311,24 @@
 // change adds to the bytes that are held, at least those of the connection. The lock is held.
 func (h *Holder) change(bytes int64) {
 	if h.ended {
+		h.drop(min(-bytes, h.givenUp))
 		return
 	}
 	bytes = max(bytes, h.base-h.bytes)
 	h.bytes += bytes
 	h.account.totals.Bytes += bytes
+	if bytes < 0 {
+		h.account.released.dropped -= bytes
+	}
+}
+
+// drop records that the connection refers no more to bytes that it has given up. The lock is held.
+func (h *Holder) drop(bytes int64) {
+	if bytes > 0 {
+		h.givenUp -= bytes
+		h.account.released.referred -= bytes
+		h.account.released.dropped += bytes
+	}
 }
 
 // Release gives room back that was reserved.
--- a/internal/memory/decision.go
+++ b/internal/memory/decision.go
@@ -49,6 +49,9 @@
 	// SmallBytes is the size up to which what is held for one connection may use the whole account.
 	// Larger ones get largeShare of it, so that ordinary requests, of a few KB, find room.
 	SmallBytes = 64 << 10
+	// releasedShare is the part, one in so many, of the bytes of an account that may have been released and
+	// not been collected beside a full account.
+	releasedShare = 2
 	// largeShare is that part, as a fraction of largeShareOf.
 	largeShare, largeShareOf = 3, 4
 	// quietReading is the time without a byte after which a request that is being read gives way
@@ -127,6 +130,13 @@
 	return Enough
 }
 
+// MustCollect reports whether released bytes, which are not held any more and not collected yet, must be
+// freed before any more is allocated. It answers clients that come back at once: little is held for them, but
+// each of their requests is new memory, and on a busy VM it comes faster than the collector frees the last one.
+func MustCollect(l Limits, t Totals, released int64) bool {
+	return l.Bytes > 0 && released > 0 && t.Bytes+released > l.Bytes+l.Bytes/releasedShare
+}
+
 func (l Limits) bytesFor(ask Ask) int64 {
 	if ask.Held+ask.Bytes > SmallBytes {
 		return l.Bytes / largeShareOf * largeShare
--- a/internal/memory/report.go
+++ b/internal/memory/report.go
@@ -31,6 +31,9 @@
 	totals, limits := a.Totals(), a.Limits()
 	scope.Gauge("bytes").Update(float64(totals.Bytes))
 	scope.Gauge("bytes_limit").Update(float64(limits.Bytes))
+	released, collections := a.Released()
+	scope.Gauge("released_bytes").Update(float64(released))
+	scope.Gauge("collections").Update(float64(collections))
 	scope.Gauge("descriptors_limit").Update(float64(limits.Descriptors))
 	for class, connections := range totals.Connections {
 		scope.Tagged(map[string]string{"class": Class(class).String()}).Gauge("connections").Update(float64(connections))
--- a/test/hardload/hardload_test.go
+++ b/test/hardload/hardload_test.go
@@ -36,6 +36,8 @@
 	group sync.WaitGroup
 	mu    sync.Mutex
 	conns []net.Conn
+	// ended is set when the spec ends.
+	ended bool
 }
 
 func newClients() *clients {
@@ -43,6 +45,7 @@
 	DeferCleanup(func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		c.ended = true
 		for _, conn := range c.conns {
 			_ = conn.Close()
 		}
@@ -54,31 +57,45 @@
 // close of the connection by the process, ends the sending of one.
 func (c *clients) start(n int, address string, receiveBuffer int, head func() string, pieces func(send func([]byte) error) error) {
 	for range n {
-		c.group.Go(func() {
-			dialer := net.Dialer{Timeout: patience, Control: func(_, _ string, raw syscall.RawConn) error {
-				if receiveBuffer == 0 {
-					return nil
-				}
-				return raw.Control(func(fd uintptr) {
-					_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
-				})
-			}}
-			conn, err := dialer.Dial("tcp4", address)
-			if err != nil {
-				return // Refused, which is allowed.
-			}
-			c.mu.Lock()
-			c.conns = append(c.conns, conn)
-			c.mu.Unlock()
-			_ = conn.SetWriteDeadline(time.Now().Add(patience))
-			send := func(data []byte) error {
-				_, err := conn.Write(data)
-				return err
-			}
-			if send([]byte(head())) == nil && pieces != nil {
-				_ = pieces(send)
-			}
+		c.group.Go(func() { c.send(address, receiveBuffer, head, pieces) })
+	}
+}
+
+// startUnawaited is start for clients whose sending may block until the spec ends.
+func (c *clients) startUnawaited(n int, address string, head func() string, pieces func(send func([]byte) error) error) {
+	for range n {
+		go c.send(address, 0, head, pieces)
+	}
+}
+
+func (c *clients) send(address string, receiveBuffer int, head func() string, pieces func(send func([]byte) error) error) {
+	dialer := net.Dialer{Timeout: patience, Control: func(_, _ string, raw syscall.RawConn) error {
+		if receiveBuffer == 0 {
+			return nil
+		}
+		return raw.Control(func(fd uintptr) {
+			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
 		})
+	}}
+	conn, err := dialer.Dial("tcp4", address)
+	if err != nil {
+		return // Refused, which is allowed.
+	}
+	c.mu.Lock()
+	c.conns = append(c.conns, conn)
+	ended := c.ended
+	c.mu.Unlock()
+	if ended {
+		_ = conn.Close()
+		return
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(patience))
+	send := func(data []byte) error {
+		_, err := conn.Write(data)
+		return err
+	}
+	if send([]byte(head())) == nil && pieces != nil {
+		_ = pieces(send)
 	}
 }
 
@@ -113,13 +130,15 @@
 
 func announced(n int) string { return fmt.Sprintf("Content-Length: %d\r\n\r\n", n) }
 
-// Each process is put before each set of clients.
+// programs are the processes that each set of clients is put before.
+var programs = map[string]func(descriptors int) target{"gateway": startGateway, "serve": startServe}
+
 var _ = Describe("Clients that respect no limits", func() {
-	for name, start := range map[string]func() target{"gateway": startGateway, "serve": startServe} {
+	for name, start := range programs {
 		Describe("before "+name, func() {
 			// Guards against bodies that together exceed the memory of the VM, though each is within its limit.
 			It("send many bodies at once that never end", func() {
-				t, c := start(), newClients()
+				t, c := start(fewDescriptors), newClients()
 				c.start(largeChunkClients, t.callers, 0, func() string { return t.requestTo(t.path) + chunked }, chunks(largeChunkBytes, 16_000))
 				c.start(smallChunkClients, t.callers, 0, func() string { return t.requestTo(t.path) + chunked }, chunks(smallChunkBytes, 1))
 				c.group.Wait()
@@ -129,7 +148,7 @@
 
 			// Guards against a body being held before its size is checked.
 			It("send bodies over the limit, or announce ones that do not come", func() {
-				t, c := start(), newClients()
+				t, c := start(fewDescriptors), newClients()
 				c.start(overLimitClients, t.callers, 0, func() string { return t.requestTo(t.path) + announced(oversizeBytes) }, plain(oversizeBytes))
 				c.start(overLimitClients, t.callers, 0, func() string { return t.requestTo(t.path) + chunked }, chunks(oversizeBytes, 16_000))
 				c.start(announcingClients, t.callers, 0, func() string { return t.requestTo(t.path) + announced(announcedBytes) }, plain(1_000))
@@ -140,7 +159,7 @@
 
 			// Guards against responses held for callers that do not read.
 			It("do not read large responses", func() {
-				t, c := start(), newClients()
+				t, c := start(fewDescriptors), newClients()
 				large := t.path[:len(t.path)-1] + "large"
 				c.start(slowReaders, t.callers, 4096, func() string { return t.requestTo(large) + announced(0) }, nil)
 				c.group.Wait()
@@ -151,7 +170,7 @@
 
 			// Guards against connections that use up the descriptors, so that the process can't accept others.
 			It("open many connections and send the beginning of a request", func() {
-				t, c := start(), newClients()
+				t, c := start(fewDescriptors), newClients()
 				c.start(idleClients, t.callers, 0, func() string { return "POST / HTTP/1.1\r\n" }, nil)
 				for _, listener := range t.listeners {
 					c.start(idleClients, listener, 0, func() string { return "POST / HTTP/1.1\r\n" }, nil)
@@ -163,7 +182,7 @@
 
 			// Guards against bodies sent to the listeners of peers and operators, which need none that large.
 			It("send large bodies to the other listeners", func() {
-				t, c := start(), newClients()
+				t, c := start(fewDescriptors), newClients()
 				for listener, post := range t.posts {
 					c.start(strayClients, t.listeners[listener], 0, func() string { return post + chunked }, chunks(strayBytes, 16_000))
 					c.start(strayClients, t.listeners[listener], 0, func() string { return post + announced(oversizeBytes) }, plain(strayBytes))
--- a/test/hardload/harness_test.go
+++ b/test/hardload/harness_test.go
@@ -15,8 +15,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
+	"path"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -46,13 +48,17 @@
 	// memoryMB is the memory of the VM in the settings of the tests, and the bound of a process's
 	// resident memory: the smallest VM of the second deployment.
 	memoryMB = 144
-	// descriptorLimit is the process's limit of descriptors, and descriptorBound how many may be open:
-	// the rest is left for calls to the platform and endpoints.
-	descriptorLimit, descriptorBound = 512, 480
+	// fewDescriptors and manyDescriptors are limits of a process's descriptors: one that a small set of
+	// clients reaches, and that of the smallest VM of the second deployment.
+	fewDescriptors, manyDescriptors = 512, 3075
+	// freeDescriptors is how many stay free for calls to the platform and endpoints.
+	freeDescriptors = 32
 
 	operatorToken, sharedKey, platformToken, apiKey = "operator-token", "shared-key-for-tests", "platform-token", "workspace-key"
 	// largeResponse is the size in bytes of a response that is held in memory as a whole.
 	largeResponse = 250_000
+	// slowResponse is how long a request to a path with that name runs.
+	slowResponse = 12 * time.Second
 )
 
 func TestHardLoad(t *testing.T) {
@@ -77,11 +83,17 @@
 // process is a program of the system that a spec started, and the most memory and descriptors it was
 // seen with.
 type process struct {
-	session     *gexec.Session
-	log         *gbytes.Buffer
+	session *gexec.Session
+	log     *gbytes.Buffer
+	limit   int
+	sockets sockets
+
 	mu          sync.Mutex
 	rssMB       int
 	descriptors int
+	// unreadMB is what the kernel has received for the process at most, and togetherMB the largest sum
+	// of that and of the resident memory at one moment.
+	unreadMB, togetherMB int
 }
 
 // launch starts the program with a limit of descriptors.
@@ -91,7 +103,7 @@
 	log := gbytes.NewBuffer()
 	session, err := gexec.Start(exec.Command("sh", append([]string{"-c", script, binary}, args...)...), log, log)
 	Expect(err).NotTo(HaveOccurred())
-	p := &process{session: session, log: log}
+	p := &process{session: session, log: log, limit: descriptors}
 	DeferCleanup(func() {
 		if CurrentSpecReport().Failed() {
 			text := log.Contents()
@@ -102,37 +114,85 @@
 	return p
 }
 
-var peakMemory = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+var (
+	peakMemory     = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+	residentMemory = regexp.MustCompile(`VmRSS:\s+(\d+) kB`)
+)
+
+// kilobytes returns a figure of /proc/PID/status, or 0.
+func kilobytes(status []byte, figure *regexp.Regexp) int {
+	found := figure.FindSubmatch(status)
+	if found == nil {
+		return 0
+	}
+	kb, _ := strconv.Atoi(string(found[1]))
+	return kb
+}
+
+// sockets selects sockets of a process by their ports.
+type sockets struct{ local, remote map[int]bool }
+
+// unread returns the bytes in the receive queues of the sockets, also of connections that wait to be
+// accepted.
+func (s sockets) unread() (total int) {
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		return 0
+	}
+	const listens = "0A" // The queue of a listener counts connections.
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || fields[3] == listens || !s.local[hexPort(fields[1])] && !s.remote[hexPort(fields[2])] {
+			continue
+		}
+		_, queue, _ := strings.Cut(fields[4], ":")
+		if n, err := strconv.ParseInt(queue, 16, 64); err == nil {
+			total += int(n)
+		}
+	}
+	return total
+}
+
+// hexPort returns the port of an address in /proc/net/tcp, or 0.
+func hexPort(address string) int {
+	_, text, _ := strings.Cut(address, ":")
+	port, _ := strconv.ParseInt(text, 16, 32)
+	return int(port)
+}
 
-// measure records the process's peak memory and its open descriptors.
+// measure records the process's memory, its unread bytes and its open descriptors.
 func (p *process) measure() {
 	directory := fmt.Sprintf("/proc/%d", p.session.Command.Process.Pid)
 	status, err := os.ReadFile(directory + "/status")
 	if err != nil {
 		return // The process has ended, which alive reports.
 	}
+	unread := p.sockets.unread()
 	open, err := os.ReadDir(directory + "/fd")
 	if err != nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if found := peakMemory.FindSubmatch(status); found != nil {
-		kb, err := strconv.Atoi(string(found[1]))
-		if err == nil {
-			p.rssMB = max(p.rssMB, kb>>10)
-		}
-	}
+	p.rssMB = max(p.rssMB, kilobytes(status, peakMemory)>>10)
+	p.unreadMB = max(p.unreadMB, unread>>20)
+	p.togetherMB = max(p.togetherMB, (kilobytes(status, residentMemory)<<10+unread)>>20)
 	p.descriptors = max(p.descriptors, len(open))
 }
 
-// watch measures the process until the spec ends.
-func (p *process) watch() {
+// watch measures the process until the spec ends, once it serves.
+func (t target) watch(endpoint string) {
+	GinkgoHelper()
+	t.awaitOrdinary()
+	t.sockets = sockets{local: map[int]bool{port(t.callers): true}, remote: map[int]bool{port(endpoint): true}}
+	for _, listener := range t.listeners {
+		t.sockets.local[port(listener)] = true
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	DeferCleanup(cancel)
 	go func() {
 		for ctx.Err() == nil {
-			p.measure()
+			t.measure()
 			time.Sleep(20 * time.Millisecond)
 		}
 	}()
@@ -144,11 +204,13 @@
 	p.measure()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	GinkgoWriter.Printf("peak memory %d MB, most descriptors %d\n", p.rssMB, p.descriptors)
-	fmt.Printf("%s: peak memory %d MB, most descriptors %d\n", CurrentSpecReport().FullText(), p.rssMB, p.descriptors)
+	figures := fmt.Sprintf("peak memory %d MB, unread %d MB, both at once %d MB, most descriptors %d", p.rssMB, p.unreadMB, p.togetherMB, p.descriptors)
+	GinkgoWriter.Println(figures)
+	fmt.Printf("%s: %s\n", CurrentSpecReport().FullText(), figures)
 	Expect(p.session.ExitCode()).To(Equal(-1), "the process has ended")
 	Expect(p.rssMB).To(BeNumerically("<", memoryMB), "peak memory in MB")
-	Expect(p.descriptors).To(BeNumerically("<=", descriptorBound), "open descriptors")
+	Expect(p.togetherMB).To(BeNumerically("<", memoryMB), "memory and unread bytes at one moment in MB")
+	Expect(p.descriptors).To(BeNumerically("<=", p.limit-freeDescriptors), "open descriptors")
 }
 
 // target is a process under load and the addresses at which it serves.
@@ -171,6 +233,13 @@
 	return fmt.Sprintf("127.0.0.1:%d", ports[0])
 }
 
+func port(address string) int {
+	GinkgoHelper()
+	parsed, err := netip.ParseAddrPort(address)
+	Expect(err).NotTo(HaveOccurred())
+	return int(parsed.Port())
+}
+
 func write(settings map[string]any) string {
 	GinkgoHelper()
 	data, err := json.Marshal(settings)
@@ -190,22 +259,39 @@
 	return at, platform.NewClient(platform.ClientOptions{BaseURL: "http://" + at, Token: platformToken})
 }
 
-// startEndpoint serves an endpoint within the test. Under /x/large it sends a large response.
+// startEndpoint serves an endpoint within the test. Under /x/large it sends a large response, under
+// /x/endless one without end, and under /x/slow an ordinary one after slowResponse.
 func startEndpoint() string {
 	GinkgoHelper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	ordinary := opaque.Endpoint{ID: "a", Names: names}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.HasSuffix(r.URL.Path, "/large") {
+		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		switch path.Base(r.URL.Path) {
+		case "large":
+			w.Header().Set("Content-Type", "application/octet-stream")
+			w.Header().Set("Content-Length", strconv.Itoa(largeResponse))
+			_, _ = w.Write(make([]byte, largeResponse))
+		case "endless":
+			w.Header().Set("Content-Type", "application/octet-stream")
+			for data := make([]byte, largeResponse); ; {
+				if _, err := w.Write(data); err != nil {
+					return
+				}
+			}
+		case "slow":
+			_, _ = io.Copy(io.Discard, r.Body)
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(slowResponse):
+			}
+			ordinary.ServeHTTP(w, r)
+		default:
 			_, _ = io.Copy(io.Discard, r.Body)
 			ordinary.ServeHTTP(w, r)
-			return
 		}
-		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
-		w.Header().Set("Content-Type", "application/octet-stream")
-		w.Header().Set("Content-Length", strconv.Itoa(largeResponse))
-		_, _ = w.Write(make([]byte, largeResponse))
 	})}
 	go func() { _ = server.Serve(listener) }()
 	DeferCleanup(server.Close)
@@ -220,11 +306,12 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
-// startGateway starts a gateway before one endpoint.
-func startGateway() target {
+// startGateway starts a gateway with a limit of descriptors before one endpoint.
+func startGateway(descriptors int) target {
 	GinkgoHelper()
 	at, store := startPlatform()
-	put(store, "endpoints", "a", map[string]any{"service": "svc", "address": startEndpoint(), "data_centre": "dc-1", "slots": 4096, "born": 1})
+	endpoint := startEndpoint()
+	put(store, "endpoints", "a", map[string]any{"service": "svc", "address": endpoint, "data_centre": "dc-1", "slots": 4096, "born": 1})
 	put(store, "routes", "table", routetable.Spec{Version: 1, Routes: []routetable.Route{{
 		Name: "r", Host: "h", PathPrefix: "/x/", Kind: routetable.Idempotent, Timeout: 20 * time.Second, MaxAttempts: 1, Anonymous: true,
 		Backends: []routetable.Backend{{Service: "svc", Weight: 1}},
@@ -232,13 +319,10 @@
 	t := target{callers: address(), path: "/x/1", listeners: map[string]string{"readiness": address(), "metrics": address(), "peers": address()}}
 	ports, err := testport.Free(1)
 	Expect(err).NotTo(HaveOccurred())
-	_, fetchPort, _ := net.SplitHostPort(t.listeners["peers"])
-	port, err := strconv.Atoi(fetchPort)
-	Expect(err).NotTo(HaveOccurred())
-	t.process = launch(descriptorLimit, "gateway", "-settings", write(map[string]any{
+	t.process = launch(descriptors, "gateway", "-settings", write(map[string]any{
 		"vm":      map[string]any{"id": "vm-1", "data_centre": "dc-1", "memory_mb": memoryMB},
 		"callers": map[string]any{"listen": t.callers}, "readiness": map[string]any{"listen": t.listeners["readiness"]}, "metrics": map[string]any{"listen": t.listeners["metrics"]},
-		"peers":    map[string]any{"address": "127.0.0.1", "gossip_port": ports[0], "fetch_port": port},
+		"peers":    map[string]any{"address": "127.0.0.1", "gossip_port": ports[0], "fetch_port": port(t.listeners["peers"])},
 		"platform": map[string]any{"url": "http://" + at, "token": platformToken},
 	}))
 	t.requestTo = func(path string) string {
@@ -246,8 +330,7 @@
 	}
 	const post = "POST %s HTTP/1.1\r\nHost: h\r\nContent-Type: application/proto\r\nConnect-Protocol-Version: 1\r\n"
 	t.posts = map[string]string{"readiness": fmt.Sprintf(post, "/readyz"), "metrics": fmt.Sprintf(post, "/metrics"), "peers": fmt.Sprintf(post, "/primrosewell.gossip.v1.Snapshot/Fetch")}
-	t.awaitOrdinary()
-	t.watch()
+	t.watch(endpoint)
 	return t
 }
 
@@ -256,13 +339,14 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// startServe starts a daemon of `serve` before one endpoint of a plain service.
-func startServe() target {
+// startServe starts a daemon of `serve` with a limit of descriptors before one endpoint of a plain service.
+func startServe(descriptors int) target {
 	GinkgoHelper()
 	at, _ := startPlatform()
+	endpoint := startEndpoint()
 	t := target{callers: address(), path: "/services/receiver-api/x/1", listeners: map[string]string{"admin": address(), "peers": address()}}
 	setVM(at, t.listeners["peers"])
-	t.process = launch(descriptorLimit, "serve", "-settings", write(map[string]any{
+	t.process = launch(descriptors, "serve", "-settings", write(map[string]any{
 		"vm":       map[string]any{"id": "entry-0", "data_centre": "dc-1", "memory_mb": memoryMB},
 		"callers":  map[string]any{"listen": t.callers},
 		"admin":    map[string]any{"listen": t.listeners["admin"], "operators": []any{map[string]any{"name": "dba", "token_hash": hash(operatorToken)}}},
@@ -281,7 +365,7 @@
 		}, patience, "100ms").Should(BeEmpty())
 	}
 	apply(catalog.KindService, "receiver-api", catalog.Service{Name: "receiver-api", Kind: catalog.Plain})
-	apply(catalog.KindEndpoint, "a", catalog.Endpoint{Name: "a", Service: "receiver-api", Address: startEndpoint(), DataCentre: "dc-1", MaxConcurrent: 4096})
+	apply(catalog.KindEndpoint, "a", catalog.Endpoint{Name: "a", Service: "receiver-api", Address: endpoint, DataCentre: "dc-1", MaxConcurrent: 4096})
 	apply(catalog.KindProfile, "pilot", catalog.Profile{Name: "pilot", Tier: 1, Target: catalog.Target{FirstTokenMS: 5000}})
 	apply(catalog.KindWorkspace, "harbour", catalog.Workspace{Name: "harbour", KeyHashes: []string{hash(apiKey)}, DefaultProfile: "pilot"})
 	t.requestTo = func(path string) string {
@@ -289,8 +373,7 @@
 	}
 	const post = "POST %s HTTP/1.1\r\nHost: h\r\nContent-Type: application/proto\r\nConnect-Protocol-Version: 1\r\n"
 	t.posts = map[string]string{"admin": fmt.Sprintf(post, "/admin/v1/objects/service/x"), "peers": fmt.Sprintf(post, "/primrosewell.peer.v1.PeerService/Heartbeat")}
-	t.awaitOrdinary()
-	t.watch()
+	t.watch(endpoint)
 	return t
 }
 
@@ -308,28 +391,40 @@
 	Expect(response.StatusCode).To(BeNumerically("<", 300))
 }
 
+// answer is what a caller got: status is 0 if the connection ended without one.
+type answer struct {
+	status int
+	// id is the request's, and body that of a refusal.
+	id, body string
+	err      error
+}
+
 // ordinary sends one ordinary request, with a body of 20 KB, on a connection of its own.
-func (t target) ordinary() int {
+func (t target) ordinary() (a answer) {
+	a.id = fmt.Sprint("ordinary-", requests.Add(1))
 	request, err := http.NewRequest(http.MethodPost, "http://"+t.callers+t.path, strings.NewReader(strings.Repeat("a", 20_000)))
 	if err != nil {
-		return 0
+		a.err = err
+		return a
 	}
 	request.Host = "h"
 	request.Header.Set("Authorization", "Bearer "+apiKey)
-	request.Header.Set(names.RequestID, fmt.Sprint("ordinary-", requests.Add(1)))
+	request.Header.Set(names.RequestID, a.id)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request.WithContext(ctx))
 	if err != nil {
-		return 0
+		a.err = err
+		return a
 	}
 	defer response.Body.Close()
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode
+	body, err := io.ReadAll(response.Body)
+	a.status, a.body, a.err = response.StatusCode, string(body), err
+	return a
 }
 
 // awaitOrdinary sends ordinary requests until one is answered.
 func (t target) awaitOrdinary() {
 	GinkgoHelper()
-	Eventually(t.ordinary, patience, "100ms").Should(Equal(http.StatusOK))
+	Eventually(func() int { return t.ordinary().status }, patience, "100ms").Should(Equal(http.StatusOK))
 }
