memory: a new idle connection does not give way, and others after requests that still arrive

Cause: a connection without a request counted as idle from its first moment, and idle connections gave way before requests that still arrive. Beside a crowd whose connections all have a request, that of an ordinary caller is the only idle one. One that is asked to make room for 2 MB frees 36 KB.

Change: a connection gives way as idle after 200 ms without a byte, and after requests that still arrive, which are answered with `overloaded`. The generated test of the decision covers it. For descriptors nothing else gives way than before.

--- a/internal/memory/decision.go
+++ b/internal/memory/decision.go
@@ -60,6 +60,9 @@
 	// quietWriting is the time without a byte taken after which a response gives way. It has run, so
 	// the time is long enough for a lost packet to be sent again several times.
 	quietWriting = 3 * time.Second
+	// quietIdle is the time without a byte after which an idle connection gives way. The first request on a
+	// new connection is on its way, and a close would lose it.
+	quietIdle = 200 * time.Millisecond
 	// freeDescriptors is the part, one in so many, of the descriptors that inbound connections leave
 	// free: for the platform, the log and files.
 	freeDescriptors = 8
@@ -211,7 +214,7 @@
 func givesWay(h Holding, ask Ask, lacks Shortage) bool {
 	switch h.State {
 	case Idle:
-		return h.Class != Endpoints
+		return h.Class != Endpoints && h.Quiet >= quietIdle
 	case Reading:
 		// A request that still arrives gives way to smaller ones alone, so that they don't end each other.
 		return h.Quiet >= quietReading || lacks == TooFewBytes && h.Bytes > ask.Held+ask.Bytes
@@ -222,26 +225,39 @@
 	return false
 }
 
-// rank orders the states by how little is lost when a holder gives way.
+// Ranks order the holders by how little is lost when one gives way.
+const (
+	// stuck is a request that has stopped arriving.
+	stuck = iota
+	// arriving is a request that still arrives. Its caller gets an answer, and may send it again.
+	arriving
+	// idle is a connection without a request. If the next one is on its way, its caller can't know that it
+	// has not run.
+	idle
+	// stalled is a response that is not read.
+	stalled
+)
+
+// rank returns the rank of a holder that gives way.
 func (h Holding) rank() int {
 	switch {
 	case h.State == Reading && h.Quiet >= quietReading:
-		return 0
+		return stuck
+	case h.State == Reading:
+		return arriving
 	case h.State == Idle:
-		return 1
-	case h.State == Writing:
-		return 2
+		return idle
 	}
-	return 3
+	return stalled
 }
 
-// compare orders holders by who gives way first: those that are stuck by how long they have been, those
-// that still arrive by size.
+// compare orders holders by who gives way first: those that still arrive by size, others by how long they
+// have been quiet.
 func compare(a, b Holding) int {
 	if c := cmp.Compare(a.rank(), b.rank()); c != 0 {
 		return c
 	}
-	if a.rank() == 3 {
+	if a.rank() == arriving {
 		return cmp.Compare(b.Bytes, a.Bytes)
 	}
 	return cmp.Compare(b.Quiet, a.Quiet)
--- a/internal/memory/decision_test.go
+++ b/internal/memory/decision_test.go
@@ -50,6 +50,9 @@
 			if seen[i] || h.State == memory.Running || h.Class == memory.Endpoints && h.State == memory.Idle {
 				t.Fatalf("holder %d gives way: %+v", i, h)
 			}
+			if h.State == memory.Idle && h.Quiet < 200*time.Millisecond {
+				t.Fatalf("holder %d gives way while its first request may be on its way: %+v", i, h)
+			}
 			seen[i] = true
 			after.Bytes -= h.Bytes
 			after.Connections[h.Class]--
@@ -106,7 +109,7 @@
 func BenchmarkFull(b *testing.B) {
 	holdings := make([]memory.Holding, 1300)
 	for i := range holdings {
-		holdings[i] = memory.Holding{State: memory.Idle, Bytes: 36 << 10, Quiet: time.Duration(i * 7919 % 1300)}
+		holdings[i] = memory.Holding{State: memory.Idle, Bytes: 36 << 10, Quiet: time.Second + time.Duration(i*7919%1300)}
 	}
 	limits, totals := memory.Limits{Bytes: 64 << 20, Descriptors: 16*1300/7 + 1}, sum(holdings)
 	for b.Loop() {
