memory, httpio, serve: a connection stays open behind the answer to a request that was not read

Callers beside a crowd lost refusals: "connection reset by peer", or an end without a byte, so that they could not know that nothing had run.

Cause: the kernel resets a connection that is closed with bytes unread, and the reset overtakes the answer. `serve` closed at once behind each refusal that it gives before the body is read (401, 413, 429, 400): the HTTP library does. A gateway left the connection open for 0.5 s and 1 MB, but such a connection still counted as a request that arrives: it gave way again, and was closed in the middle of its refusal.

Evidence: `make hardload`, "each ordinary request is answered", beside 150 clients that come back at once; 512 descriptors.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -247,6 +247,7 @@
 }
 
 func (s *Server) handleError(c fiber.Ctx, err error) error {
+	memory.LingerAtClose(c.RequestCtx().Conn())
 	f := failure.From(err)
 	var httpErr *fiber.Error
 	if errors.As(err, &httpErr) {
--- a/internal/httpio/server.go
+++ b/internal/httpio/server.go
@@ -22,12 +22,6 @@
 )
 
 const (
-	// lingerTimeout limits how long a connection stays open after its last response has been
-	// sent and its write side closed. Closing it completely at once would reset it if the
-	// caller has sent more, and the caller could lose the response.
-	lingerTimeout = 500 * time.Millisecond
-	// lingerBytes limits how many request bytes are read and discarded during that time.
-	lingerBytes = 1 << 20
 	// continueResponse tells a caller that sent Expect: 100-continue to send the body.
 	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
 	// connectionBytes is what a connection takes beside its read buffer: two stacks and the writer.
@@ -350,7 +344,7 @@
 	}
 	<-done
 	if w.close && w.finished {
-		c.linger()
+		memory.Linger(c.conn, c.held)
 	}
 	return err == nil && !w.close
 }
@@ -516,22 +510,5 @@
 	if w.WriteResponse(rejection.Status, fields, rejection.Body) != nil {
 		return
 	}
-	c.linger()
-}
-
-// linger closes the write side, then reads and discards until the caller closes the
-// connection or a limit is reached.
-func (c *serverConn) linger() {
-	if halfCloser, ok := c.conn.(interface{ CloseWrite() error }); ok {
-		_ = halfCloser.CloseWrite()
-	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	buffer := make([]byte, 4<<10)
-	for total := 0; total < lingerBytes; {
-		n, err := c.conn.Read(buffer)
-		total += n
-		if err != nil {
-			return
-		}
-	}
+	memory.Linger(c.conn, c.held)
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -133,6 +133,7 @@
 }
 
 func (s *Server) handleError(c fiber.Ctx, err error) error {
+	memory.LingerAtClose(c.RequestCtx().Conn())
 	return s.writeFailure(c, requestID(c), failureOf(err))
 }
 
--- a/internal/memory/listener.go
+++ b/internal/memory/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,6 +59,8 @@
 type Conn struct {
 	net.Conn
 	holder *Holder
+	// lingers is set by LingerAtClose.
+	lingers atomic.Bool
 }
 
 // NewConn returns a connection that the process has opened.
@@ -93,8 +96,15 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It returns before the end of a connection that lingers.
 func (c *Conn) Close() error {
+	if c.lingers.Swap(false) {
+		go func() {
+			Linger(c.Conn, c.holder)
+			_ = c.Close()
+		}()
+		return nil
+	}
 	err := c.Conn.Close()
 	c.holder.Close()
 	return err
@@ -168,7 +178,10 @@
 	case fasthttp.StateNew, fasthttp.StateIdle:
 		HolderOf(conn).SetState(Idle)
 	case fasthttp.StateActive:
-		HolderOf(conn).SetState(Reading)
+		if c := Unwrap(conn); c != nil {
+			c.lingers.Store(false)
+			c.holder.SetState(Reading)
+		}
 	case fasthttp.StateHijacked, fasthttp.StateClosed:
 	}
 }
--- a/test/hardload/returning_test.go
+++ b/test/hardload/returning_test.go
@@ -3,6 +3,7 @@
 package hardload_test
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 )
 
 // The clients are fixed: a change of the product must not thin them out.
@@ -59,6 +61,27 @@
 	}
 }
 
+// sendOrdinary sends ordinary requests, one at a time, until stop is closed.
+func sendOrdinary(t target, stop chan struct{}) (answers []answer) {
+	for {
+		select {
+		case <-stop:
+			return answers
+		default:
+			answers = append(answers, t.ordinary())
+		}
+	}
+}
+
+// describeWrong returns what a caller that keeps to the limits can't act on, or "": the connection ended
+// without an answer.
+func (a answer) describeWrong() string {
+	if a.err != nil {
+		return fmt.Sprintf("%s: status %d, %v", a.id, a.status, a.err)
+	}
+	return ""
+}
+
 var _ = Describe("Clients that come back at once", func() {
 	for name, start := range programs {
 		Describe("before "+name, func() {
@@ -69,6 +92,26 @@
 				t.awaitOrdinary()
 				t.expectBounded()
 			})
+
+			// Guards against connections that are closed with bytes unread, which loses the answer.
+			It("send bodies that never end, and each ordinary request is answered", func() {
+				t := start(fewDescriptors)
+				stop, answered := make(chan struct{}), make(chan []answer, 1)
+				go func() { answered <- sendOrdinary(t, stop) }()
+				sendReturning(t, returningClients, unended(t))
+				close(stop)
+				var wrong []string
+				statuses := map[int]int{}
+				for _, a := range <-answered {
+					statuses[a.status]++
+					if text := a.describeWrong(); text != "" {
+						wrong = append(wrong, text)
+					}
+				}
+				fmt.Printf("%s: statuses %v\n", CurrentSpecReport().FullText(), statuses)
+				Expect(wrong).To(BeEmpty())
+				t.expectBounded()
+			})
 		})
 	}
 
