memory: a request that gives way to a new connection for lack of bytes is answered

Callers whose request was arriving while bytes, and no descriptors, were short lost their connection without an answer, if the one that needed the room was a new connection. To larger bodies they gave way with a refusal, as docs/design/memory.md says.

Cause: "closed at once" followed from the kind of what asked, not from what was lacking.

Change: a connection is closed at once only if the new one lacks a descriptor. The spec of the account fails without it ("a new connection needs bytes, and no descriptor").

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -160,6 +160,8 @@
 	}
 	ask.Held = h.bytes
 	lacks := Check(limits, a.totals, ask)
+	// Those that give way for bytes alone get an answer.
+	atOnce := Check(limits, a.totals, Ask{Class: ask.Class, Connection: ask.Connection}) == TooFewDescriptors
 	var gaveWay []*Holder
 	if lacks != Enough {
 		gaveWay, lacks = a.makeRoom(limits, now, h, ask)
@@ -167,7 +169,7 @@
 	refusals := make([]Refusal, 0, len(gaveWay))
 	for _, other := range gaveWay {
 		refusals = append(refusals, Refusal{Class: other.class, Shortage: Check(limits, a.totals, ask), GaveWay: true, State: State(other.state.Load()), Bytes: other.bytes, Remote: other.remote})
-		a.giveUp(other, ask.Connection)
+		a.giveUp(other, atOnce)
 	}
 	if lacks == Enough {
 		a.totals.Bytes += ask.Bytes
@@ -181,7 +183,7 @@
 	}
 	a.mu.Unlock()
 	for _, other := range gaveWay {
-		other.giveWay(other, ask.Connection)
+		other.giveWay(other, atOnce)
 	}
 	for _, r := range refusals {
 		a.onRefusal(r)
