serve: a request that gives way before its header has arrived is refused for lack of room

Cause: a connection gives way by a read deadline that has passed. Behind the header the reader knows why; before it the HTTP library reports a time-out, which was passed on.

Change: a time-out of a connection that gave way is answered with `overloaded` (429, not run, Retry-After), also for operators. The new spec fails without it (400 for 429); "each ordinary request is answered" of `make hardload` takes nothing but 200 and `overloaded` now.

--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -174,13 +174,18 @@
 	case errors.Is(err, memory.ErrTooLarge):
 		return nil, fiber.ErrRequestEntityTooLarge
 	case errors.Is(err, memory.ErrNoRoom):
-		return nil, failure.New(failure.Overloaded, "this daemon holds too much for others")
+		return nil, noRoom()
 	case err != nil:
 		return nil, fiber.ErrBadRequest
 	}
 	return body, nil
 }
 
+// noRoom returns the failure of a call for which the account of memory has no room.
+func noRoom() *failure.Failure {
+	return failure.New(failure.Overloaded, "this daemon holds too much for others")
+}
+
 func (s *Server) handleDelete(c fiber.Ctx) error {
 	kind, options, err := s.changeParams(c)
 	if err != nil {
@@ -247,10 +252,14 @@
 }
 
 func (s *Server) handleError(c fiber.Ctx, err error) error {
-	memory.LingerAtClose(c.RequestCtx().Conn())
+	conn := c.RequestCtx().Conn()
+	memory.LingerAtClose(conn)
 	f := failure.From(err)
 	var httpErr *fiber.Error
-	if errors.As(err, &httpErr) {
+	switch {
+	case errors.Is(err, fiber.ErrRequestTimeout) && memory.HolderOf(conn).GaveWay():
+		f = noRoom() // The read was ended before its time.
+	case errors.As(err, &httpErr):
 		f = failure.New(failure.InvalidRequest, httpErr.Message)
 		if httpErr.Code == fiber.StatusNotFound {
 			f = failure.New(failure.NotFound, "no such path")
--- a/internal/ingress/engine.go
+++ b/internal/ingress/engine.go
@@ -131,7 +131,7 @@
 	case errors.Is(err, memory.ErrTooLarge):
 		return nil, fiber.ErrRequestEntityTooLarge
 	case errors.Is(err, memory.ErrNoRoom):
-		return nil, failure.New(failure.Overloaded, "this daemon holds too much for other callers").WithRetryAfter(noRoomRetryAfter)
+		return nil, noRoom()
 	case errors.Is(err, memory.ErrCoding):
 		return nil, failure.New(failure.InvalidRequest, "body: can't be decoded; allowed in Content-Encoding: gzip, br, deflate, zstd")
 	case errors.As(err, &netErr) && netErr.Timeout():
@@ -140,6 +140,11 @@
 	return nil, fiber.ErrBadRequest
 }
 
+// noRoom returns the failure of a request for which the account of memory has no room.
+func noRoom() *failure.Failure {
+	return failure.New(failure.Overloaded, "this daemon holds too much for other callers").WithRetryAfter(noRoomRetryAfter)
+}
+
 // model is an entry of GET /v1/models, in the format of the OpenAI API.
 type model struct {
 	ID      string `json:"id"`
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -133,8 +134,13 @@
 }
 
 func (s *Server) handleError(c fiber.Ctx, err error) error {
-	memory.LingerAtClose(c.RequestCtx().Conn())
-	return s.writeFailure(c, requestID(c), failureOf(err))
+	conn := c.RequestCtx().Conn()
+	memory.LingerAtClose(conn)
+	f := failureOf(err)
+	if errors.Is(err, fiber.ErrRequestTimeout) && memory.HolderOf(conn).GaveWay() {
+		f = noRoom() // The read was ended before its time.
+	}
+	return s.writeFailure(c, requestID(c), f)
 }
 
 func (s *Server) logRequest(r dispatch.Request, status int, result dispatch.Result) {
--- a/test/hardload/returning_test.go
+++ b/test/hardload/returning_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -74,10 +75,13 @@
 }
 
 // describeWrong returns what a caller that keeps to the limits can't act on, or "": the connection ended
-// without an answer.
+// without an answer, or the answer is neither a success nor a refusal for lack of room.
 func (a answer) describeWrong() string {
-	if a.err != nil {
+	switch {
+	case a.err != nil:
 		return fmt.Sprintf("%s: status %d, %v", a.id, a.status, a.err)
+	case a.status != http.StatusOK && (a.status != http.StatusTooManyRequests || !strings.Contains(a.body, `"overloaded"`)):
+		return fmt.Sprintf("%s: status %d, %s", a.id, a.status, a.body)
 	}
 	return ""
 }
@@ -93,7 +97,8 @@
 				t.expectBounded()
 			})
 
-			// Guards against connections that are closed with bytes unread, which loses the answer.
+			// Guards against connections that are closed with bytes unread, which loses the answer, and
+			// against answers that name another cause.
 			It("send bodies that never end, and each ordinary request is answered", func() {
 				t := start(fewDescriptors)
 				stop, answered := make(chan struct{}), make(chan []answer, 1)
