gateway: the refusal of a request whose header was read names the request

Callers got `overloaded`, and other refusals from before the handler, with an empty request_id, though the request had named one; on-call engineers found no id in the line `rejected`. `serve`, which assigns the ids, had it.

Cause: the server passed the connection's address and a reason on, and no header.

Change: it passes the header if that was read. The answer has the id in its body and in the header field, the log line as `request_id`. Nothing of a header that was not read is repeated: a key may stand anywhere in it. The new test fails without it; "each ordinary request is answered" of `make hardload` checks that a refusal names its request.

--- a/internal/forward/harness_test.go
+++ b/internal/forward/harness_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
 
 	"github.com/primrosewell/primrosewell/internal/balance"
 	"github.com/primrosewell/primrosewell/internal/directory"
@@ -264,7 +265,7 @@
 		Limits: func() httpio.Limits {
 			return httpio.Limits{HeaderBytes: 4096, BodyBytes: 1 << 20, HeaderTimeout: time.Second, BodyTimeout: 10 * time.Second, IdleTimeout: 5 * time.Second}
 		},
-		OnReject: func(_ net.Addr, status int, _ httpio.RejectReason) httpio.Rejection {
+		OnReject: func(_ net.Addr, status int, _ httpio.RejectReason, _ *fasthttp.RequestHeader) httpio.Rejection {
 			return httpio.Rejection{Status: status}
 		},
 	})
--- a/internal/gateway/rejection.go
+++ b/internal/gateway/rejection.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/httpio"
@@ -14,8 +15,9 @@
 // table, or for which there is no room: other gateways mostly have one, or room.
 const rejectedRetryAfter = 200 * time.Millisecond
 
-// rejectRequest logs a request that could not be read and returns the response.
-func (g *Gateway) rejectRequest(remote net.Addr, status int, reason httpio.RejectReason) httpio.Rejection {
+// rejectRequest logs a request that could not be read and returns the response, which names the request if
+// its header was read.
+func (g *Gateway) rejectRequest(remote net.Addr, status int, reason httpio.RejectReason, header *fasthttp.RequestHeader) httpio.Rejection {
 	f := rejection(reason)
 	if reason == httpio.NoRoom {
 		status = f.Code.HTTPStatus()
@@ -29,8 +31,14 @@
 		f = failure.New(failure.PlatformUnavailable, "no configuration yet, and "+f.Message).WithRetryAfter(rejectedRetryAfter)
 		status = f.Code.HTTPStatus()
 	}
-	g.logRejection(remote, logrus.Fields{"status": status, "reason": reason, "table_version": g.tableHolder.Version()})
-	return httpio.Rejection{Status: status, RetryAfter: f.RetryAfter, Body: failure.Body(f, "")}
+	id := ""
+	var fields []httpio.Field
+	if idField := g.options.Adapter.Headers.RequestID; header != nil && len(header.Peek(idField)) > 0 {
+		id = string(header.Peek(idField))
+		fields = []httpio.Field{{Name: idField, Value: id}}
+	}
+	g.logRejection(remote, logrus.Fields{"status": status, "reason": reason, "request_id": id, "table_version": g.tableHolder.Version()})
+	return httpio.Rejection{Status: status, RetryAfter: f.RetryAfter, Fields: fields, Body: failure.Body(f, id)}
 }
 
 // rejection returns the failure that the caller of a rejected request is told. The request
--- a/internal/httpio/abort_test.go
+++ b/internal/httpio/abort_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
 
 	"github.com/primrosewell/primrosewell/internal/httpio"
 )
@@ -37,7 +38,7 @@
 			Limits: func() httpio.Limits {
 				return httpio.Limits{HeaderBytes: 4096, BodyBytes: 4096, HeaderTimeout: timeout, BodyTimeout: timeout, IdleTimeout: timeout}
 			},
-			OnReject: func(_ net.Addr, _ int, reason httpio.RejectReason) httpio.Rejection {
+			OnReject: func(_ net.Addr, _ int, reason httpio.RejectReason, _ *fasthttp.RequestHeader) httpio.Rejection {
 				return httpio.Rejection{Status: map[httpio.RejectReason]int{httpio.TooSlow: 503}[reason]}
 			},
 		})
--- a/internal/httpio/closeidle_test.go
+++ b/internal/httpio/closeidle_test.go
@@ -12,6 +12,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
 
 	"github.com/primrosewell/primrosewell/internal/httpio"
 )
@@ -72,7 +73,7 @@
 			Limits: func() httpio.Limits {
 				return httpio.Limits{HeaderBytes: 4096, BodyBytes: 4096, HeaderTimeout: timeout, BodyTimeout: timeout, IdleTimeout: timeout}
 			},
-			OnReject: func(_ net.Addr, status int, _ httpio.RejectReason) httpio.Rejection {
+			OnReject: func(_ net.Addr, status int, _ httpio.RejectReason, _ *fasthttp.RequestHeader) httpio.Rejection {
 				return httpio.Rejection{Status: status}
 			},
 		})
--- a/internal/httpio/limits_test.go
+++ b/internal/httpio/limits_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/samber/lo"
+	"github.com/valyala/fasthttp"
 
 	"github.com/primrosewell/primrosewell/internal/httpio"
 )
@@ -55,7 +56,7 @@
 				Expect(w.WriteResponse(200, nil, r.Body)).To(Succeed())
 			},
 			Limits: func() httpio.Limits { return *limits.Load() },
-			OnReject: func(_ net.Addr, status int, reason httpio.RejectReason) httpio.Rejection {
+			OnReject: func(_ net.Addr, status int, reason httpio.RejectReason, _ *fasthttp.RequestHeader) httpio.Rejection {
 				return httpio.Rejection{Status: status, Body: []byte(reason)}
 			},
 		})
--- a/internal/httpio/server.go
+++ b/internal/httpio/server.go
@@ -80,8 +80,9 @@
 	Handler Handler
 	// Limits returns the current limits.
 	Limits func() Limits
-	// OnReject is called before the server rejects a request with a status. It returns the response.
-	OnReject func(remote net.Addr, status int, reason RejectReason) Rejection
+	// OnReject is called before the server rejects a request with a status. header is nil if it was not read.
+	// It returns the response.
+	OnReject func(remote net.Addr, status int, reason RejectReason, header *fasthttp.RequestHeader) Rejection
 }
 
 // Rejection is the response to a request that was not read completely.
@@ -89,6 +90,8 @@
 	Status int
 	// RetryAfter is when the caller may send the request again, or 0 if it is not to.
 	RetryAfter time.Duration
+	// Fields are further header fields.
+	Fields []Field
 	// Body is in JSON.
 	Body []byte
 }
@@ -407,11 +410,11 @@
 		return nil, false
 	}
 	if AmbiguousLength(&request.Header) {
-		c.reject(fasthttp.StatusBadRequest, Malformed)
+		c.reject(fasthttp.StatusBadRequest, Malformed, &request.Header)
 		return nil, false
 	}
 	if request.Header.ContentLength() > limits.BodyBytes {
-		c.reject(fasthttp.StatusRequestEntityTooLarge, BodyTooLarge)
+		c.reject(fasthttp.StatusRequestEntityTooLarge, BodyTooLarge, &request.Header)
 		return nil, false
 	}
 	return c.readBody(request, limits)
@@ -438,7 +441,7 @@
 func (c *serverConn) readBody(request *fasthttp.Request, limits Limits) (body []byte, ok bool) {
 	length := request.Header.ContentLength()
 	if length == 0 || length == -2 { // Without a framing there is no body.
-		return nil, c.begin()
+		return nil, c.begin(request)
 	}
 	if request.MayContinue() {
 		if _, err := c.conn.Write([]byte(continueResponse)); err != nil {
@@ -450,32 +453,32 @@
 	if err == nil {
 		body, err = memory.ReadBody(request.BodyStream(), c.held, length, limits.BodyBytes)
 	}
-	if err == nil && c.begin() {
+	if err == nil && c.begin(request) {
 		return body, true
 	}
 	c.held.Release(cap(body))
 	switch {
 	case err == nil: // Rejected by begin.
 	case errors.Is(err, memory.ErrTooLarge):
-		c.reject(fasthttp.StatusRequestEntityTooLarge, BodyTooLarge)
+		c.reject(fasthttp.StatusRequestEntityTooLarge, BodyTooLarge, &request.Header)
 	case errors.Is(err, memory.ErrNoRoom) || isTimeout(err) && c.held.GaveWay():
-		c.reject(fasthttp.StatusServiceUnavailable, NoRoom)
+		c.reject(fasthttp.StatusServiceUnavailable, NoRoom, &request.Header)
 	case isTimeout(err):
-		c.reject(fasthttp.StatusRequestTimeout, TooSlow)
+		c.reject(fasthttp.StatusRequestTimeout, TooSlow, &request.Header)
 	case isDisconnect(err):
 	default:
-		c.reject(fasthttp.StatusBadRequest, Malformed)
+		c.reject(fasthttp.StatusBadRequest, Malformed, &request.Header)
 	}
 	return nil, false
 }
 
 // begin marks a request that has been read as running, from when on it does not give way. It rejects the
 // request if that had to give way before.
-func (c *serverConn) begin() bool {
+func (c *serverConn) begin(request *fasthttp.Request) bool {
 	if c.held.SetState(memory.Running) {
 		return true
 	}
-	c.reject(fasthttp.StatusServiceUnavailable, NoRoom)
+	c.reject(fasthttp.StatusServiceUnavailable, NoRoom, &request.Header)
 	return false
 }
 
@@ -484,26 +487,26 @@
 	var nothingRead fasthttp.ErrNothingRead
 	switch {
 	case errors.As(err, &smallBuffer), errors.Is(err, bufio.ErrBufferFull), errors.Is(err, errHeaderTooLarge):
-		c.reject(fasthttp.StatusRequestHeaderFieldsTooLarge, HeaderTooLarge)
+		c.reject(fasthttp.StatusRequestHeaderFieldsTooLarge, HeaderTooLarge, nil)
 	case isTimeout(err) && c.held.GaveWay():
-		c.reject(fasthttp.StatusServiceUnavailable, NoRoom)
+		c.reject(fasthttp.StatusServiceUnavailable, NoRoom, nil)
 	case isTimeout(err):
-		c.reject(fasthttp.StatusRequestTimeout, TooSlow)
+		c.reject(fasthttp.StatusRequestTimeout, TooSlow, nil)
 	case errors.As(err, &nothingRead), isDisconnect(err):
 	default:
-		c.reject(fasthttp.StatusBadRequest, Malformed)
+		c.reject(fasthttp.StatusBadRequest, Malformed, nil)
 	}
 }
 
 // reject sends an error response to a request that was not read completely. The response
-// repeats nothing of the request, which may contain an API key.
-func (c *serverConn) reject(status int, reason RejectReason) {
+// repeats nothing of a header that was not read, which may contain an API key anywhere.
+func (c *serverConn) reject(status int, reason RejectReason, header *fasthttp.RequestHeader) {
 	c.phase.Lock()
 	c.reading = false
 	c.phase.Unlock()
-	rejection := c.server.options.OnReject(c.conn.RemoteAddr(), status, reason)
+	rejection := c.server.options.OnReject(c.conn.RemoteAddr(), status, reason, header)
 	w := &Writer{conn: c.conn, close: true, draining: &c.server.draining}
-	fields := []Field{{Name: "Content-Type", Value: "application/json"}}
+	fields := append([]Field{{Name: "Content-Type", Value: "application/json"}}, rejection.Fields...)
 	if rejection.RetryAfter > 0 {
 		fields = append(fields, Field{Name: "Retry-After", Value: strconv.FormatFloat(rejection.RetryAfter.Seconds(), 'f', 3, 64)})
 	}
--- a/internal/httpio/server_test.go
+++ b/internal/httpio/server_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
 
 	"github.com/primrosewell/primrosewell/internal/httpio"
 )
@@ -41,7 +42,7 @@
 			Limits: func() httpio.Limits {
 				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: 200 * time.Millisecond, BodyTimeout: 300 * time.Millisecond, IdleTimeout: 400 * time.Millisecond}
 			},
-			OnReject: func(_ net.Addr, status int, reason httpio.RejectReason) httpio.Rejection {
+			OnReject: func(_ net.Addr, status int, reason httpio.RejectReason, _ *fasthttp.RequestHeader) httpio.Rejection {
 				return httpio.Rejection{Status: status, Body: []byte(reason)}
 			},
 		})
@@ -122,7 +123,7 @@
 			Limits: func() httpio.Limits {
 				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: time.Hour, BodyTimeout: time.Hour, IdleTimeout: time.Hour}
 			},
-			OnReject: func(_ net.Addr, status int, _ httpio.RejectReason) httpio.Rejection {
+			OnReject: func(_ net.Addr, status int, _ httpio.RejectReason, _ *fasthttp.RequestHeader) httpio.Rejection {
 				return httpio.Rejection{Status: status}
 			},
 		})
--- a/internal/httpio/unchunked_test.go
+++ b/internal/httpio/unchunked_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
 
 	"github.com/primrosewell/primrosewell/internal/httpio"
 )
@@ -61,7 +62,7 @@
 			Limits: func() httpio.Limits {
 				return httpio.Limits{HeaderBytes: 1024, BodyBytes: 2048, HeaderTimeout: time.Hour, BodyTimeout: time.Hour, IdleTimeout: time.Hour}
 			},
-			OnReject: func(_ net.Addr, status int, _ httpio.RejectReason) httpio.Rejection {
+			OnReject: func(_ net.Addr, status int, _ httpio.RejectReason, _ *fasthttp.RequestHeader) httpio.Rejection {
 				return httpio.Rejection{Status: status}
 			},
 		})
--- a/test/hardload/returning_test.go
+++ b/test/hardload/returning_test.go
@@ -75,13 +75,17 @@
 }
 
 // describeWrong returns what a caller that keeps to the limits can't act on, or "": the connection ended
-// without an answer, or the answer is neither a success nor a refusal for lack of room.
-func (a answer) describeWrong() string {
+// without an answer, or the answer is neither a success nor a refusal for lack of room that names the request.
+func (a answer) describeWrong(knownID string) string {
 	switch {
 	case a.err != nil:
 		return fmt.Sprintf("%s: status %d, %v", a.id, a.status, a.err)
-	case a.status != http.StatusOK && (a.status != http.StatusTooManyRequests || !strings.Contains(a.body, `"overloaded"`)):
+	case a.status == http.StatusOK:
+		return ""
+	case a.status != http.StatusTooManyRequests || !strings.Contains(a.body, `"overloaded"`):
 		return fmt.Sprintf("%s: status %d, %s", a.id, a.status, a.body)
+	case !strings.Contains(a.body, knownID):
+		return fmt.Sprintf("%s: the refusal does not name it: %s", a.id, a.body)
 	}
 	return ""
 }
@@ -98,7 +102,7 @@
 			})
 
 			// Guards against connections that are closed with bytes unread, which loses the answer, and
-			// against answers that name another cause.
+			// against answers that name another cause or another request.
 			It("send bodies that never end, and each ordinary request is answered", func() {
 				t := start(fewDescriptors)
 				stop, answered := make(chan struct{}), make(chan []answer, 1)
@@ -109,7 +113,11 @@
 				statuses := map[int]int{}
 				for _, a := range <-answered {
 					statuses[a.status]++
-					if text := a.describeWrong(); text != "" {
+					id := a.id
+					if name == "serve" {
+						id = `"request_id":"` // serve assigns the ids.
+					}
+					if text := a.describeWrong(id); text != "" {
 						wrong = append(wrong, text)
 					}
 				}
