memory: what the kernel has received for an accepted connection is bounded, and counts

Cause: the kernel chose the receive buffers. It grants 64 KB to each new connection, and megabytes to one that has carried a large body; nothing of that was in the account. Connections that wait to be accepted, up to 4,096, hold as much.

Change: listeners set SO_RCVBUF, which accepted connections take over before their first byte: 32 KB at most, counted with the connection. 512 connections of callers, 128 of others, wait at a listener at most. As a caller's connection counts for 68 KB now (36 before), three tenths of the memory may be held, not a fifth, and 128 KB, not 64, are small: the number of connections that a VM of 144 MB admits stays about the same (635 and 800). A window of 16 KB carries 5 MB/s at a round trip of 3 ms.

--- a/internal/daemon/account.go
+++ b/internal/daemon/account.go
@@ -16,8 +16,9 @@
 	// memoryLimitShare is the part of the VM's memory that is set as the soft limit of the garbage
 	// collector.
 	memoryLimitShare = 0.6
-	// connectionBytes is what a connection takes: two buffers of 4 KB, and the stacks of its goroutines.
-	connectionBytes = 24 << 10
+	// connectionBytes is what a connection takes: two buffers of 4 KB, the stacks of its goroutines and the
+	// kernel's receive buffer.
+	connectionBytes = 24<<10 + memory.InboundReceiveBytes
 )
 
 // newAccount returns the account of what this daemon holds for others.
--- a/internal/daemon/sockets.go
+++ b/internal/daemon/sockets.go
@@ -52,7 +52,7 @@
 // openListener opens a listener whose connections are accounted for, with TLS if it is set.
 func openListener(ctx context.Context, account *memory.Account, class memory.Class, address string, tlsSettings settings.TLS) (net.Listener, error) {
 	section := sections[class]
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	listener, err := memory.Listen(ctx, net.ListenConfig{}, "tcp", address, class)
 	if err != nil {
 		return nil, failure.Wrap(err, failure.InvalidObject, section+".listen")
 	}
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -15,8 +15,8 @@
 
 const (
 	// httpConnectionBytes is what a connection of a net/http or fasthttp server takes: two buffers of
-	// 4 KB and two stacks.
-	httpConnectionBytes = 24 << 10
+	// 4 KB, two stacks and the kernel's receive buffer.
+	httpConnectionBytes = 24<<10 + memory.InboundReceiveBytes
 	// endpointConnectionBytes is what a connection to an endpoint or peer takes: its read buffer and
 	// the ids of the requests that it has carried.
 	endpointConnectionBytes = 16 << 10
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,7 +138,7 @@
 	if err := g.startMonitoring(); err != nil {
 		return err
 	}
-	listener, err := listen(ctx, g.settings.Callers.Listen)
+	listener, err := listen(ctx, g.settings.Callers.Listen, memory.Callers)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "callers' listener")
 	}
--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -5,6 +5,8 @@
 	"net"
 	"strconv"
 	"time"
+
+	"github.com/primrosewell/primrosewell/internal/memory"
 )
 
 const (
@@ -14,13 +16,13 @@
 	keepAliveProbes   = 3
 )
 
-// listen opens a TCP listener on an IP address and port, with keep-alive probes.
-func listen(ctx context.Context, address string) (net.Listener, error) {
+// listen opens a TCP listener for a class of connections on an IP address and port, with keep-alive probes.
+func listen(ctx context.Context, address string, class memory.Class) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
 	}}
 	config.SetMultipathTCP(false)
-	return config.Listen(ctx, "tcp4", address)
+	return memory.Listen(ctx, config, "tcp4", address, class)
 }
 
 func joinPort(address string, port int) string {
--- a/internal/gateway/pages.go
+++ b/internal/gateway/pages.go
@@ -23,7 +23,7 @@
 	if g.settings.Metrics.Listen == "" {
 		return nil
 	}
-	listener, err := listen(context.Background(), g.settings.Metrics.Listen)
+	listener, err := listen(context.Background(), g.settings.Metrics.Listen, memory.Operators)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "metrics listener")
 	}
@@ -38,7 +38,7 @@
 }
 
 func (g *Gateway) startReadiness() error {
-	listener, err := listen(context.Background(), g.settings.Readiness.Listen)
+	listener, err := listen(context.Background(), g.settings.Readiness.Listen, memory.Operators)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "readiness listener")
 	}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -71,7 +71,7 @@
 	go exchange.Run(ctx)
 	go g.streams.Run(ctx)
 	go g.newPeerStore(exchange, do.MustInvoke[*watcher](g.injector).store).Run(ctx)
-	listener, err := listen(ctx, joinPort(g.settings.Peers.Address, g.settings.Peers.FetchPort))
+	listener, err := listen(ctx, joinPort(g.settings.Peers.Address, g.settings.Peers.FetchPort), memory.Peers)
 	if err != nil {
 		return failure.Wrap(err, failure.Internal, "peers' listener")
 	}
--- a/internal/httpio/server.go
+++ b/internal/httpio/server.go
@@ -24,8 +24,9 @@
 const (
 	// continueResponse tells a caller that sent Expect: 100-continue to send the body.
 	continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
-	// connectionBytes is what a connection takes beside its read buffer: two stacks and the writer.
-	connectionBytes = 20 << 10
+	// connectionBytes is what a connection takes beside its read buffer: two stacks, the writer and the
+	// kernel's receive buffer.
+	connectionBytes = 20<<10 + memory.InboundReceiveBytes
 	// lastLook is how long an idle connection that is to be closed is read once more. It need only suffice to read what
 	// has arrived; a close with unread bytes would reset the connection.
 	lastLook = 10 * time.Millisecond
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// heldShare is the part, one in so many, of the VM's memory that is held for others. The process
-	// takes 26 MB at rest, and the collector lets garbage grow to a multiple of what is held.
-	heldShare = 5
+	// heldShare is the part, as a fraction of heldShareOf, of the VM's memory that is held for others, by the
+	// process and by the kernel. The process takes 26 MB at rest, and released bytes take half as much again
+	// until they are collected.
+	heldShare, heldShareOf = 3, 10
 	// largestBodies is how many of the largest bodies the account has room for, whatever the VM's memory:
 	// one that is being read takes up to twice its size while its buffer grows, and large ones get three
 	// quarters of the account.
@@ -51,7 +52,7 @@
 	if memoryMB > 0 {
 		bytes = int64(memoryMB) << 20
 	}
-	l := Limits{Bytes: bytes / heldShare, Descriptors: m.Descriptors}
+	l := Limits{Bytes: bytes / heldShareOf * heldShare, Descriptors: m.Descriptors}
 	if l.Bytes > 0 {
 		l.Bytes = max(l.Bytes, largestBodies*int64(maxBody))
 	}
--- a/internal/memory/decision.go
+++ b/internal/memory/decision.go
@@ -48,7 +48,7 @@
 const (
 	// SmallBytes is the size up to which what is held for one connection may use the whole account.
 	// Larger ones get largeShare of it, so that ordinary requests, of a few KB, find room.
-	SmallBytes = 64 << 10
+	SmallBytes = 128 << 10
 	// releasedShare is the part, one in so many, of the bytes of an account that may have been released and
 	// not been collected beside a full account.
 	releasedShare = 2
