memory: what the kernel has received from endpoints and peers is bounded, and counts; serve accounts for its connections to endpoints

Cause: backpressure reaches an endpoint once the receive buffer of its connection is full, and the kernel lets that grow to megabytes. serve did not count these connections at all.

Change: connections to endpoints and peers set SO_RCVBUF before they connect: 64 KB at most, counted with the connection, in both programs. The platform's connections are as before: their lists are large, and the platform is not somebody else.

--- a/internal/daemon/account.go
+++ b/internal/daemon/account.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net"
 	"runtime/debug"
 	"time"
 
 	"github.com/samber/do/v2"
 
+	"github.com/primrosewell/primrosewell/internal/endpoint"
 	"github.com/primrosewell/primrosewell/internal/memory"
 	"github.com/primrosewell/primrosewell/internal/settings"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
@@ -19,6 +21,8 @@
 	// connectionBytes is what a connection takes: two buffers of 4 KB, the stacks of its goroutines and the
 	// kernel's receive buffer.
 	connectionBytes = 24<<10 + memory.InboundReceiveBytes
+	// endpointConnectionBytes is what a connection to an endpoint takes.
+	endpointConnectionBytes = 24<<10 + memory.OutboundReceiveBytes
 )
 
 // newAccount returns the account of what this daemon holds for others.
@@ -29,6 +33,16 @@
 	})
 }
 
+// dialEndpoint opens a connection to an endpoint that is accounted for.
+func (d *Daemon) dialEndpoint(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: endpoint.DefaultConnectTimeout, Control: memory.LimitOutbound}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return memory.NewConn(conn, d.account, endpointConnectionBytes), nil
+}
+
 // limitMemory sets the soft limit of the garbage collector.
 func (d *Daemon) limitMemory() {
 	if mb := d.settings.VM.MemoryMB; mb > 0 {
--- a/internal/daemon/provide.go
+++ b/internal/daemon/provide.go
@@ -42,7 +42,7 @@
 	do.ProvideValue(i, quarantine.New(quarantine.Config{}))
 	do.ProvideValue(i, retry.NewBudget(retry.Config{MaxAttempts: d.settings.Limits.MaxAttempts}))
 	do.ProvideValue(i, estimate.New(estimate.Config{}))
-	do.ProvideValue(i, endpoint.NewClient(endpoint.Options{}))
+	do.ProvideValue(i, endpoint.NewClient(endpoint.Options{Dial: d.dialEndpoint}))
 	do.Provide(i, d.providePlatformStore)
 	do.Provide(i, d.providePeerClient)
 	do.Provide(i, func(i do.Injector) (*membership.Membership, error) { return d.provideMembership(ctx, i) })
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -17,9 +17,9 @@
 	// httpConnectionBytes is what a connection of a net/http or fasthttp server takes: two buffers of
 	// 4 KB, two stacks and the kernel's receive buffer.
 	httpConnectionBytes = 24<<10 + memory.InboundReceiveBytes
-	// endpointConnectionBytes is what a connection to an endpoint or peer takes: its read buffer and
-	// the ids of the requests that it has carried.
-	endpointConnectionBytes = 16 << 10
+	// endpointConnectionBytes is what a connection to an endpoint or peer takes: its read buffer, the ids
+	// of the requests that it has carried, and the kernel's receive buffer.
+	endpointConnectionBytes = 16<<10 + memory.OutboundReceiveBytes
 )
 
 // newAccount returns the account of what this gateway holds for others.
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/memory"
 	"github.com/primrosewell/primrosewell/internal/quarantine/parts"
 	"github.com/primrosewell/primrosewell/internal/reach"
 	"github.com/primrosewell/primrosewell/internal/routetable"
@@ -81,12 +82,12 @@
 	if g.options.Dial != nil {
 		return g.drill.wrap(g.options.Dial)
 	}
-	return g.drill.wrap(g.accountedDial(httpio.DialTCP(net.ParseIP(g.settings.Peers.Address))))
+	return g.drill.wrap(g.accountedDial(httpio.DialTCP(net.ParseIP(g.settings.Peers.Address), memory.LimitOutbound)))
 }
 
 // peerDial opens connections to peers.
 func (g *Gateway) peerDial() dialFunc {
-	return g.drill.wrapPeers(g.accountedDial(httpio.DialTCP(net.ParseIP(g.settings.Peers.Address))))
+	return g.drill.wrapPeers(g.accountedDial(httpio.DialTCP(net.ParseIP(g.settings.Peers.Address), memory.LimitOutbound)))
 }
 
 // logPath logs and counts a change of the path to an endpoint.
--- a/internal/httpio/dial.go
+++ b/internal/httpio/dial.go
@@ -110,6 +110,9 @@
 // is empty.
 type DialFunc func(ctx context.Context, address, id string) (net.Conn, error)
 
+// Control sets options of a socket before it is connected, as net.Dialer.Control.
+type Control = func(network, address string, raw syscall.RawConn) error
+
 // NewDialer returns a dialer with an empty pool that opens TCP connections.
 func NewDialer() *Dialer {
 	dial := DialTCP(nil)
@@ -117,11 +120,19 @@
 }
 
 // DialTCP returns a function that opens TCP connections from a local address, or from any if it is
-// nil. A connection to a host that has vanished breaks after userTimeout.
-func DialTCP(local net.IP) func(ctx context.Context, address string) (net.Conn, error) {
+// nil. A connection to a host that has vanished breaks after userTimeout. controls set further options of
+// the socket.
+func DialTCP(local net.IP, controls ...Control) func(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-		Control:         setUserTimeout,
+		Control: func(network, address string, raw syscall.RawConn) error {
+			for _, control := range append([]Control{setUserTimeout}, controls...) {
+				if err := control(network, address, raw); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
 	}
 	if local != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: local}
--- a/internal/memory/receive.go
+++ b/internal/memory/receive.go
@@ -13,10 +13,13 @@
 	// inboundBuffer is the receive buffer, in bytes, of an accepted connection. It holds what arrives while
 	// a request runs and nothing is read. The kernel's own choice grows with the body before, to megabytes.
 	inboundBuffer = 16 << 10
+	// outboundBuffer is that of a connection to an endpoint or peer, which holds what arrives while a caller
+	// does not read.
+	outboundBuffer = 32 << 10
 	// bufferOverhead is the factor by which the kernel enlarges a buffer that is set (socket(7)).
 	bufferOverhead = 2
-	// InboundReceiveBytes is what the kernel may hold for one connection at most.
-	InboundReceiveBytes = bufferOverhead * inboundBuffer
+	// InboundReceiveBytes and OutboundReceiveBytes are what the kernel may hold for one connection at most.
+	InboundReceiveBytes, OutboundReceiveBytes = bufferOverhead * inboundBuffer, bufferOverhead * outboundBuffer
 )
 
 // waiting is how many connections of a class wait to be accepted at most. They hold bytes too, and belong to
@@ -50,6 +53,11 @@
 	return listener, nil
 }
 
+// LimitOutbound is a net.Dialer.Control that bounds the receive buffer of a connection.
+func LimitOutbound(network, address string, raw syscall.RawConn) error {
+	return limitReceiveBuffer(outboundBuffer)(network, address, raw)
+}
+
 func limitReceiveBuffer(bytes int) func(network, address string, raw syscall.RawConn) error {
 	return func(_, _ string, raw syscall.RawConn) error {
 		var optionErr error
--- a/test/hardload/unread_test.go
+++ b/test/hardload/unread_test.go
@@ -19,6 +19,8 @@
 	unreadRounds, unreadClients, wholeBytes = 8, 60, 3_900_000
 	// manyStrayClients is four times strayClients.
 	manyStrayClients = 4 * strayClients
+	// endlessReaders request a response that does not end and read none of it.
+	endlessReaders = 1300
 	// settleTime is how long a crowd stays; the bounds hold at any time.
 	settleTime = 4 * time.Second
 )
@@ -73,6 +75,17 @@
 				t.awaitOrdinary()
 				t.expectBounded()
 			})
+
+			// Guards against responses that an endpoint sends faster than their callers read.
+			It("are of responses that callers don't read", func() {
+				t, c := start(manyDescriptors), newClients()
+				endless := t.path[:len(t.path)-1] + "endless"
+				c.start(endlessReaders, t.callers, 4096, func() string { return t.requestTo(endless) + announced(0) }, nil)
+				c.group.Wait()
+				time.Sleep(settleTime)
+				t.awaitOrdinary()
+				t.expectBounded()
+			})
 		})
 	}
 })
