gateway, serve: headers at the listeners for peers and operators have 16 KB at most

A gateway was ended by clients that send a header without its end to its listeners: 150 with 900 KB at each brought its resident memory to 277 MB of 144 on, in a second. serve came to 90.

Cause: the servers for peers and metrics use the library's default limit of 1 MB for a header, which is held whole while it arrives, and counted as a connection of 24 KB. The gateway has two such listeners.

Change: MaxHeaderBytes is 16 KB there (the library reads 4 KB more). The longest header of a peer has some hundred bytes.

--- a/internal/gateway/pages.go
+++ b/internal/gateway/pages.go
@@ -30,7 +30,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", do.MustInvoke[*telemetry.Metrics](g.injector).Handler)
 	server := &http.Server{
-		Handler: mux, ConnState: memory.OnState,
+		Handler: mux, ConnState: memory.OnState, MaxHeaderBytes: memory.MaxHeaderBytes,
 		ReadHeaderTimeout: metricsHeaderTimeout, ReadTimeout: metricsHeaderTimeout, WriteTimeout: metricsWriteTimeout, IdleTimeout: monitoringIdleTimeout,
 	}
 	g.serveHTTP(server, g.accounted(listener, memory.Operators), "metrics")
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -77,7 +77,7 @@
 	}
 	server := gossip.NewFetchServer(publisher.SnapshotFor)
 	server.Handler = do.MustInvoke[*tunnel.Server](g.injector).Wrap(server.Handler)
-	server.ConnState = memory.OnState
+	server.ConnState, server.MaxHeaderBytes = memory.OnState, memory.MaxHeaderBytes
 	g.serveHTTP(server, g.accounted(g.drill.listen(listener), memory.Peers), "peers")
 	go do.MustInvoke[*tunnel.Connector](g.injector).Run(ctx)
 	return nil
--- a/internal/memory/listener.go
+++ b/internal/memory/listener.go
@@ -14,6 +14,10 @@
 // AcceptPause is the time until a connection is accepted again after descriptors ran out.
 const AcceptPause = 10 * time.Millisecond
 
+// MaxHeaderBytes is the limit of a request header at the listeners for peers and operators, whose requests
+// have few fields. The default of net/http suits a server with gigabytes of memory.
+const MaxHeaderBytes = 16 << 10
+
 // IsShortage reports whether err means that the process or the machine has no descriptor or memory for a
 // connection at the moment, or that the connection ended before it was accepted. A listener goes on then.
 func IsShortage(err error) bool {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -63,6 +63,7 @@
 		Protocols:         &protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ErrorLog:          log.New(debugWriter{opts.Logger}, "", 0),
+		MaxHeaderBytes:    memory.MaxHeaderBytes,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 	}}
--- a/test/hardload/hardload_test.go
+++ b/test/hardload/hardload_test.go
@@ -29,6 +29,8 @@
 	idleClients = 700
 	// strayClients send a body of strayBytes to each listener that is not for callers.
 	strayClients, strayBytes = 40, 8_000_000
+	// headerClients send headerBytes of a header without its end to each listener.
+	headerClients, headerBytes = 150, 900_000
 )
 
 // clients are connections that stay open until the spec ends.
@@ -191,6 +193,27 @@
 				t.awaitOrdinary()
 				t.expectBounded()
 			})
+
+			// Guards against headers that are held up to a limit that suits a server with gigabytes of memory.
+			It("send headers that never end", func() {
+				t, c := start(manyDescriptors), newClients()
+				field := []byte("X-Padding: " + string(bytes.Repeat([]byte("a"), 16_000-13)) + "\r\n")
+				sendFields := func(send func([]byte) error) error {
+					for sent := 0; sent < headerBytes; sent += len(field) {
+						if err := send(field); err != nil {
+							return err
+						}
+					}
+					return nil
+				}
+				c.start(headerClients, t.callers, 0, func() string { return t.requestTo(t.path) }, sendFields)
+				for listener, post := range t.posts {
+					c.start(headerClients, t.listeners[listener], 0, func() string { return post }, sendFields)
+				}
+				c.group.Wait()
+				t.awaitOrdinary()
+				t.expectBounded()
+			})
 		})
 	}
 })
