soak: crowds of clients that respect no limits

Unended bodies in chunks and announced ones, headers that do not end, and bodies to the peers' listener come to a gateway in series, again and again, while other faults go on. A crowd excuses deadlines, which depend on the machine, and no response that is cut off.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -259,7 +259,7 @@
 		return ""
 	}
 	unplanned := func(s Span) bool {
-		return s.affectsGateway(a.Gateway) && !s.Kind.Planned() || s.Kind.Target() == Endpoint && !s.Kind.Planned()
+		return s.affectsGateway(a.Gateway) && !s.Kind.Planned() && s.Kind != CrowdGateway || s.Kind.Target() == Endpoint && !s.Kind.Planned()
 	}
 	if h.overlapsFault(a.Sent.Add(-recoveryTime), a.Ended, unplanned) || h.overlapsStall(a) {
 		return ""
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -32,6 +32,9 @@
 	// CutFromPeers keeps a gateway from exchanging anything with the others, and in some variants with
 	// the platform too.
 	CutFromPeers Kind = "cut_from_peers"
+	// CrowdGateway puts clients before a gateway that respect no limits, in variants. It excuses no response
+	// that is cut off.
+	CrowdGateway Kind = "crowd_gateway"
 	// DelayEndpoint delays the traffic between gateways and an endpoint.
 	DelayEndpoint Kind = "delay_endpoint"
 	// ResetEndpoint resets an endpoint's open connections, once.
@@ -111,6 +114,7 @@
 	{CutFromPlatform, Gateway, 4, 6 * time.Second, 2},
 	{CutFromEndpoints, Gateway, 5, 6 * time.Second, 10},
 	{CutFromPeers, Gateway, 5, 8 * time.Second, 11},
+	{CrowdGateway, Gateway, 5, 5 * time.Second, 12},
 	{DelayEndpoint, Endpoint, 2, 3 * time.Second, 1},
 	{ResetEndpoint, Endpoint, 3, 0, 1},
 	{CutEndpoint, Endpoint, 3, 3 * time.Second, 1},
@@ -124,7 +128,7 @@
 	{DeadlyPart, Endpoint, 5, 10 * time.Second, 7},
 	{DeadlyRequest, Endpoint, 4, 10 * time.Second, 8},
 	{LimitEndpoint, Endpoint, 5, 10 * time.Second, 9},
-	{BrittleEndpoints, Endpoint, 3, 10 * time.Second, 12},
+	{BrittleEndpoints, Endpoint, 3, 10 * time.Second, 13},
 	{RefusePlatform, Platform, 2, 5 * time.Second, 1},
 	{HangPlatform, Platform, 2, 5 * time.Second, 1},
 	{StalePlatform, Platform, 1, 3 * time.Second, 1},
@@ -165,7 +169,7 @@
 // Generation is the current version of plan generation. It increases when a change would
 // alter the plans of existing seeds; passing an earlier generation to Plan reproduces the
 // plan of a run that failed with it.
-const Generation = 11
+const Generation = 12
 
 // One seed in streamPlanShare has only streamKinds from generation streamPlansSince on, so that
 // callers resume many streams at gateways that no other fault disturbs.
@@ -299,7 +303,7 @@
 		return "platform"
 	case DrainEndpoint, ReplaceEndpoint, LeaveEndpoint:
 		return "registration"
-	case ChangeTable, CutFromPlatform, BreakResponses, RepeatResponses, GarbleResponses, QuietEndpoint, DeadlyPart, DeadlyRequest, LimitEndpoint, BrittleEndpoints:
+	case CrowdGateway, ChangeTable, CutFromPlatform, BreakResponses, RepeatResponses, GarbleResponses, QuietEndpoint, DeadlyPart, DeadlyRequest, LimitEndpoint, BrittleEndpoints:
 		return string(k)
 	}
 	return string(k)
--- a/test/e2e/soak_faults_test.go
+++ b/test/e2e/soak_faults_test.go
@@ -28,6 +28,8 @@
 	switch f.Kind {
 	case soak.KillGateway, soak.DrainGateway, soak.FreezeGateway, soak.ReloadGateway, soak.CutFromEndpoints, soak.CutFromPeers:
 		s.strikeGateway(f, until)
+	case soak.CrowdGateway:
+		s.crowd(f)
 	case soak.CutFromPlatform:
 		s.links[f.Index].cut(relay.Direction(1 + f.Variant%3))
 		until()
