--- a/internal/memory/collect.go
+++ b/internal/memory/collect.go
@@ -21,9 +21,9 @@
 	// dropped is the sum of all bytes to which nothing refers any more, and freed how many of them are
 	// collected. Both grow for the life of the process.
 	dropped, freed int64
-	// beforeCycle is what had been dropped when the last collection ended. The next one that ends began
-	// later, and frees it.
-	beforeCycle int64
+	// beforeMarker is what had been dropped when the last cycleMarker was made. The collection that frees
+	// the marker began later, and frees it, too.
+	beforeMarker int64
 	// collections counts those that the account has started.
 	collections int64
 	// collecting is closed at the end of a collection that the account has started; nil if there is none.
@@ -82,11 +82,11 @@
 	close(done)
 }
 
-// cycleMarker is an object whose end shows that a collection has ended.
+// cycleMarker is an object without references. Its cleanup shows that a collection has ended that began after
+// it was made: one that is made while a collection marks survives that.
 type cycleMarker struct{ _ *cycleMarker }
 
-// watchCollections notes the end of each collection that the runtime starts by itself, for the life of the
-// account.
+// watchCollections notes what the runtime's own collections free, for the life of the account.
 func (a *Account) watchCollections() {
 	runtime.AddCleanup(&cycleMarker{}, func(account weak.Pointer[Account]) {
 		if a := account.Value(); a != nil {
@@ -99,6 +99,6 @@
 func (a *Account) noteCollection() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.released.freed = max(a.released.freed, a.released.beforeCycle)
-	a.released.beforeCycle = a.released.dropped
+	a.released.freed = max(a.released.freed, a.released.beforeMarker)
+	a.released.beforeMarker = a.released.dropped
 }
--- a/internal/memory/receive.go
+++ b/internal/memory/receive.go
@@ -18,16 +18,18 @@
 	outboundBuffer = 32 << 10
 	// bufferOverhead is the factor by which the kernel enlarges a buffer that is set (socket(7)).
 	bufferOverhead = 2
-	// InboundReceiveBytes and OutboundReceiveBytes are what the kernel may hold for one connection at most.
-	InboundReceiveBytes, OutboundReceiveBytes = bufferOverhead * inboundBuffer, bufferOverhead * outboundBuffer
+	// InboundReceiveBytes is what the kernel may receive for an accepted connection before it is read.
+	InboundReceiveBytes = bufferOverhead * inboundBuffer
+	// OutboundReceiveBytes is that of a connection to an endpoint or peer.
+	OutboundReceiveBytes = bufferOverhead * outboundBuffer
 )
 
 // waiting is how many connections of a class wait to be accepted at most. They hold bytes too, and belong to
 // no account yet. Callers come in bursts after a restart.
 var waiting = [classCount]int{Callers: 512, Peers: 128, Operators: 128}
 
-// Listen opens a TCP listener whose connections have bounded receive buffers, and of which few wait to be
-// accepted.
+// Listen opens a TCP listener for connections of a class. Their receive buffers are bounded before they are
+// accepted, and few of them wait for that. It replaces config.Control.
 func Listen(ctx context.Context, config net.ListenConfig, network, address string, class Class) (net.Listener, error) {
 	config.Control = limitReceiveBuffer(inboundBuffer)
 	listener, err := config.Listen(ctx, network, address)
@@ -45,8 +47,8 @@
 	}
 	var listenErr error
 	// The queue of a socket that listens already is resized.
-	err = errors.Join(raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), waiting[class]) }), listenErr)
-	if err != nil {
+	err = raw.Control(func(fd uintptr) { listenErr = unix.Listen(int(fd), waiting[class]) })
+	if err = errors.Join(err, listenErr); err != nil {
 		_ = listener.Close()
 		return nil, err
 	}
