httphead, httpio: a head that is none is no response

What callers saw: an endpoint in trouble sent a head in whose field name a blank or a control byte was. The caller of a gateway got that line passed on, or a body that was not the endpoint's: "Content-Length : 2" cut a body of four bytes to two, and a line feed before a name ended the head, so that its rest became the body.

Cause: the gateway took for a head what the parser of its library takes for one, and checked single findings behind it. The parser trims blanks behind a name, keeps those within one, takes any empty line for the end, and reads a reason phrase with control bytes. Trailers were not checked but for a status line.

Change: internal/httphead decides line by line what a head is, by RFC 9110 and 9112, before the parser gets it. Habits of sound servers that can be read in one way alone are allowed: folding, lines ended by a line feed alone, the same length twice, an absent reason; where parsers differ on them, they get the head without them. What is refused is ErrMalformed with its reason, which the line "attempt failed" has now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -315,7 +315,7 @@
 		outcome.result = balance.Neutral
 	}
 	if errors.Is(err, httpio.ErrMalformed) {
-		outcome.cause = "malformed " + stage
+		outcome.cause = "malformed " + stage + ": " + err.Error()
 	}
 	return outcome
 }
--- a/internal/httpio/dial.go
+++ b/internal/httpio/dial.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/samber/lo"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 )
 
@@ -51,9 +50,6 @@
 	// sentIDs holds the hashes of all request ids sent; the endpoint may still send a
 	// duplicate response to one of them.
 	sentIDs []uint64
-	// captured holds the bytes of the last response header, and is filled while capturing.
-	captured  []byte
-	capturing bool
 }
 
 // idHashSeed is the seed of the hashes in sentIDs.
@@ -61,33 +57,10 @@
 
 func newConn(conn net.Conn) *Conn {
 	c := &Conn{Conn: conn, idleTimeout: defaultIdleTimeout}
-	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	c.reader = bufio.NewReaderSize(conn, readBufferBytes)
 	return c
 }
 
-// Read reads from the network. Responses are read through the buffer of reader.
-func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if c.capturing {
-		c.captured = append(c.captured, p[:n]...)
-	}
-	return n, err
-}
-
-// readHeader reads a response header and returns its bytes too, which are valid until the
-// next call.
-func (c *Conn) readHeader(header *fasthttp.ResponseHeader) (raw []byte, err error) {
-	buffered, err := c.reader.Peek(c.reader.Buffered())
-	if err != nil {
-		return nil, err
-	}
-	c.captured = append(c.captured[:0], buffered...)
-	c.capturing = true
-	err = header.Read(c.reader)
-	c.capturing = false
-	return c.captured[:len(c.captured)-c.reader.Buffered()], err
-}
-
 // recordSentID records that a request with this id is sent on the connection.
 func (c *Conn) recordSentID(id string) {
 	c.sentIDs = append(c.sentIDs, maphash.String(idHashSeed, id))
@@ -211,7 +184,7 @@
 // Put returns a connection to the pool after a clean exchange. It closes the connection
 // if the address already has maxIdlePerEndpoint idle ones.
 func (d *Dialer) Put(address string, c *Conn) {
-	c.idleSince, c.captured = time.Now(), nil
+	c.idleSince = time.Now()
 	_ = c.SetDeadline(time.Time{})
 	if d.crowded != nil && d.crowded() {
 		_ = c.Close()
--- a/internal/httpio/exchange.go
+++ b/internal/httpio/exchange.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http/httputil"
@@ -13,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/primrosewell/primrosewell/internal/httphead"
 )
 
 // maxInlineBodyBytes is the largest request body that is written before the response is
@@ -45,9 +48,6 @@
 // errTrailerTooLong means that the trailer of a chunked body exceeds maxTrailerBytes.
 var errTrailerTooLong = errors.New("the trailer is too long")
 
-// errResponseInTrailer means that the trailer of a chunked body broke off and another response follows.
-var errResponseInTrailer = errors.New("a response begins within the trailer")
-
 // Errors returned by Conn.Exchange.
 var (
 	// ErrMalformed means that the received bytes are not an HTTP response, or not surely one alone.
@@ -140,7 +140,7 @@
 			return err
 		}
 		if len(response.Header.PeekAll(idField)) > 1 {
-			return ErrMalformed
+			return fmt.Errorf("%w: more than one request id", ErrMalformed)
 		}
 		switch echoed := string(response.Header.Peek(idField)); {
 		case echoed == "" && response.conn.Uses() > 1:
@@ -174,29 +174,18 @@
 // readFinalHeader reads the next response header that is not informational (1xx).
 func (response *Response) readFinalHeader() error {
 	for range maxInformationalResponses + 1 {
-		response.Header.Reset()
-		response.Header.SetNoDefaultContentType(true)
-		if _, err := response.conn.reader.Peek(1); err != nil {
-			return err // Unwrapped: the header parser would hide the connection's error.
-		}
-		raw, err := response.conn.readHeader(&response.Header)
+		err := readHeader(response.conn.reader, &response.Header)
 		if err != nil {
-			if isTimeout(err) || isDisconnect(err) {
-				return err
-			}
-			return errors.Join(ErrMalformed, err)
-		}
-		if !hasStatus(raw) || ambiguousFraming(raw, response.Header.ContentLength()) || joinsResponses(raw) {
-			return ErrMalformed
+			return err
 		}
 		switch code := response.Header.StatusCode(); {
 		case code >= fasthttp.StatusOK:
 			return nil
-		case code == fasthttp.StatusSwitchingProtocols: // No request asks for another protocol.
-			return ErrMalformed
+		case code == fasthttp.StatusSwitchingProtocols:
+			return fmt.Errorf("%w: no request asks for another protocol", ErrMalformed)
 		}
 	}
-	return ErrMalformed
+	return fmt.Errorf("%w: too many informational responses", ErrMalformed)
 }
 
 // setBody sets Body and Length according to the framing stated in the header, and to whether
@@ -399,21 +388,23 @@
 
 // discardTrailer reads the trailer and returns io.EOF after its end.
 func (c *chunkedReader) discardTrailer() error {
+	lines := httphead.NewTrailerScanner()
 	for total := 0; total <= maxTrailerBytes; {
 		line, err := c.r.ReadSlice('\n')
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return io.ErrUnexpectedEOF
 		}
 		if err != nil {
 			return err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		_, ended, err := lines.Scan(line)
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
+		if ended {
 			c.ended = true
 			return io.EOF
 		}
-		if hasStatusLine(line) {
-			return errResponseInTrailer
-		}
 		total += len(line)
 	}
 	return errTrailerTooLong
--- /dev/null
+++ b/internal/httpio/head_test.go
@@ -0,0 +1,76 @@
+package httpio_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/standin/heads"
+)
+
+// exchangeOnce sends a request on a connection of its own, whose endpoint sends the bytes and closes it.
+func exchangeOnce(wire string) (response *httpio.Response, body string, err error) {
+	near, far := net.Pipe()
+	go func() {
+		defer func() { _ = far.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
+			_, _ = io.WriteString(far, wire)
+		}
+	}()
+	conn := httpio.NewConn(near)
+	head := []byte("GET /x HTTP/1.1\r\nHost: h\r\n" + idField + ": a\r\n\r\n")
+	response, err = conn.Exchange(context.Background(), head, nil, idField, "a")
+	if err != nil {
+		if _, writeErr := conn.Write([]byte("x")); writeErr == nil {
+			return nil, "", errors.New("the connection is still open")
+		}
+		return nil, "", err
+	}
+	data, err := io.ReadAll(response.Body)
+	_ = conn.Close()
+	return response, string(data), err
+}
+
+// Guards against heads that reach the caller with a line that is no field, or with a body that begins or
+// ends elsewhere than the endpoint's.
+func TestBrokenHeadIsNoResponse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		broken := heads.Broken(t, idField+": a")
+		_, body, err := exchangeOnce(broken.Wire)
+		if !errors.Is(err, httpio.ErrMalformed) {
+			t.Fatalf("%q is taken for a response with the body %q: %v", broken.Wire, body, err)
+		}
+	})
+}
+
+// Guards against a body that is complete although what ends it is broken.
+func TestBrokenTrailerEndsNoBody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		broken := heads.BrokenTrailer(t, idField+": a")
+		_, body, err := exchangeOnce(broken.Wire)
+		if !errors.Is(err, httpio.ErrMalformed) {
+			t.Fatalf("%q is taken for a whole response with the body %q: %v", broken.Wire, body, err)
+		}
+	})
+}
+
+// Guards against a rule that refuses what sound servers send.
+func TestSoundHeadIsAResponse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sound := heads.Sound(t, idField+": a")
+		response, body, err := exchangeOnce(sound.Wire)
+		if err != nil {
+			t.Fatalf("%q is refused: %v", sound.Wire, err)
+		}
+		if body != sound.Body || !response.Identified || response.Header.StatusCode() != 200 || string(response.Header.Peek(sound.OddField)) != "v" {
+			t.Fatalf("%q is read as %q with the body %q", sound.Wire, response.Header.String(), body)
+		}
+	})
+}
