platform, memory: responses of the platform are bounded together

What could happen: a platform in trouble sends bytes without end, in a body, in JSON items, or page after page. The daemon kept them, exceeded the memory of its VM, and ended with every caller's request (LOST).

Cause: each call might read 64 MB, io.ReadAll holds more while its buffer grows, several calls run at once, and none of it counted in the account. JSON items of three bytes grow thirtyfold when they are decoded, an error response was read like any other, and a list goes on for as long as pages name further objects. Receive buffers grew as the kernel chose.

Change: a Pool of the account, of half its bytes, holds what calls to the platform read and decode, and the pages of a list until it is whole. One response of a list or poll may have a third of the pool (64 MB at most, and 32,768 elements), one about a single object 1.4 MB, an error 64 KB. The pool has its bytes whatever callers hold, so that a gateway under load still learns of changes; they count, so that callers get less meanwhile. A response that is refused is an error of the call: a write is uncertain, a read has failed, and the state of before stays in force. Connections to the platform count, and have the receive buffer of those to endpoints. A watch that is answered with 201 or 204 fails; it had no body to read.

--- a/internal/daemon/account.go
+++ b/internal/daemon/account.go
@@ -9,6 +9,7 @@
 	"github.com/samber/do/v2"
 
 	"github.com/primrosewell/primrosewell/internal/endpoint"
+	"github.com/primrosewell/primrosewell/internal/httpio"
 	"github.com/primrosewell/primrosewell/internal/memory"
 	"github.com/primrosewell/primrosewell/internal/settings"
 	"github.com/primrosewell/primrosewell/internal/telemetry"
@@ -21,7 +22,7 @@
 	// connectionBytes is what a connection takes: two buffers of 4 KB, the stacks of its goroutines and the
 	// kernel's receive buffer.
 	connectionBytes = 24<<10 + memory.InboundReceiveBytes
-	// endpointConnectionBytes is what a connection to an endpoint takes.
+	// endpointConnectionBytes is what a connection to an endpoint or to the platform takes.
 	endpointConnectionBytes = 24<<10 + memory.OutboundReceiveBytes
 )
 
@@ -43,6 +44,15 @@
 	return memory.NewConn(conn, d.account, endpointConnectionBytes), nil
 }
 
+// dialPlatform opens a connection to the platform that is accounted for.
+func (d *Daemon) dialPlatform(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := httpio.DialTCP(nil, memory.LimitOutbound)(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return memory.NewConn(conn, d.account, endpointConnectionBytes), nil
+}
+
 // limitMemory sets the soft limit of the garbage collector.
 func (d *Daemon) limitMemory() {
 	if mb := d.settings.VM.MemoryMB; mb > 0 {
--- a/internal/daemon/provide.go
+++ b/internal/daemon/provide.go
@@ -63,7 +63,9 @@
 
 func (d *Daemon) providePlatformStore(do.Injector) (platform.Store, error) {
 	s := d.settings.Platform
-	return platform.NewClient(platform.ClientOptions{BaseURL: s.URL, Token: s.Token, Timeout: s.Timeout}), nil
+	return platform.NewClient(platform.ClientOptions{
+		BaseURL: s.URL, Token: s.Token, Timeout: s.Timeout, Dial: d.dialPlatform, Responses: d.account.NewPool("platform"),
+	}), nil
 }
 
 func (d *Daemon) providePeerClient(do.Injector) (*peer.Client, error) {
--- a/internal/memory/body.go
+++ b/internal/memory/body.go
@@ -12,11 +12,20 @@
 // ErrTooLarge means that a body exceeds its limit.
 var ErrTooLarge = errors.New("the body exceeds the limit")
 
-// ReadBody reads a body of at most limit bytes, with room of the holder. announced is its length, or
+// Room is what bodies are read into: a Holder or a Pool.
+type Room interface {
+	// Reserve adds bytes, and reports whether there is room for them. Release takes them back.
+	Reserve(bytes int) bool
+	Release(bytes int)
+	// Moved notes that bytes have arrived.
+	Moved()
+}
+
+// ReadBody reads a body of at most limit bytes, within the room. announced is its length, or
 // negative if it is not known. What is held grows with what has arrived, whatever the size of the chunks,
 // and is the capacity of the slice on return, also on an error. The error is ErrTooLarge, ErrNoRoom or
 // that of r.
-func ReadBody(r io.Reader, h *Holder, announced, limit int) (body []byte, err error) {
+func ReadBody(r io.Reader, h Room, announced, limit int) (body []byte, err error) {
 	if announced > limit {
 		return nil, ErrTooLarge
 	}
@@ -52,7 +61,7 @@
 }
 
 // grow returns a copy of body with twice the capacity, at most most.
-func grow(h *Holder, body []byte, most int) ([]byte, error) {
+func grow(h Room, body []byte, most int) ([]byte, error) {
 	size := min(max(firstBuffer, 2*cap(body)), most)
 	if !h.Reserve(size) {
 		return body, ErrNoRoom
--- a/internal/platform/access.go
+++ b/internal/platform/access.go
@@ -37,7 +37,7 @@
 func (c *Client) newRoute(a Access) *route {
 	transport := c.options.Transport
 	if transport == nil {
-		transport = newTransport()
+		transport = newTransport(c.options.Dial)
 	}
 	r := &route{Access: a, http: &http.Client{
 		Transport:     transport,
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -15,6 +15,7 @@
 	"github.com/samber/oops"
 	"golang.org/x/time/rate"
 
+	"github.com/primrosewell/primrosewell/internal/memory"
 	"github.com/primrosewell/primrosewell/internal/platform/wire"
 )
 
@@ -24,6 +25,8 @@
 	method, path string
 	body         []byte
 	isWrite      bool
+	// isList is set if the response holds more than one object.
+	isList bool
 	// conflictReason is the reason for a status 409 whose body states none.
 	conflictReason Reason
 }
@@ -51,8 +54,14 @@
 type response struct {
 	body []byte
 	era  int64
+	// responses holds held bytes for the body and for what is decoded from it, until release is called.
+	responses *memory.Pool
+	held      int
 }
 
+// release is to be called when the body has been decoded.
+func (r response) release() { r.responses.Release(r.held) }
+
 // do makes a call and returns a successful response. A read that the client's move to another address
 // has ended is made again there, and one that was lost with a kept connection once more on a new one,
 // since that connection may have been dead before. A write is not: it may have taken effect.
@@ -109,18 +118,65 @@
 		return response{}, err
 	}
 	defer func() { _ = received.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(received.Body, maxResponseBytes+1))
-	if err != nil {
+	if !succeeded(received) {
+		return response{}, c.readFailure(ctx, route, r, received, &use)
+	}
+	result, err = c.readBody(r, received)
+	if err != nil && !errors.Is(err, memory.ErrTooLarge) && !errors.Is(err, memory.ErrNoRoom) {
 		return response{}, r.connError(ctx, route, &use, err)
 	}
-	if len(body) > maxResponseBytes {
-		return response{}, r.newError(Uncertain, oops.Errorf("response exceeds %d bytes", maxResponseBytes))
+	if err != nil {
+		return response{}, r.newError(Uncertain, err)
+	}
+	result.era, err = c.checkEra(r, received.Header)
+	if err != nil {
+		result.release()
+		return response{}, err
+	}
+	return result, nil
+}
+
+// readBody reads the body of a successful response, with room to decode it.
+func (c *Client) readBody(r call, received *http.Response) (response, error) {
+	limit := c.options.Responses.ResponseLimit(maxListBytes)
+	if !r.isList {
+		limit = min(limit, maxItemBytes)
+	}
+	announced := -1
+	if received.ContentLength > 0 { // 0 is also the zero value of a Response.
+		announced = int(received.ContentLength)
+	}
+	body, err := memory.ReadBody(received.Body, c.options.Responses, announced, limit)
+	result := response{body: body, responses: c.options.Responses, held: cap(body)}
+	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		err = oops.Wrapf(err, "a response of more than %d bytes", limit)
+	case err == nil && !c.options.Responses.Reserve(len(body)):
+		err = oops.Wrapf(memory.ErrNoRoom, "decoding a response of %d bytes", len(body))
+	case err == nil:
+		result.held += len(body)
 	}
-	era, err := c.checkEra(r, received.Header)
 	if err != nil {
+		result.release()
 		return response{}, err
 	}
-	return response{body: body, era: era}, r.checkResponse(received, body)
+	return result, nil
+}
+
+// readFailure reads the beginning of an error response and returns its error. The rest of an ordinary one
+// is read, too, so that the connection can be used again.
+func (c *Client) readFailure(ctx context.Context, route *route, r call, received *http.Response, use *connUse) error {
+	body, err := io.ReadAll(io.LimitReader(received.Body, maxErrorBytes))
+	if err == nil {
+		_, err = io.CopyN(io.Discard, received.Body, maxItemBytes)
+	}
+	if err != nil && !errors.Is(err, io.EOF) {
+		return r.connError(ctx, route, use, err)
+	}
+	if _, err := c.checkEra(r, received.Header); err != nil {
+		return err
+	}
+	return r.checkResponse(received, body)
 }
 
 // connUse records which connection a call uses.
@@ -207,12 +263,17 @@
 	}
 }
 
-// checkResponse returns nil for a success and otherwise the error that the response reports.
-func (r call) checkResponse(response *http.Response, body []byte) error {
+// succeeded reports whether the response is a success.
+func succeeded(response *http.Response) bool {
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
-		return nil
+		return true
 	}
+	return false
+}
+
+// checkResponse returns the error that a response reports which is no success.
+func (r call) checkResponse(response *http.Response, body []byte) error {
 	var status wire.Status
 	if json.Unmarshal(body, &status) != nil {
 		status = wire.Status{}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,8 @@
 	"github.com/samber/oops"
 	"golang.org/x/time/rate"
 
+	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/memory"
 	"github.com/primrosewell/primrosewell/internal/platform/wire"
 )
 
@@ -22,8 +25,15 @@
 	// DefaultWatchIdleTimeout is the longest time without a line, bookmarks included, after which a
 	// watch counts as broken.
 	DefaultWatchIdleTimeout = 10 * time.Second
-	// maxResponseBytes bounds a response body held in memory.
-	maxResponseBytes = 64 << 20
+	// maxListBytes bounds one response of a list or of a poll, on a VM with enough memory; see Responses.
+	maxListBytes = 64 << 20
+	// maxItemBytes bounds the response of a call that concerns one object: the largest one in base64, and
+	// 64 KiB for the rest.
+	maxItemBytes = MaxObjectBytes*4/3 + 64<<10
+	// maxErrorBytes bounds what is read of an error response, whose status says the most.
+	maxErrorBytes = 64 << 10
+	// itemOverhead is what an object of a list takes beside the bytes that it came in.
+	itemOverhead = 128
 	// maxIdleConns is the maximum number of idle connections to the platform.
 	maxIdleConns = 16
 	// idleConnTimeout is the time after which an idle connection is closed.
@@ -56,7 +66,12 @@
 	// PollWait is how long the platform may hold a poll while there are no changes. Default:
 	// DefaultPollWait.
 	PollWait time.Duration
-	// Transport sends the requests. It must not resend a request that may have been sent.
+	// Dial opens connections. Default: TCP with a limited receive buffer.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Responses bounds what calls hold together while they read and decode their responses; one of a list
+	// or poll may have a third of it. A read that finds no room fails with Unavailable. Default: no limit.
+	Responses *memory.Pool
+	// Transport sends the requests. Dial is not used then. It must not resend a request that may have been sent.
 	// Default: a transport without a proxy that only this client uses.
 	Transport http.RoundTripper
 	// OnEra, if set, is called when a response states a higher era than the ones before it; see
@@ -87,6 +102,9 @@
 	if options.Dialect == nil {
 		options.Dialect = nativeDialect{}
 	}
+	if options.Dial == nil {
+		options.Dial = httpio.DialTCP(nil, memory.LimitOutbound)
+	}
 	c := &Client{options: options, writes: newLimiter(options.WritesPerSecond), reads: newLimiter(options.ReadsPerSecond)}
 	access := Access{BaseURL: options.BaseURL, Token: options.Token, Timeout: options.Timeout, PollWait: options.PollWait}
 	c.route.Store(c.newRoute(access.withDefaults()))
@@ -108,6 +126,7 @@
 	if err != nil {
 		return Object{}, err
 	}
+	defer response.release()
 	return c.decodeObject(r, collection, name, response.body)
 }
 
@@ -127,6 +146,8 @@
 // the client moves to another address.
 func (c *Client) List(ctx context.Context, collection, prefix string) (List, error) {
 	var list List
+	held := 0 // What the pages take.
+	defer func() { c.options.Responses.Release(held) }()
 	after, pageRetries := "", 0
 	listed := make(map[string]bool) // The names after which pages were requested.
 	route := c.route.Load()
@@ -134,9 +155,12 @@
 		if route.moved() {
 			list, after, route = List{}, "", c.route.Load()
 			clear(listed)
+			c.options.Responses.Release(held)
+			held = 0
 		}
-		r := call{op: "list", key: collection + "/" + prefix, method: http.MethodGet, path: c.options.Dialect.ListPath(collection, prefix, after)}
-		response, err := c.do(ctx, r)
+		r := call{op: "list", key: collection + "/" + prefix, isList: true, method: http.MethodGet, path: c.options.Dialect.ListPath(collection, prefix, after)}
+		page, size, err := c.readPage(ctx, r, collection, prefix)
+		held += size
 		if ReasonOf(err) == RateLimited && after != "" && pageRetries < maxPageRetries {
 			pageRetries++
 			sleep(ctx, meanPageRetryDelay/2+rand.N(meanPageRetryDelay))
@@ -145,18 +169,14 @@
 		if err != nil {
 			return List{}, err
 		}
-		page, err := c.decodePage(r, collection, prefix, response.body)
-		if err != nil {
-			return List{}, err
-		}
 		if route.moved() {
 			continue
 		}
 		if after == "" {
-			list.Version, list.Era = page.Version, response.era
+			list.Version, list.Era = page.Version, page.Era
 		}
-		if !SameEra(response.era, list.Era) {
-			return List{}, r.newError(Unavailable, oops.Errorf("the list began in era %d and continues in era %d", list.Era, response.era))
+		if !SameEra(page.Era, list.Era) {
+			return List{}, r.newError(Unavailable, oops.Errorf("the list began in era %d and continues in era %d", list.Era, page.Era))
 		}
 		list.Items = append(list.Items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
@@ -186,6 +206,25 @@
 	}
 }
 
+// readPage reads a page of a list and reserves what it takes, which the caller has to release.
+func (c *Client) readPage(ctx context.Context, r call, collection, prefix string) (page Page, held int, err error) {
+	response, err := c.do(ctx, r)
+	if err != nil {
+		return Page{}, 0, err
+	}
+	page, err = c.decodePage(r, collection, prefix, response.body)
+	response.release()
+	if err != nil {
+		return Page{}, 0, err
+	}
+	page.Era = response.era
+	held = len(response.body) + itemOverhead*len(page.Items)
+	if !c.options.Responses.Reserve(held) {
+		return Page{}, 0, r.newError(Unavailable, oops.Wrapf(memory.ErrNoRoom, "the pages of the list"))
+	}
+	return page, held, nil
+}
+
 func (c *Client) decodePage(r call, collection, prefix string, body []byte) (Page, error) {
 	page, err := c.options.Dialect.DecodePage(collection, prefix, body)
 	if err != nil {
@@ -217,6 +256,7 @@
 	if err != nil {
 		return Object{}, err
 	}
+	defer response.release()
 	stored, err := c.decodeObject(r, o.Collection, o.Name, response.body)
 	if err != nil {
 		return Object{}, err
@@ -227,20 +267,27 @@
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, collection, name string, version int64) error {
-	_, err := c.do(ctx, call{
+	response, err := c.do(ctx, call{
 		op: "delete", key: collection + "/" + name, method: http.MethodDelete,
 		path: c.options.Dialect.DeletePath(collection, name, version), isWrite: true, conflictReason: Conflict,
 	})
+	if err == nil {
+		response.release()
+	}
 	return err
 }
 
 // VMs implements Store.
 func (c *Client) VMs(ctx context.Context) ([]VM, error) {
-	r := call{op: "vms", key: "vms", method: http.MethodGet, path: wire.VMsPath}
+	r := call{op: "vms", key: "vms", isList: true, method: http.MethodGet, path: wire.VMsPath}
 	response, err := c.do(ctx, r)
 	if err != nil {
 		return nil, err
 	}
+	defer response.release()
+	if err := checkElements(response.body); err != nil {
+		return nil, r.newError(Unavailable, err)
+	}
 	var vms []VM
 	if err := json.Unmarshal(response.body, &vms); err != nil {
 		return nil, r.newError(Unavailable, err)
--- a/internal/platform/dialect.go
+++ b/internal/platform/dialect.go
@@ -107,6 +107,9 @@
 
 // DecodePage implements Dialect.
 func (nativeDialect) DecodePage(collection, prefix string, body []byte) (Page, error) {
+	if err := checkElements(body); err != nil {
+		return Page{}, err
+	}
 	var l wire.List
 	if err := json.Unmarshal(body, &l); err != nil {
 		return Page{}, err
@@ -124,10 +127,8 @@
 	return wire.BasePath + "/" + url.PathEscape(collection) + "?" + query.Encode()
 }
 
-// newTransport returns the default transport of a client. It has no proxy, and finds connections that
-// have fallen silent as those to endpoints do.
-func newTransport() http.RoundTripper {
-	dial := httpio.DialTCP(nil)
+// newTransport returns the default transport of a client, which has no proxy.
+func newTransport(dial func(ctx context.Context, address string) (net.Conn, error)) http.RoundTripper {
 	return httpio.NewTransport(&http.Transport{
 		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		MaxIdleConns:        maxIdleConns,
--- a/internal/platform/poll.go
+++ b/internal/platform/poll.go
@@ -61,7 +61,7 @@
 // and every change whose version can't be read. Such a change gets the version after that of
 // the change before it, which its own is not below.
 func (w *pollWatch) poll(ctx context.Context) error {
-	r := call{op: "watch", key: w.collection, method: http.MethodGet}
+	r := call{op: "watch", key: w.collection, isList: true, method: http.MethodGet}
 	route := w.client.route.Load()
 	if route.left != w.address {
 		return r.newError(WatchEnded, oops.Errorf("the client has moved to another address"))
@@ -75,6 +75,7 @@
 	if err != nil {
 		return err
 	}
+	defer response.release()
 	events, version, err := w.dialect.DecodePoll(w.collection, response.body)
 	if err != nil {
 		return r.newError(WatchEnded, err)
--- a/internal/platform/split.go
+++ b/internal/platform/split.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 
 	"github.com/samber/oops"
@@ -32,12 +33,20 @@
 	})
 }
 
-// SplitElements calls yield with the text of each element of the array that text holds. The text passed
-// to yield shares memory with text.
+// maxElements bounds the elements of an array. A page of a list has some hundreds; a decoded element takes
+// up to thirty times the bytes that it came in.
+const maxElements = 1 << 15
+
+// SplitElements calls yield with the text of each element of the array that text holds, which may have
+// maxElements. The text passed to yield shares memory with text.
 func SplitElements(text []byte, yield func(element []byte)) error {
 	s := splitter{text: text}
+	count := 0
 	return s.list('[', ']', func() error {
 		element, err := s.value()
+		if count++; err == nil && count > maxElements {
+			err = oops.Errorf("more than %d elements", maxElements)
+		}
 		if err == nil {
 			yield(element)
 		}
@@ -45,6 +54,26 @@
 	})
 }
 
+// checkElements checks the number of elements of text, if it is an array, and of the arrays among the
+// members of text, if it is an object.
+func checkElements(text []byte) error {
+	s := splitter{text: text}
+	switch s.next() {
+	case '[':
+		return SplitElements(text, func([]byte) {})
+	case '{':
+	default:
+		return nil // Decoding it tells what is wrong.
+	}
+	var tooMany error
+	err := SplitMembers(text, func(_ string, value []byte) {
+		if value[0] == '[' && tooMany == nil {
+			tooMany = SplitElements(value, func([]byte) {})
+		}
+	})
+	return cmp.Or(err, tooMany)
+}
+
 type splitter struct {
 	text []byte
 	pos  int
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// maxLineBytes bounds a line of a watch: the largest object in base64, and 64 KiB for the rest
-	// of the line.
-	maxLineBytes = MaxObjectBytes*4/3 + 64<<10
 	// lineBufferBytes is the initial size of the line buffer.
 	lineBufferBytes = 4 << 10
 )
@@ -65,7 +62,10 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	body, _ := io.ReadAll(io.LimitReader(response.Body, maxLineBytes))
+	if succeeded(response) {
+		return nil, 0, r.newError(Uncertain, oops.Errorf("status %d", response.StatusCode))
+	}
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes)) // The status says the most.
 	return nil, 0, r.checkResponse(response, body)
 }
 
@@ -115,7 +115,7 @@
 	idleTimer := time.AfterFunc(w.idleTimeout, w.endSilent)
 	defer idleTimer.Stop()
 	scanner := bufio.NewScanner(w.body)
-	scanner.Buffer(make([]byte, 0, lineBufferBytes), maxLineBytes)
+	scanner.Buffer(make([]byte, 0, lineBufferBytes), maxItemBytes)
 	for scanner.Scan() {
 		idleTimer.Stop()
 		event, err := decodeLine(w.call, w.collection, scanner.Bytes())
--- a/test/hardload/harness_test.go
+++ b/test/hardload/harness_test.go
@@ -180,11 +180,14 @@
 	p.descriptors = max(p.descriptors, len(open))
 }
 
-// watch measures the process until the spec ends, once it serves.
-func (t target) watch(endpoint string) {
+// watch measures the process until the spec ends, once it serves. servers are those that it calls.
+func (t target) watch(servers ...string) {
 	GinkgoHelper()
 	t.awaitOrdinary()
-	t.sockets = sockets{local: map[int]bool{port(t.callers): true}, remote: map[int]bool{port(endpoint): true}}
+	t.sockets = sockets{local: map[int]bool{port(t.callers): true}, remote: map[int]bool{}}
+	for _, server := range servers {
+		t.sockets.remote[port(server)] = true
+	}
 	for _, listener := range t.listeners {
 		t.sockets.local[port(listener)] = true
 	}
@@ -308,8 +311,16 @@
 
 // startGateway starts a gateway with a limit of descriptors before one endpoint.
 func startGateway(descriptors int) target {
+	GinkgoHelper()
+	return startGatewayBehind(descriptors, func(platform string) string { return platform })
+}
+
+// startGatewayBehind is startGateway with a front before the platform, which takes its address and returns
+// its own.
+func startGatewayBehind(descriptors int, front func(platform string) string) target {
 	GinkgoHelper()
 	at, store := startPlatform()
+	at = front(at)
 	endpoint := startEndpoint()
 	put(store, "endpoints", "a", map[string]any{"service": "svc", "address": endpoint, "data_centre": "dc-1", "slots": 4096, "born": 1})
 	put(store, "routes", "table", routetable.Spec{Version: 1, Routes: []routetable.Route{{
@@ -330,7 +341,7 @@
 	}
 	const post = "POST %s HTTP/1.1\r\nHost: h\r\nContent-Type: application/proto\r\nConnect-Protocol-Version: 1\r\n"
 	t.posts = map[string]string{"readiness": fmt.Sprintf(post, "/readyz"), "metrics": fmt.Sprintf(post, "/metrics"), "peers": fmt.Sprintf(post, "/primrosewell.gossip.v1.Snapshot/Fetch")}
-	t.watch(endpoint)
+	t.watch(endpoint, at)
 	return t
 }
 
@@ -341,11 +352,18 @@
 
 // startServe starts a daemon of `serve` with a limit of descriptors before one endpoint of a plain service.
 func startServe(descriptors int) target {
+	GinkgoHelper()
+	return startServeBehind(descriptors, func(platform string) string { return platform })
+}
+
+// startServeBehind is startServe with a front before the platform, as startGatewayBehind.
+func startServeBehind(descriptors int, front func(platform string) string) target {
 	GinkgoHelper()
 	at, _ := startPlatform()
 	endpoint := startEndpoint()
 	t := target{callers: address(), path: "/services/receiver-api/x/1", listeners: map[string]string{"admin": address(), "peers": address()}}
 	setVM(at, t.listeners["peers"])
+	at = front(at)
 	t.process = launch(descriptors, "serve", "-settings", write(map[string]any{
 		"vm":       map[string]any{"id": "entry-0", "data_centre": "dc-1", "memory_mb": memoryMB},
 		"callers":  map[string]any{"listen": t.callers},
@@ -373,7 +391,7 @@
 	}
 	const post = "POST %s HTTP/1.1\r\nHost: h\r\nContent-Type: application/proto\r\nConnect-Protocol-Version: 1\r\n"
 	t.posts = map[string]string{"admin": fmt.Sprintf(post, "/admin/v1/objects/service/x"), "peers": fmt.Sprintf(post, "/primrosewell.peer.v1.PeerService/Heartbeat")}
-	t.watch(endpoint)
+	t.watch(endpoint, at)
 	return t
 }
 
