admin: a response of a daemon has 64 MB at most

Cause: the client of the command line read a whole body without a limit. Change: a longer response is an error; that of a change has an unknown outcome, as with any response that is not read.

--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -12,6 +12,8 @@
 	"strings"
 	"time"
 
+	"github.com/samber/oops"
+
 	"github.com/primrosewell/primrosewell/internal/catalog"
 	"github.com/primrosewell/primrosewell/internal/failure"
 	"github.com/primrosewell/primrosewell/internal/httpio"
@@ -20,6 +22,9 @@
 // callTimeout includes the time for a change to come into force on every daemon.
 const callTimeout = 20 * time.Second
 
+// maxResponseBytes bounds a response. The largest one lists all objects of a kind.
+const maxResponseBytes = 64 << 20
+
 // Client calls the admin API of a daemon. It may be used concurrently.
 type Client struct {
 	baseURL    string
@@ -95,7 +100,7 @@
 		return unreachableError(err, method)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	data, err := readResponse(response.Body)
 	if err != nil {
 		return unreachableError(err, method)
 	}
@@ -108,6 +113,15 @@
 	return nil
 }
 
+// readResponse reads a body of at most maxResponseBytes.
+func readResponse(r io.Reader) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
+	if err == nil && len(data) > maxResponseBytes {
+		err = oops.Errorf("the response exceeds %d bytes", maxResponseBytes)
+	}
+	return data, err
+}
+
 // unreachableError returns the failure of a call without a response. A change then has an
 // unknown outcome, since the daemon may have applied it.
 func unreachableError(err error, method string) *failure.Failure {
