memory, endpoint, peer: serve bounds reports and responses of peers together

What could happen: endpoints or peers in trouble send bytes without end to all readings of their reports, or to all calls between daemons, at once. Each had a limit, 4 MB with a buffer that grows and 32 MB, but all together had none, and nothing counted in the account. Heads of peers had the 10 MB of the library.

Change: two further pools of the account, a quarter of its bytes each; bodies of peers are held from their first byte until they are closed. When held bytes and released ones come together to one and a half times the account, the released ones are collected first, as before.

A watch of the platform that is answered with 201 or 204 has a test now.

--- a/internal/daemon/provide.go
+++ b/internal/daemon/provide.go
@@ -22,6 +22,7 @@
 	"github.com/primrosewell/primrosewell/internal/ingress"
 	"github.com/primrosewell/primrosewell/internal/keptanswer"
 	"github.com/primrosewell/primrosewell/internal/membership"
+	"github.com/primrosewell/primrosewell/internal/memory"
 	"github.com/primrosewell/primrosewell/internal/peer"
 	"github.com/primrosewell/primrosewell/internal/platform"
 	"github.com/primrosewell/primrosewell/internal/quarantine"
@@ -42,7 +43,7 @@
 	do.ProvideValue(i, quarantine.New(quarantine.Config{}))
 	do.ProvideValue(i, retry.NewBudget(retry.Config{MaxAttempts: d.settings.Limits.MaxAttempts}))
 	do.ProvideValue(i, estimate.New(estimate.Config{}))
-	do.ProvideValue(i, endpoint.NewClient(endpoint.Options{Dial: d.dialEndpoint}))
+	do.ProvideValue(i, endpoint.NewClient(endpoint.Options{Dial: d.dialEndpoint, Reports: d.account.NewPool("reports", memory.ReportsShare)}))
 	do.Provide(i, d.providePlatformStore)
 	do.Provide(i, d.providePeerClient)
 	do.Provide(i, func(i do.Injector) (*membership.Membership, error) { return d.provideMembership(ctx, i) })
@@ -64,12 +65,12 @@
 func (d *Daemon) providePlatformStore(do.Injector) (platform.Store, error) {
 	s := d.settings.Platform
 	return platform.NewClient(platform.ClientOptions{
-		BaseURL: s.URL, Token: s.Token, Timeout: s.Timeout, Dial: d.dialPlatform, Responses: d.account.NewPool("platform"),
+		BaseURL: s.URL, Token: s.Token, Timeout: s.Timeout, Dial: d.dialPlatform, Responses: d.account.NewPool("platform", memory.PlatformShare),
 	}), nil
 }
 
 func (d *Daemon) providePeerClient(do.Injector) (*peer.Client, error) {
-	options := peer.ClientOptions{Key: d.settings.Peers.SharedKey}
+	options := peer.ClientOptions{Key: d.settings.Peers.SharedKey, Responses: d.account.NewPool("peers", memory.PeersShare)}
 	if d.settings.Peers.TLS.Enabled() {
 		config, err := tlsConfig("peers", d.settings.Peers.TLS)
 		if err != nil {
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/primrosewell/primrosewell/internal/httpio"
+	"github.com/primrosewell/primrosewell/internal/memory"
 )
 
 // Defaults of Options.
@@ -52,6 +53,8 @@
 	MaxStreamBytes int
 	// MaxPreambleBytes is the maximum length of a streamed response before its first content.
 	MaxPreambleBytes int
+	// Reports bounds what reading reports holds together. Default: no limit.
+	Reports *memory.Pool
 	// Dial opens connections; nil means TCP with ConnectTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -70,6 +73,7 @@
 
 	maxStreamBytes   int
 	maxPreambleBytes int
+	reportRoom       *memory.Pool
 }
 
 // NewClient returns a client with no open connections.
@@ -78,7 +82,7 @@
 	reports := newTransport(options)
 	calls := newTransport(options)
 	calls.DisableKeepAlives = true
-	return &Client{reports: reports, calls: calls, maxStreamBytes: options.MaxStreamBytes, maxPreambleBytes: options.MaxPreambleBytes}
+	return &Client{reports: reports, calls: calls, maxStreamBytes: options.MaxStreamBytes, maxPreambleBytes: options.MaxPreambleBytes, reportRoom: options.Reports}
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -15,6 +16,7 @@
 	"github.com/prometheus/common/model"
 
 	"github.com/primrosewell/primrosewell/internal/catalog"
+	"github.com/primrosewell/primrosewell/internal/memory"
 	"github.com/primrosewell/primrosewell/internal/routing"
 )
 
@@ -33,10 +35,11 @@
 
 // Load implements routing.LoadReader by reading GET /metrics. Errors are *Error.
 func (c *Client) Load(ctx context.Context, e catalog.Endpoint) (routing.Load, error) {
-	data, err := c.getReport(ctx, e, "/metrics")
+	data, release, err := c.getReport(ctx, e, "/metrics")
 	if err != nil {
 		return routing.Load{}, err
 	}
+	defer release()
 	return parseLoad(e.Name, data)
 }
 
@@ -94,10 +97,11 @@
 // are missing. After a gap, the reader must discard its earlier view of the engine's
 // cache. Errors are *Error.
 func (c *Client) CacheEvents(ctx context.Context, e catalog.Endpoint, since int64) (events []CacheEvent, gap bool, err error) {
-	data, err := c.getReport(ctx, e, "/kv_events?since="+url.QueryEscape(strconv.FormatInt(since, 10)))
+	data, release, err := c.getReport(ctx, e, "/kv_events?since="+url.QueryEscape(strconv.FormatInt(since, 10)))
 	if err != nil {
 		return nil, false, err
 	}
+	defer release()
 	var page eventPage
 	if err := json.NewDecoder(data).Decode(&page); err != nil {
 		return nil, false, &Error{Cause: Malformed, Endpoint: e.Name, Message: "the cache events can not be read", Sent: true, wrapped: err}
@@ -110,34 +114,40 @@
 	return page.Events, gap, nil
 }
 
-// getReport reads a report of an endpoint within reportTimeout.
-func (c *Client) getReport(ctx context.Context, e catalog.Endpoint, path string) (io.Reader, error) {
+// getReport reads a report of an endpoint within reportTimeout. release is to be called when it has been
+// decoded.
+func (c *Client) getReport(ctx context.Context, e catalog.Endpoint, path string) (data io.Reader, release func(), err error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	x := newExchange(ctx, e.Name, 0)
 	defer x.cancel(nil)
 	request, err := newRequest(http.MethodGet, "http://"+e.Address+path, nil)
 	if err != nil {
-		return nil, &Error{Cause: NotReached, Endpoint: e.Name, Message: "bad address", wrapped: err}
+		return nil, nil, &Error{Cause: NotReached, Endpoint: e.Name, Message: "bad address", wrapped: err}
 	}
 	response, err := x.roundTrip(c.reports, request)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return nil, x.statusError(response)
+		return nil, nil, x.statusError(response)
 	}
-	return readReport(x, response.Body)
+	return readReport(x, response.Body, c.reportRoom)
 }
 
-func readReport(x *exchange, body io.Reader) (io.Reader, error) {
-	data, err := io.ReadAll(io.LimitReader(body, maxReportBytes+1))
-	if err != nil {
-		return nil, x.classify(err)
+func readReport(x *exchange, body io.Reader, room *memory.Pool) (data io.Reader, release func(), err error) {
+	report, err := memory.ReadBody(body, room, -1, room.ResponseLimit(maxReportBytes))
+	release = func() { room.Release(cap(report)) }
+	if err == nil {
+		return bytes.NewReader(report), release, nil
 	}
-	if len(data) > maxReportBytes {
-		return nil, x.responseError(Malformed, "the report is longer than allowed")
+	release()
+	switch {
+	case errors.Is(err, memory.ErrTooLarge):
+		return nil, nil, x.responseError(Malformed, "the report is longer than allowed")
+	case errors.Is(err, memory.ErrNoRoom):
+		return nil, nil, x.responseError(Failed, "there is no room for the report")
 	}
-	return bytes.NewReader(data), nil
+	return nil, nil, x.classify(err)
 }
--- a/internal/memory/pool_test.go
+++ b/internal/memory/pool_test.go
@@ -17,7 +17,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const limit = 6 << 20
 		a := account(memory.Limits{Bytes: limit})
-		pool := a.NewPool("server")
+		pool := a.NewPool("server", 2)
 		callers := int64(rapid.SampledFrom([]int{100, limit / 4, limit * 3 / 4}).Draw(t, "held for callers"))
 		if _, err := a.Open(memory.Callers, callers, "", func(*memory.Holder, bool) {}); err != nil {
 			t.Fatal(err)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -13,7 +13,9 @@
 
 	"github.com/primrosewell/primrosewell/internal/claim"
 	"github.com/primrosewell/primrosewell/internal/distribution"
+	"github.com/primrosewell/primrosewell/internal/httpio"
 	"github.com/primrosewell/primrosewell/internal/membership"
+	"github.com/primrosewell/primrosewell/internal/memory"
 	pb "github.com/primrosewell/primrosewell/internal/peer/peerv1"
 	"github.com/primrosewell/primrosewell/internal/peer/peerv1/peerv1connect"
 	"github.com/primrosewell/primrosewell/internal/routing"
@@ -41,6 +43,8 @@
 	// sent, and then how long the reply to the ping may take before the connection is closed
 	// and its pending calls fail.
 	SilenceTimeout time.Duration
+	// Responses bounds what calls hold together while they read responses. Default: no limit.
+	Responses *memory.Pool
 	// Dial opens connections; nil means TCP with DialTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -76,6 +80,8 @@
 			ForceAttemptHTTP2:   opts.TLS != nil,
 			Protocols:           &protocols,
 			IdleConnTimeout:     clientIdleTimeout,
+
+			MaxResponseHeaderBytes: httpio.MaxHeadBytes,
 			HTTP2: &http.HTTP2Config{
 				SendPingTimeout:  opts.SilenceTimeout,
 				PingTimeout:      opts.SilenceTimeout,
@@ -105,7 +111,7 @@
 	}
 	scheme := lo.Ternary(c.opts.TLS != nil, "https://", "http://")
 	s = peerv1connect.NewPeerServiceClient(
-		&http.Client{Transport: c.transport},
+		&http.Client{Transport: c.opts.Responses.Transport(c.transport)},
 		scheme+address,
 		connect.WithInterceptors(sendKey(c.opts.Key)),
 		connect.WithReadMaxBytes(maxMessageBytes),
--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -35,7 +35,7 @@
 	newClient := func(address string, dialect platform.Dialect) *platform.Client {
 		account = memory.NewAccount(func() memory.Limits { return memory.Limits{Bytes: memoryBytes} }, func(memory.Refusal) {})
 		return platform.NewClient(platform.ClientOptions{
-			BaseURL: "http://" + address, Timeout: 20 * time.Second, Dialect: dialect, Responses: account.NewPool("platform"),
+			BaseURL: "http://" + address, Timeout: 20 * time.Second, Dialect: dialect, Responses: account.NewPool("platform", memory.PlatformShare),
 		})
 	}
 	AfterEach(func() { Expect(account.Totals().Bytes).To(BeZero(), "held after the call") })
--- a/internal/platform/head_test.go
+++ b/internal/platform/head_test.go
@@ -33,3 +33,18 @@
 		}
 	})
 }
+
+// Guards against a watch without a body to read.
+func TestWatchWithoutABodyIsAnError(t *testing.T) {
+	for _, status := range []string{"201 Created", "204 No Content"} {
+		listener, err := heads.Listen(func(*http.Request) string { return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n" })
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = platform.NewClient(platform.ClientOptions{BaseURL: "http://" + listener.Addr().String()}).Watch(context.Background(), "c", 1)
+		if platform.ReasonOf(err) != platform.Unavailable {
+			t.Fatalf("%s: %v", status, err)
+		}
+		_ = listener.Close()
+	}
+}
