hardload: endpoints that send bytes without end, before real processes

`serve` leaves its only endpoint alone for longer after each failure, so a process gets four kinds: with all eleven in one process an ordinary request found no endpoint for over 20 s.

--- a/test/hardload/endless_test.go
+++ b/test/hardload/endless_test.go
@@ -3,10 +3,14 @@
 package hardload_test
 
 import (
+	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,6 +22,11 @@
 	endlessTime = 5 * time.Second
 	// endlessBlock is how much it writes at once.
 	endlessBlock = 256 << 10
+	// unendingClients send a request each at once for every kind of bytes that an endpoint in trouble sends,
+	// and read the answer for unendingTime.
+	unendingClients, unendingTime = 60, 2 * time.Second
+	// kindsEach is how many kinds of bytes one process gets.
+	kindsEach = 4
 )
 
 // endlessResponse is a response that begins with prefix and goes on with unit without an end.
@@ -38,6 +47,87 @@
 	{"informational heads", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
 }
 
+// identified stands for the field that echoes the request's id.
+const identified = "{id}"
+
+// unendingResponses are what an endpoint in trouble sends.
+var unendingResponses = []endlessResponse{
+	{"bytes", "", "x"},
+	{"lines", "", "x\r\n"},
+	{"a name", "HTTP/1.1 200 OK\r\n", "x"},
+	{"fields", "HTTP/1.1 200 OK\r\n" + identified, "X-A: a\r\n"},
+	{"folds", "HTTP/1.1 200 OK\r\nX-A: a\r\n", " x\r\n"},
+	{"informational heads", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	{"a body", "HTTP/1.1 200 OK\r\n" + identified + "\r\n", "x"},
+	{"chunks", "HTTP/1.1 200 OK\r\n" + identified + "Transfer-Encoding: chunked\r\n\r\n", "8\r\nabcdefgh\r\n"},
+	{"an event", "HTTP/1.1 200 OK\r\n" + identified + "Content-Type: text/event-stream\r\n\r\ndata: ", "x"},
+	{"the body of a 503", "HTTP/1.1 503 X\r\n" + identified + "\r\n", "x"},
+	{"a trailer", "HTTP/1.1 200 OK\r\n" + identified + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "X-A: a\r\n"},
+}
+
+// unendingSent counts the requests that were answered with each of them.
+var unendingSent [64]atomic.Int64
+
+// sendUnending takes the connection over and sends one of unendingResponses until it is closed.
+func sendUnending(w http.ResponseWriter, r *http.Request, number string) {
+	kind, err := strconv.Atoi(number)
+	if err != nil || kind >= len(unendingResponses) {
+		return
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	unendingSent[kind].Add(1)
+	response := unendingResponses[kind]
+	block := []byte(strings.Repeat(response.unit, endlessBlock/len(response.unit)))
+	_, err = io.WriteString(conn, strings.Replace(response.prefix, identified, names.RequestID+": "+r.Header.Get(names.RequestID)+"\r\n", 1))
+	for err == nil {
+		_, err = conn.Write(block)
+	}
+}
+
+// readFor sends a request of its own content and reads the answer for a time.
+func (t target) readFor(path string, d time.Duration) {
+	conn, err := net.DialTimeout("tcp4", t.callers, patience)
+	if err != nil {
+		return // Refused, which is allowed.
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(d))
+	body := fmt.Sprint("unending-", requests.Add(1))
+	if _, err := io.WriteString(conn, t.requestTo(path)+announced(len(body))+body); err == nil {
+		_, _ = io.Copy(io.Discard, conn)
+	}
+}
+
+var _ = Describe("An endpoint that sends bytes without end", func() {
+	for name, start := range programs {
+		// Guards against bytes that are no response and are kept, or that keep others from being answered. A
+		// process gets a few kinds, as serve leaves its only endpoint alone for longer after each.
+		for first := 0; first < len(unendingResponses); first += kindsEach {
+			kinds := unendingResponses[first:min(len(unendingResponses), first+kindsEach)]
+			It(fmt.Sprintf("does not exceed the memory of %s, from %s on", name, kinds[0].name), func() {
+				t := start(manyDescriptors)
+				for i, response := range kinds {
+					kind := first + i
+					before := unendingSent[kind].Load()
+					var group sync.WaitGroup
+					for range unendingClients {
+						group.Go(func() { t.readFor(fmt.Sprint(t.path[:len(t.path)-1], "unending/", kind), unendingTime) })
+					}
+					group.Wait()
+					t.awaitOrdinary()
+					By(fmt.Sprintf("%s: %d of %d requests", response.name, unendingSent[kind].Load()-before, unendingClients))
+					t.expectBounded()
+					Expect(unendingSent[kind].Load()).To(BeNumerically(">", before), response.name)
+				}
+			})
+		}
+	}
+})
+
 // front is before a platform. While it has an endless response, it sends that to every connection.
 type front struct {
 	mu       sync.Mutex
--- a/test/hardload/harness_test.go
+++ b/test/hardload/harness_test.go
@@ -263,7 +263,8 @@
 }
 
 // startEndpoint serves an endpoint within the test. Under /x/large it sends a large response, under
-// /x/endless one without end, and under /x/slow an ordinary one after slowResponse.
+// /x/endless one without end, under /x/unending/N the bytes of unendingResponses[N] without end, and under
+// /x/slow an ordinary one after slowResponse.
 func startEndpoint() string {
 	GinkgoHelper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -271,6 +272,10 @@
 	ordinary := opaque.Endpoint{ID: "a", Names: names}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(names.RequestID, r.Header.Get(names.RequestID))
+		if _, number, found := strings.Cut(r.URL.Path, "/unending/"); found {
+			sendUnending(w, r, number)
+			return
+		}
 		switch path.Base(r.URL.Path) {
 		case "large":
 			w.Header().Set("Content-Type", "application/octet-stream")
