--- a/internal/daemon/provide.go
+++ b/internal/daemon/provide.go
@@ -43,7 +43,7 @@
 	do.ProvideValue(i, quarantine.New(quarantine.Config{}))
 	do.ProvideValue(i, retry.NewBudget(retry.Config{MaxAttempts: d.settings.Limits.MaxAttempts}))
 	do.ProvideValue(i, estimate.New(estimate.Config{}))
-	do.ProvideValue(i, endpoint.NewClient(endpoint.Options{Dial: d.dialEndpoint, Reports: d.account.NewPool("reports", memory.ReportsShare)}))
+	do.ProvideValue(i, endpoint.NewClient(endpoint.Options{Dial: d.dialEndpoint, Reports: d.account.NewQuota("reports", memory.ReportsShare)}))
 	do.Provide(i, d.providePlatformStore)
 	do.Provide(i, d.providePeerClient)
 	do.Provide(i, func(i do.Injector) (*membership.Membership, error) { return d.provideMembership(ctx, i) })
@@ -65,12 +65,12 @@
 func (d *Daemon) providePlatformStore(do.Injector) (platform.Store, error) {
 	s := d.settings.Platform
 	return platform.NewClient(platform.ClientOptions{
-		BaseURL: s.URL, Token: s.Token, Timeout: s.Timeout, Dial: d.dialPlatform, Responses: d.account.NewPool("platform", memory.PlatformShare),
+		BaseURL: s.URL, Token: s.Token, Timeout: s.Timeout, Dial: d.dialPlatform, Responses: d.account.NewQuota("platform", memory.PlatformShare),
 	}), nil
 }
 
 func (d *Daemon) providePeerClient(do.Injector) (*peer.Client, error) {
-	options := peer.ClientOptions{Key: d.settings.Peers.SharedKey, Responses: d.account.NewPool("peers", memory.PeersShare)}
+	options := peer.ClientOptions{Key: d.settings.Peers.SharedKey, Responses: d.account.NewQuota("peers", memory.PeersShare)}
 	if d.settings.Peers.TLS.Enabled() {
 		config, err := tlsConfig("peers", d.settings.Peers.TLS)
 		if err != nil {
--- a/internal/duty/head_test.go
+++ b/internal/duty/head_test.go
@@ -8,14 +8,14 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // Guards against a call that counts as done although the platform's response is none.
 func TestBrokenHeadIsNoResponse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		broken := heads.Broken(t)
-		listener, err := heads.Listen(func(*http.Request) string { return broken.Wire })
+		broken := rawhttp.Broken(t)
+		listener, err := rawhttp.Listen(func(*http.Request) string { return broken.Wire })
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/endpoint/client.go
+++ b/internal/endpoint/client.go
@@ -54,7 +54,7 @@
 	// MaxPreambleBytes is the maximum length of a streamed response before its first content.
 	MaxPreambleBytes int
 	// Reports bounds what reading reports holds together. Default: no limit.
-	Reports *memory.Pool
+	Reports *memory.Quota
 	// Dial opens connections; nil means TCP with ConnectTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -73,7 +73,7 @@
 
 	maxStreamBytes   int
 	maxPreambleBytes int
-	reportRoom       *memory.Pool
+	reportRoom       *memory.Quota
 }
 
 // NewClient returns a client with no open connections.
--- a/internal/endpoint/endless_test.go
+++ b/internal/endpoint/endless_test.go
@@ -7,14 +7,14 @@
 
 	"github.com/primrosewell/primrosewell/internal/endpoint"
 	"github.com/primrosewell/primrosewell/internal/memory"
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // Load pattern: endpoints in trouble answer many readings of their reports at once with bytes without end.
 func TestEndlessReportsAreCutOff(t *testing.T) {
 	const readings, endless, mostAccepted, accountBytes = 40, 64 << 20, 16 << 20, 12 << 20
 	account := memory.NewAccount(func() memory.Limits { return memory.Limits{Bytes: accountBytes} }, func(memory.Refusal) {})
-	client := endpoint.NewClient(endpoint.Options{Reports: account.NewPool("reports", memory.ReportsShare)})
+	client := endpoint.NewClient(endpoint.Options{Reports: account.NewQuota("reports", memory.ReportsShare)})
 	defer client.Close()
 	for _, sample := range [][2]string{
 		{"HTTP/1.1 200 OK\r\n", "X-A: a\r\n"},
@@ -22,7 +22,7 @@
 		{"HTTP/1.1 200 OK\r\n\r\n{\"events\":[", "{},"},
 		{"HTTP/1.1 500 X\r\n\r\n", "x"},
 	} {
-		listener, sent, err := heads.Endless(sample[0], sample[1], endless)
+		listener, sent, err := rawhttp.Endless(sample[0], sample[1], endless)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/endpoint/head_test.go
+++ b/internal/endpoint/head_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/primrosewell/primrosewell/internal/catalog"
 	"github.com/primrosewell/primrosewell/internal/endpoint"
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // clientOf returns a client whose endpoint sends the bytes after each request and closes the connection.
@@ -58,7 +58,7 @@
 // ends elsewhere than the endpoint's.
 func TestBrokenHeadIsNoResponse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		broken := heads.Broken(t, "Content-Type: text/event-stream")
+		broken := rawhttp.Broken(t, "Content-Type: text/event-stream")
 		_, err := do(broken.Wire)
 		requireMalformed(t, broken.Wire, err)
 		client := clientOf(broken.Wire)
@@ -73,7 +73,7 @@
 // Guards against a body that is complete although what ends it is broken.
 func TestBrokenTrailerEndsNoBody(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		broken := heads.BrokenTrailer(t)
+		broken := rawhttp.BrokenTrailer(t)
 		body, err := do(broken.Wire)
 		var failed *endpoint.Error
 		if !errors.As(err, &failed) || !failed.MayHaveStarted() {
@@ -85,7 +85,7 @@
 // Guards against a rule that refuses what sound servers send.
 func TestSoundHeadIsAResponse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sound := heads.Sound(t)
+		sound := rawhttp.Sound(t)
 		if body, err := do(sound.Wire); err != nil || body != sound.Body {
 			t.Fatalf("%q is read as %q: %v", sound.Wire, body, err)
 		}
@@ -95,7 +95,7 @@
 // Guards against a check that ends with the first response of a connection.
 func TestBrokenHeadOnAKeptConnection(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		broken := heads.Broken(t)
+		broken := rawhttp.Broken(t)
 		responses := make(chan string, 2)
 		responses <- "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 		client := endpoint.NewClient(endpoint.Options{Dial: func(context.Context, string, string) (net.Conn, error) {
--- a/internal/endpoint/load.go
+++ b/internal/endpoint/load.go
@@ -136,7 +136,7 @@
 	return readReport(x, response.Body, c.reportRoom)
 }
 
-func readReport(x *exchange, body io.Reader, room *memory.Pool) (data io.Reader, release func(), err error) {
+func readReport(x *exchange, body io.Reader, room *memory.Quota) (data io.Reader, release func(), err error) {
 	report, err := memory.ReadBody(body, room, -1, room.ResponseLimit(maxReportBytes))
 	release = func() { room.Release(cap(report)) }
 	if err == nil {
--- a/internal/forward/head_test.go
+++ b/internal/forward/head_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // Guards against MIXED: bytes of an endpoint in trouble passed off as its response.
@@ -25,7 +25,7 @@
 
 	It("may have run the request, which is not sent again", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			broken := heads.Broken(t, given...)
+			broken := rawhttp.Broken(t, given...)
 			endpoints := []*fakeEndpoint{newEndpoint(send(broken.Wire)), newEndpoint(send(broken.Wire))}
 			response := newFixture(spec(), endpoints...).call(rapid.SampledFrom([]string{"/unsafe/x", "/stream/x"}).Draw(t, "path"))
 			Expect(response).NotTo(BeNil(), broken.Wire)
@@ -39,7 +39,7 @@
 
 	It("does not keep a request that may run twice from another endpoint's response", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			broken := heads.Broken(t, given...)
+			broken := rawhttp.Broken(t, given...)
 			response := newFixture(spec(), inTurn(2, send(broken.Wire), ok("whole"))...).call("/safe/x")
 			Expect(response).NotTo(BeNil(), broken.Wire)
 			body, complete := readBody(response)
--- a/internal/gateway/provide.go
+++ b/internal/gateway/provide.go
@@ -55,7 +55,7 @@
 	calls := metrics.Scope.SubScope("platform")
 	return platform.NewClient(platform.ClientOptions{
 		BaseURL: g.settings.Platform.URL, Token: g.settings.Platform.Token, Timeout: g.settings.Platform.Timeout, PollWait: g.settings.Platform.PollWait,
-		Dial: g.accountedDial(httpio.DialTCP(nil, memory.LimitOutbound)), Responses: g.account.NewPool("platform", memory.PlatformShare),
+		Dial: g.accountedDial(httpio.DialTCP(nil, memory.LimitOutbound)), Responses: g.account.NewQuota("platform", memory.PlatformShare),
 		Dialect: g.options.Adapter.Dialect, Observe: observeCalls(calls),
 		OnEra: func(previous, era int64) {
 			g.log.WithFields(logrus.Fields{"event": "platform_era", "era": era, "previous": previous}).Warn("the platform has come back from an older copy of its data; its collections are listed again")
--- a/internal/gossip/endless_test.go
+++ b/internal/gossip/endless_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/primrosewell/primrosewell/internal/gossip"
 	"github.com/primrosewell/primrosewell/internal/httpio"
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // Guards against a peer whose head without end is kept in memory.
@@ -18,7 +18,7 @@
 		{"HTTP/1.1 200 OK\r\nX-A: ", "x"},
 		{"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
 	} {
-		listener, sent, err := heads.Endless(sample[0], sample[1], endless)
+		listener, sent, err := rawhttp.Endless(sample[0], sample[1], endless)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gossip/head_test.go
+++ b/internal/gossip/head_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/primrosewell/primrosewell/internal/gossip"
 	"github.com/primrosewell/primrosewell/internal/httpio"
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // Guards against a snapshot whose bytes are not the peer's.
 func TestAPeersBrokenHeadIsNoResponse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		broken := heads.Broken(t, "Content-Type: application/proto")
-		listener, err := heads.Listen(func(*http.Request) string { return broken.Wire })
+		broken := rawhttp.Broken(t, "Content-Type: application/proto")
+		listener, err := rawhttp.Listen(func(*http.Request) string { return broken.Wire })
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/httphead/head_test.go
+++ b/internal/httphead/head_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosewell/primrosewell/internal/httphead"
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // scan reads heads up to the final one, piece by piece. It returns the final head and what follows.
@@ -40,7 +40,7 @@
 
 func TestBrokenHeads(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		broken := heads.Broken(t)
+		broken := rawhttp.Broken(t)
 		if _, _, _, err := scan(t, []byte(broken.Wire)); !errors.Is(err, httphead.ErrMalformed) {
 			t.Fatalf("%q: %v", broken.Wire, err)
 		}
@@ -50,7 +50,7 @@
 // Guards against a canonical form that says something else.
 func TestSoundHeads(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sound := heads.Sound(t)
+		sound := rawhttp.Sound(t)
 		head, rest, plain, err := scan(t, []byte(sound.Wire))
 		if err != nil {
 			t.Fatalf("%q: %v", sound.Wire, err)
--- a/internal/httpio/head_test.go
+++ b/internal/httpio/head_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/primrosewell/primrosewell/internal/httpio"
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // exchangeOnce sends a request on a connection of its own, whose endpoint sends the bytes and closes it.
@@ -42,7 +42,7 @@
 // ends elsewhere than the endpoint's.
 func TestBrokenHeadIsNoResponse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		broken := heads.Broken(t, idField+": a")
+		broken := rawhttp.Broken(t, idField+": a")
 		_, body, err := exchangeOnce(broken.Wire)
 		if !errors.Is(err, httpio.ErrMalformed) {
 			t.Fatalf("%q is taken for a response with the body %q: %v", broken.Wire, body, err)
@@ -53,7 +53,7 @@
 // Guards against a body that is complete although what ends it is broken.
 func TestBrokenTrailerEndsNoBody(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		broken := heads.BrokenTrailer(t, idField+": a")
+		broken := rawhttp.BrokenTrailer(t, idField+": a")
 		_, body, err := exchangeOnce(broken.Wire)
 		if !errors.Is(err, httpio.ErrMalformed) {
 			t.Fatalf("%q is taken for a whole response with the body %q: %v", broken.Wire, body, err)
@@ -64,7 +64,7 @@
 // Guards against a rule that refuses what sound servers send.
 func TestSoundHeadIsAResponse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		sound := heads.Sound(t, idField+": a")
+		sound := rawhttp.Sound(t, idField+": a")
 		response, body, err := exchangeOnce(sound.Wire)
 		if err != nil {
 			t.Fatalf("%q is refused: %v", sound.Wire, err)
--- a/internal/memory/body.go
+++ b/internal/memory/body.go
@@ -12,7 +12,7 @@
 // ErrTooLarge means that a body exceeds its limit.
 var ErrTooLarge = errors.New("the body exceeds the limit")
 
-// Room is what bodies are read into: a Holder or a Pool.
+// Room is what bodies are read into: a Holder or a Quota.
 type Room interface {
 	// Reserve adds bytes, and reports whether there is room for them. Release takes them back.
 	Reserve(bytes int) bool
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -44,7 +44,7 @@
 	// and its pending calls fail.
 	SilenceTimeout time.Duration
 	// Responses bounds what calls hold together while they read responses. Default: no limit.
-	Responses *memory.Pool
+	Responses *memory.Quota
 	// Dial opens connections; nil means TCP with DialTimeout.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -41,7 +41,7 @@
 			go func() { _ = server.Serve(listener) }()
 			defer func() { _ = server.Close() }()
 			account := memory.NewAccount(func() memory.Limits { return memory.Limits{Bytes: accountBytes} }, func(memory.Refusal) {})
-			client := peer.NewClient(peer.ClientOptions{Key: "k", Responses: account.NewPool("peers", memory.PeersShare)})
+			client := peer.NewClient(peer.ClientOptions{Key: "k", Responses: account.NewQuota("peers", memory.PeersShare)})
 			defer client.Close()
 			failures := make(chan error, calls)
 			for range calls {
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -55,7 +55,7 @@
 	body []byte
 	era  int64
 	// responses holds held bytes for the body and for what is decoded from it, until release is called.
-	responses *memory.Pool
+	responses *memory.Quota
 	held      int
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -70,7 +70,7 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Responses bounds what calls hold together while they read and decode their responses; one of a list
 	// or poll may have a third of it. A read that finds no room fails with Unavailable. Default: no limit.
-	Responses *memory.Pool
+	Responses *memory.Quota
 	// Transport sends the requests. Dial is not used then. It must not resend a request that may have been sent.
 	// Default: a transport without a proxy that only this client uses.
 	Transport http.RoundTripper
--- a/internal/platform/endless_test.go
+++ b/internal/platform/endless_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/primrosewell/primrosewell/internal/memory"
 	"github.com/primrosewell/primrosewell/internal/platform"
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // response is a response with a body.
@@ -35,14 +35,14 @@
 	newClient := func(address string, dialect platform.Dialect) *platform.Client {
 		account = memory.NewAccount(func() memory.Limits { return memory.Limits{Bytes: memoryBytes} }, func(memory.Refusal) {})
 		return platform.NewClient(platform.ClientOptions{
-			BaseURL: "http://" + address, Timeout: 20 * time.Second, Dialect: dialect, Responses: account.NewPool("platform", memory.PlatformShare),
+			BaseURL: "http://" + address, Timeout: 20 * time.Second, Dialect: dialect, Responses: account.NewQuota("platform", memory.PlatformShare),
 		})
 	}
 	AfterEach(func() { Expect(account.Totals().Bytes).To(BeZero(), "held after the call") })
 
 	DescribeTable("is not read to its end",
 		func(prefix, unit string) {
-			listener, sent, err := heads.Endless(prefix, unit, endless)
+			listener, sent, err := rawhttp.Endless(prefix, unit, endless)
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(listener.Close)
 			client := newClient(listener.Addr().String(), nil)
@@ -83,7 +83,7 @@
 			`{"resourceVersion":9,"items":[` + strings.Repeat("{},", 40_000) + `{}]}`,
 			"[" + strings.Repeat("{},", 40_000) + "{}]",
 		} {
-			listener, err := heads.Listen(func(*http.Request) string { return response(body) })
+			listener, err := rawhttp.Listen(func(*http.Request) string { return response(body) })
 			Expect(err).NotTo(HaveOccurred())
 			DeferCleanup(listener.Close)
 			client := newClient(listener.Addr().String(), nil)
@@ -97,7 +97,7 @@
 	It("has pages without an end", func() {
 		pages := 0
 		name := strings.Repeat("a", 10_000)
-		listener, err := heads.Listen(func(*http.Request) string {
+		listener, err := rawhttp.Listen(func(*http.Request) string {
 			pages++
 			return response(fmt.Sprint(name, pages))
 		})
--- a/internal/platform/head_test.go
+++ b/internal/platform/head_test.go
@@ -10,14 +10,14 @@
 
 	"github.com/primrosewell/primrosewell/internal/httpio"
 	"github.com/primrosewell/primrosewell/internal/platform"
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // Guards against a call that counts as successful although the platform's response is none.
 func TestBrokenHeadIsNoResponse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		broken := heads.Broken(t)
-		listener, err := heads.Listen(func(*http.Request) string { return broken.Wire })
+		broken := rawhttp.Broken(t)
+		listener, err := rawhttp.Listen(func(*http.Request) string { return broken.Wire })
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -37,7 +37,7 @@
 // Guards against a watch without a body to read.
 func TestWatchWithoutABodyIsAnError(t *testing.T) {
 	for _, status := range []string{"201 Created", "204 No Content"} {
-		listener, err := heads.Listen(func(*http.Request) string { return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n" })
+		listener, err := rawhttp.Listen(func(*http.Request) string { return "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n" })
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/standin/rawhttp/rawhttp.go
+++ b/internal/standin/rawhttp/rawhttp.go
@@ -1,6 +1,6 @@
-// Package heads draws the responses of servers that are sound, and of servers in trouble whose heads are
-// none (RFC 9110, RFC 9112), for the tests of all that reads responses.
-package heads
+// Package rawhttp draws and serves, as bytes, the responses of servers that are sound, and of servers in
+// trouble, whose heads are none (RFC 9110, RFC 9112) or have no end. It is for tests of what reads responses.
+package rawhttp
 
 import (
 	"bufio"
--- a/internal/tunnel/endless_test.go
+++ b/internal/tunnel/endless_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/primrosewell/primrosewell/internal/reach"
-	"github.com/primrosewell/primrosewell/internal/standin/heads"
+	"github.com/primrosewell/primrosewell/internal/standin/rawhttp"
 )
 
 // Guards against a carrier whose answer without end is kept in memory.
@@ -23,7 +23,7 @@
 		{"HTTP/1.1 200 OK\r\nX-A: ", "x"},
 		{"HTTP/1.1 200 OK\r\nX-A: a\r\n", " x\r\n"},
 	} {
-		listener, sent, err := heads.Endless(sample[0], sample[1], endless)
+		listener, sent, err := rawhttp.Endless(sample[0], sample[1], endless)
 		if err != nil {
 			t.Fatal(err)
 		}
