--- /dev/null
+++ b/review/rig2/crashing.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// The scenario "crashing": one request crashes each endpoint that begins to run it, and comes again and
+// again at any gateway, beside many others that run.
+const (
+	crashGateways, crashEndpoints = 2, 8
+	// crashSlots are those of a bulletin worker of the small deployment.
+	crashSlots = 128
+	// crashOthers is the number of other requests that are in progress at once for each endpoint.
+	crashOthers = 104
+	// crashEvents and crashEventInterval make an answer as long as a long one of the small deployment.
+	crashEvents, crashEventInterval = 30, 200 * time.Millisecond
+	// crashDown is the time after which a crashed endpoint is back.
+	crashDown = 2 * time.Second
+	// crashAgain is the time after which the request comes again.
+	crashAgain = 6 * time.Second
+	// crashWarmUp is how long the others run before the first crash: for their first minute gateways need
+	// less evidence. crashLength is the time from then on.
+	crashWarmUp, crashLength = 61 * time.Second, 48 * time.Second
+	// contact and freeCrashes are the rule's: the retries count from contact after that many crashes on,
+	// and maxRetries are allowed.
+	contact                 = 3 * time.Second
+	freeCrashes, maxRetries = 3, 3
+	crashingBody            = "the prompt that crashes each worker"
+)
+
+// crashLog has the times at which the request reached an endpoint.
+type crashLog struct {
+	mu      sync.Mutex
+	arrived []time.Time
+}
+
+func (l *crashLog) add(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrived = append(l.arrived, now)
+	return len(l.arrived)
+}
+
+// counted returns the retries that the rule counts.
+func (l *crashLog) counted() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.arrived) < freeCrashes {
+		return 0
+	}
+	for _, at := range l.arrived {
+		if at.Sub(l.arrived[freeCrashes-1]) > contact {
+			n++
+		}
+	}
+	return n
+}
+
+// playCrashing plays the scenario, and returns whether the rule was broken.
+func playCrashing(ctx context.Context, e *environment) (broken bool, err error) {
+	s := newStore()
+	s.put("config", "main", []byte(manifest(3, []route{{
+		name: "r-scint", prefix: "/scint/", kind: "streaming", service: "bulletin", timeoutMS: 5000, goalMS: 400, priority: 1, attempts: 2, sticky: true, resumable: true,
+	}, {
+		name: "r-pilot", prefix: "/pilot/", kind: "streaming", service: "bulletin", timeoutMS: 10000, goalMS: 250, attempts: 1, sticky: true,
+	}}, []service{{"bulletin", 610}})))
+	storeURL, err := serve(ctx, s)
+	if err != nil {
+		return false, err
+	}
+	var log crashLog
+	var endpoints []*endpoint
+	for i := range crashEndpoints {
+		x := &endpoint{
+			id: fmt.Sprintf("i-%02d", i+1), service: "bulletin", slots: crashSlots, events: crashEvents, interval: crashEventInterval, store: s, downFor: crashDown,
+		}
+		x.crashes = func(x *endpoint, id, body string) bool {
+			if body != crashingBody {
+				return false
+			}
+			running, _ := x.load()
+			e.record.printf("%s begins to run the crashing request as %s: arrival %d; %d requests run there", x.id, id, log.add(time.Now()), running)
+			return e.trouble
+		}
+		if err := x.start(ctx); err != nil {
+			return false, err
+		}
+		go x.run(ctx)
+		endpoints = append(endpoints, x)
+	}
+	f, err := newFleet(e.dir, storeURL, crashGateways, 8*time.Second, 52)
+	if err != nil {
+		return false, err
+	}
+	defer f.killAll()
+	if err := f.startAll(ctx); err != nil {
+		return false, err
+	}
+	c := newCaller()
+	for i := range crashEndpoints * crashOthers {
+		go sendOthers(ctx, c, f.gateways[i%len(f.gateways)], i)
+	}
+	time.Sleep(crashWarmUp)
+	sendCrashing(ctx, e, c, f, &log)
+	for _, x := range endpoints {
+		_, most := x.load()
+		e.record.printf("%s ran %d requests at once at most", x.id, most)
+	}
+	for _, line := range f.logLines("event=content") {
+		e.record.printf("%s", line)
+	}
+	e.record.printf("the crashing request reached endpoints %d times, %d of them later than %s after the third crash; %d are allowed", len(log.arrived), log.counted(), contact, maxRetries)
+	return e.trouble && log.counted() > maxRetries, nil
+}
+
+// sendCrashing sends the request that crashes endpoints again and again, at each gateway in turn.
+func sendCrashing(ctx context.Context, e *environment, c *caller, f *fleet, log *crashLog) {
+	end := time.Now().Add(crashLength)
+	for n := 0; time.Now().Before(end) && log.counted() <= maxRetries; n++ {
+		g := f.gateways[n%len(f.gateways)]
+		again := time.Now().Add(crashAgain)
+		r := request{id: newID(), path: "/scint/", body: crashingBody, deadline: 5 * time.Second, fields: promptFields("c0ffee")}
+		e.record.printf("the crashing request is sent to %s as %s", g.name, r.id)
+		a := c.send(ctx, g, r)
+		e.record.printf("%s is answered %d, complete %t, %v", r.id, a.status, a.complete, a.err)
+		time.Sleep(time.Until(again))
+	}
+}
+
+// promptFields are those that describe a prompt of one part, which no other request has.
+func promptFields(part string) map[string]string {
+	return map[string]string{names.PromptSize: "1460,180", names.PromptParts: part + ":1460"}
+}
+
+// sendOthers sends requests with prompts of their own, one after the other.
+func sendOthers(ctx context.Context, c *caller, g *gateway, number int) {
+	for n := 0; ctx.Err() == nil; n++ {
+		part := fmt.Sprintf("%x", number*100000+n)
+		a := c.send(ctx, g, request{id: newID(), path: "/pilot/", body: "a question with the number " + part, deadline: 10 * time.Second, fields: promptFields(part)})
+		if !a.complete || a.status != http.StatusOK {
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+}
+
+// serve serves a stand-in on a free loopback port until ctx ends.
+func serve(ctx context.Context, handler http.Handler) (url string, err error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }()
+	return "http://" + l.Addr().String(), nil
+}
--- /dev/null
+++ b/review/rig2/leaving.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// The scenario "leaving": some clients leave before their time limit, and all pipeline their requests: they
+// send the second one on a channel before they have the answer to the first.
+const (
+	leaveGateways, leaveEndpoints = 2, 3
+	leaveSlots                    = 128
+	// leavePrefill and the events make a request last as long as one that waits for other prompts.
+	leavePrefill                    = 1200 * time.Millisecond
+	leaveEvents, leaveEventInterval = 24, 30 * time.Millisecond
+	// leaveClients is the number of clients, and leavers that of those who leave: the pages allow 0.3 of them.
+	leaveClients, leavers = 30, 9
+	// leaveAfter is when a client leaves.
+	leaveAfter = 300 * time.Millisecond
+	// leaveTurn is the time from one channel of a client that leaves to its next, and leaveLength how long
+	// clients leave.
+	leaveTurn, leaveLength = 1100 * time.Millisecond, 5500 * time.Millisecond
+	// leaveRest is the time until what was begun has ended.
+	leaveRest = 6 * time.Second
+	// goneAfter is the rule's half a second, and goneShare the share of runs that may go on later.
+	goneAfter = 500 * time.Millisecond
+	goneShare = 0.25
+	// goneFew bounds the requests that may still reach an endpoint later than that.
+	goneFew = 3
+)
+
+// visit is what is known of one request of a client that leaves.
+type visit struct {
+	left, arrived, ended time.Time
+	// lasts is how long it runs.
+	lasts time.Duration
+	// repeatable is set for streams, whose runs the rule counts.
+	repeatable bool
+}
+
+// visits are those of all requests, by id.
+type visits struct {
+	mu   sync.Mutex
+	byID map[string]*visit
+}
+
+func (v *visits) note(id string, set func(*visit)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.byID == nil {
+		v.byID = map[string]*visit{}
+	}
+	if v.byID[id] == nil {
+		v.byID[id] = &visit{}
+	}
+	set(v.byID[id])
+}
+
+// judge returns the requests that ran when their clients left and would have lasted longer, those of them
+// at which an endpoint was still at work goneAfter later, and the requests that reached an endpoint later.
+func (v *visits) judge() (running, atWork, late int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, x := range v.byID {
+		limit := x.left.Add(goneAfter)
+		switch {
+		case x.left.IsZero() || x.arrived.IsZero():
+		case x.arrived.After(limit):
+			late++
+		case x.repeatable && x.arrived.Add(x.lasts).After(limit):
+			running++
+			if x.ended.IsZero() || x.ended.After(limit) {
+				atWork++
+			}
+		}
+	}
+	return running, atWork, late
+}
+
+// leavePhase is a part of the scenario.
+type leavePhase struct {
+	path string
+	// requests is the number of requests that a client sends at a time.
+	requests int
+	lasts    time.Duration
+	deadline time.Duration
+}
+
+var leavePhases = []leavePhase{
+	{path: "/storm/", requests: 1, lasts: leavePrefill + leaveEvents*leaveEventInterval, deadline: 8 * time.Second},
+	{path: "/storm/", requests: 2, lasts: leavePrefill + leaveEvents*leaveEventInterval, deadline: 8 * time.Second},
+	{path: plainPrefix, requests: 2, lasts: leavePrefill, deadline: 3 * time.Second},
+}
+
+// playLeaving plays the scenario. The clients send one request at a time first, to compare.
+func playLeaving(ctx context.Context, e *environment) (broken bool, err error) {
+	s := newStore()
+	s.put("config", "main", []byte(manifest(3, []route{{
+		name: "r-storm", prefix: "/storm/", kind: "streaming", service: "bulletin", timeoutMS: 8000, goalMS: 1000, priority: 2, attempts: 1, sticky: true,
+	}, {
+		name: "r-push", prefix: plainPrefix, kind: "non_idempotent", service: "bulletin", timeoutMS: 3000, goalMS: 300, attempts: 1,
+	}}, []service{{"bulletin", 610}})))
+	storeURL, err := serve(ctx, s)
+	if err != nil {
+		return false, err
+	}
+	var seen visits
+	for i := range leaveEndpoints {
+		x := &endpoint{
+			id: fmt.Sprintf("i-%02d", i+1), service: "bulletin", slots: leaveSlots, events: leaveEvents, interval: leaveEventInterval, prefill: leavePrefill, store: s,
+		}
+		x.onRun = func(x *endpoint, id, _ string) {
+			seen.note(id, func(v *visit) { v.arrived = time.Now() })
+			e.record.printf("%s begins to run %s", x.id, id)
+		}
+		x.onEnd = func(x *endpoint, id string, complete bool) {
+			seen.note(id, func(v *visit) { v.ended = time.Now() })
+			e.record.printf("%s ends the run of %s, complete %t", x.id, id, complete)
+		}
+		if err := x.start(ctx); err != nil {
+			return false, err
+		}
+		go x.run(ctx)
+	}
+	f, err := newFleet(e.dir, storeURL, leaveGateways, 8*time.Second, 52)
+	if err != nil {
+		return false, err
+	}
+	defer f.killAll()
+	if err := f.startAll(ctx); err != nil {
+		return false, err
+	}
+	for _, p := range leavePhases {
+		e.record.printf("clients send %d at a time to %s", p.requests, p.path)
+		visitAll(ctx, e, f, &seen, p)
+		running, atWork, late := seen.judge()
+		e.record.printf("so far %d streams ran when their clients left and would have lasted longer; endpoints were still at work on %d of them %s later, %d of which are allowed; %d requests reached an endpoint later than that", running, atWork, goneAfter, int(goneShare*float64(running)), late)
+		broken = float64(atWork) > goneShare*float64(running) || late > goneFew
+	}
+	return broken, nil
+}
+
+// visitAll lets all clients open channels for leaveLength.
+func visitAll(ctx context.Context, e *environment, f *fleet, seen *visits, p leavePhase) {
+	end := time.Now().Add(leaveLength)
+	var clients sync.WaitGroup
+	for i := range leaveClients {
+		leaves := e.trouble && i < leavers
+		clients.Go(func() {
+			for time.Now().Before(end) {
+				again := time.Now().Add(leaveTurn)
+				if err := visitOnce(ctx, e, f.gateways[i%len(f.gateways)], seen, p, leaves); err != nil {
+					e.record.printf("a client had no answer: %v", err)
+				}
+				time.Sleep(time.Until(again))
+			}
+		})
+	}
+	clients.Wait()
+	time.Sleep(leaveRest)
+}
+
+// visitOnce opens a channel, sends requests on it, and reads the answers or leaves: it closes the channel.
+func visitOnce(ctx context.Context, e *environment, g *gateway, seen *visits, p leavePhase, leaves bool) error {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", g.front)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	var ids []string
+	var text strings.Builder
+	const body = "draft a bulletin"
+	for range p.requests {
+		id := newID()
+		ids = append(ids, id)
+		fmt.Fprintf(&text, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", p.path, host,
+			names.RequestID, id, names.Deadline, p.deadline.Milliseconds(), names.APIKey, apiKey, len(body), body)
+	}
+	sent := strings.Join(ids, " and ")
+	e.record.printf("a client sends %s to %s", sent, g.name)
+	if _, err := conn.Write([]byte(text.String())); err != nil {
+		return err
+	}
+	if !leaves {
+		_ = conn.SetReadDeadline(time.Now().Add(time.Duration(p.requests) * p.deadline))
+		statuses, err := readAnswers(conn, len(ids))
+		e.record.printf("the client of %s is answered %v", sent, statuses)
+		return err
+	}
+	time.Sleep(leaveAfter)
+	for _, id := range ids {
+		seen.note(id, func(v *visit) {
+			v.left, v.lasts, v.repeatable = time.Now(), p.lasts, p.path != plainPrefix
+		})
+	}
+	e.record.printf("the client of %s closes its channel", sent)
+	return nil
+}
