--- a/review/rig2/crashing.go
+++ b/review/rig2/crashing.go
@@ -9,23 +9,39 @@
 	"time"
 )
 
-// The scenario "crashing": one request crashes each endpoint that begins to run it, and comes again and
-// again at any gateway, beside many others that run.
+// crashPlan is a scenario in which one request crashes each endpoint that begins to run it, and comes again and
+// again at any gateway, beside others that run.
+type crashPlan struct {
+	gateways, endpoints int
+	// others is the number of other requests that are in progress at once for each endpoint.
+	others int
+	// warmUp is how long the others run before the first crash, and length the time from then on.
+	warmUp, length time.Duration
+	// again is the time after which the request comes again.
+	again time.Duration
+	// crashAfter is how long the request runs before the endpoint crashes.
+	crashAfter time.Duration
+	// leaveAfter is when the client of the request leaves; 0 means that it stays.
+	leaveAfter time.Duration
+}
+
+// crashing is a plan with busy endpoints. For their first minute gateways need less evidence, so that the first
+// crash comes after it.
+var crashing = crashPlan{gateways: 2, endpoints: 8, others: 122, warmUp: 61 * time.Second, length: 48 * time.Second, again: 6 * time.Second}
+
+// impatient is a plan in which the client of the request doesn't wait for its answer.
+var impatient = crashPlan{
+	gateways: 3, endpoints: 4, others: 10, warmUp: 5 * time.Second, length: 48 * time.Second, again: 4 * time.Second,
+	crashAfter: 300 * time.Millisecond, leaveAfter: 200 * time.Millisecond,
+}
+
 const (
-	crashGateways, crashEndpoints = 2, 8
 	// crashSlots are those of a bulletin worker of the small deployment.
 	crashSlots = 128
-	// crashOthers is the number of other requests that are in progress at once for each endpoint.
-	crashOthers = 104
 	// crashEvents and crashEventInterval make an answer as long as a long one of the small deployment.
 	crashEvents, crashEventInterval = 30, 200 * time.Millisecond
 	// crashDown is the time after which a crashed endpoint is back.
 	crashDown = 2 * time.Second
-	// crashAgain is the time after which the request comes again.
-	crashAgain = 6 * time.Second
-	// crashWarmUp is how long the others run before the first crash: for their first minute gateways need
-	// less evidence. crashLength is the time from then on.
-	crashWarmUp, crashLength = 61 * time.Second, 48 * time.Second
 	// contact and freeCrashes are the rule's: the retries count from contact after that many crashes on,
 	// and maxRetries are allowed.
 	contact                 = 3 * time.Second
@@ -61,8 +77,23 @@
 	return n
 }
 
-// playCrashing plays the scenario, and returns whether the rule was broken.
 func playCrashing(ctx context.Context, e *environment) (broken bool, err error) {
+	return crashing.play(ctx, e)
+}
+
+// playPatient is playImpatient with a client that stays, to compare.
+func playPatient(ctx context.Context, e *environment) (broken bool, err error) {
+	p := impatient
+	p.leaveAfter = 0
+	return p.play(ctx, e)
+}
+
+func playImpatient(ctx context.Context, e *environment) (broken bool, err error) {
+	return impatient.play(ctx, e)
+}
+
+// play plays the scenario, and returns whether the rule was broken.
+func (p crashPlan) play(ctx context.Context, e *environment) (broken bool, err error) {
 	s := newStore()
 	s.put("config", "main", []byte(manifest(3, []route{{
 		name: "r-scint", prefix: "/scint/", kind: "streaming", service: "bulletin", timeoutMS: 5000, goalMS: 400, priority: 1, attempts: 2, sticky: true, resumable: true,
@@ -75,9 +106,9 @@
 	}
 	var log crashLog
 	var endpoints []*endpoint
-	for i := range crashEndpoints {
+	for i := range p.endpoints {
 		x := &endpoint{
-			id: fmt.Sprintf("i-%02d", i+1), service: "bulletin", slots: crashSlots, events: crashEvents, interval: crashEventInterval, store: s, downFor: crashDown,
+			id: fmt.Sprintf("i-%02d", i+1), service: "bulletin", slots: crashSlots, events: crashEvents, interval: crashEventInterval, store: s, downFor: crashDown, crashAfter: p.crashAfter,
 		}
 		x.crashes = func(x *endpoint, id, body string) bool {
 			if body != crashingBody {
@@ -93,20 +124,19 @@
 		go x.run(ctx)
 		endpoints = append(endpoints, x)
 	}
-	f, err := newFleet(e.dir, storeURL, crashGateways, 8*time.Second, 52)
+	f, err := e.newFleet(storeURL, p.gateways, 52)
 	if err != nil {
 		return false, err
 	}
-	defer f.killAll()
 	if err := f.startAll(ctx); err != nil {
 		return false, err
 	}
 	c := newCaller()
-	for i := range crashEndpoints * crashOthers {
+	for i := range p.endpoints * p.others {
 		go sendOthers(ctx, c, f.gateways[i%len(f.gateways)], i)
 	}
-	time.Sleep(crashWarmUp)
-	sendCrashing(ctx, e, c, f, &log)
+	time.Sleep(p.warmUp)
+	p.sendCrashing(ctx, e, c, f, &log)
 	for _, x := range endpoints {
 		_, most := x.load()
 		e.record.printf("%s ran %d requests at once at most", x.id, most)
@@ -119,19 +149,29 @@
 }
 
 // sendCrashing sends the request that crashes endpoints again and again, at each gateway in turn.
-func sendCrashing(ctx context.Context, e *environment, c *caller, f *fleet, log *crashLog) {
-	end := time.Now().Add(crashLength)
+func (p crashPlan) sendCrashing(ctx context.Context, e *environment, c *caller, f *fleet, log *crashLog) {
+	end := time.Now().Add(p.length)
 	for n := 0; time.Now().Before(end) && log.counted() <= maxRetries; n++ {
 		g := f.gateways[n%len(f.gateways)]
-		again := time.Now().Add(crashAgain)
+		again := time.Now().Add(p.again)
 		r := request{id: newID(), path: "/scint/", body: crashingBody, deadline: 5 * time.Second, fields: promptFields("c0ffee")}
 		e.record.printf("the crashing request is sent to %s as %s", g.name, r.id)
-		a := c.send(ctx, g, r)
+		a := p.ask(ctx, c, g, r)
 		e.record.printf("%s is answered %d, complete %t, %v", r.id, a.status, a.complete, a.err)
 		time.Sleep(time.Until(again))
 	}
 }
 
+// ask sends the request, and leaves if the plan says so.
+func (p crashPlan) ask(ctx context.Context, c *caller, g *gateway, r request) answer {
+	if p.leaveAfter > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, p.leaveAfter)
+		defer cancel()
+	}
+	return c.send(ctx, g, r)
+}
+
 // promptFields are those that describe a prompt of one part, which no other request has.
 func promptFields(part string) map[string]string {
 	return map[string]string{names.PromptSize: "1460,180", names.PromptParts: part + ":1460"}
--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -33,6 +33,8 @@
 	// returns true, and is back after downFor.
 	crashes func(e *endpoint, id, body string) bool
 	downFor time.Duration
+	// crashAfter is how long such a request runs before that, whether or not its channel is closed.
+	crashAfter time.Duration
 	// onRun, if set, is called for each request that begins to run, and onEnd when its run ends.
 	onRun func(e *endpoint, id, body string)
 	onEnd func(e *endpoint, id string, complete bool)
@@ -155,6 +157,7 @@
 		e.onRun(e, id, string(body))
 	}
 	if e.crashes != nil && e.crashes(e, id, string(body)) {
+		time.Sleep(e.crashAfter)
 		e.crash(context.Background())
 		panic(http.ErrAbortHandler)
 	}
--- a/review/rig2/leaving.go
+++ b/review/rig2/leaving.go
@@ -126,11 +126,10 @@
 		}
 		go x.run(ctx)
 	}
-	f, err := newFleet(e.dir, storeURL, leaveGateways, 8*time.Second, 52)
+	f, err := e.newFleet(storeURL, leaveGateways, 52)
 	if err != nil {
 		return false, err
 	}
-	defer f.killAll()
 	if err := f.startAll(ctx); err != nil {
 		return false, err
 	}
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -12,8 +15,12 @@
 	exitHeld, exitBroken, exitNotRun = 0, 1, 2
 )
 
-// scenarioTimeout ends a scenario that hangs.
-const scenarioTimeout = 115 * time.Second
+const (
+	// scenarioTimeout ends a scenario that hangs.
+	scenarioTimeout = 115 * time.Second
+	// grace is that of the small deployment.
+	grace = 8 * time.Second
+)
 
 // environment is what a scenario is given.
 type environment struct {
@@ -22,12 +29,38 @@
 	// dir is a temporary folder.
 	dir    string
 	record *record
+
+	mu     sync.Mutex
+	fleets []*fleet
+}
+
+// newFleet is newFleet for gateways that end with the scenario.
+func (e *environment) newFleet(storeURL string, n int, slack float64) (*fleet, error) {
+	f, err := newFleet(e.dir, storeURL, n, grace, slack)
+	if err != nil {
+		return nil, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fleets = append(e.fleets, f)
+	return f, nil
+}
+
+// killAll ends all processes that were started.
+func (e *environment) killAll() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, f := range e.fleets {
+		f.killAll()
+	}
 }
 
 // scenarios are the plays, by name. Each returns whether the rule was broken.
 var scenarios = map[string]func(context.Context, *environment) (bool, error){
-	"crashing": playCrashing,
-	"leaving":  playLeaving,
+	"crashing":  playCrashing,
+	"impatient": playImpatient,
+	"patient":   playPatient,
+	"leaving":   playLeaving,
 }
 
 func main() { os.Exit(run()) }
@@ -37,7 +70,9 @@
 		fmt.Fprintln(os.Stderr, "usage: rig2 SCENARIO RECORD")
 		return exitNotRun
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), scenarioTimeout)
+	signals, stopSignals := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stopSignals()
+	ctx, cancel := context.WithTimeout(signals, scenarioTimeout)
 	defer cancel()
 	dir, err := os.MkdirTemp("", "rig2-")
 	if err != nil {
@@ -51,6 +86,14 @@
 		return exitNotRun
 	}
 	e := &environment{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: r}
+	defer e.killAll()
+	stop := context.AfterFunc(ctx, func() {
+		r.printf("the scenario was ended: %v", context.Cause(ctx))
+		e.killAll()
+		_ = os.RemoveAll(dir)
+		os.Exit(exitNotRun)
+	})
+	defer stop()
 	broken, err := scenarios[os.Args[1]](ctx, e)
 	switch {
 	case err != nil:
