--- a/review/rig2/crashing.go
+++ b/review/rig2/crashing.go
@@ -17,7 +17,7 @@
 	others int
 	// warmUp is how long the others run before the first crash, and length the time from then on.
 	warmUp, length time.Duration
-	// again is the time after which the request comes again.
+	// again is the time after which the request comes again, at the next gateway.
 	again time.Duration
 	// crashAfter is how long the request runs before the endpoint crashes.
 	crashAfter time.Duration
@@ -27,7 +27,7 @@
 
 // crashing is a plan with busy endpoints. For their first minute gateways need less evidence, so that the first
 // crash comes after it.
-var crashing = crashPlan{gateways: 2, endpoints: 8, others: 122, warmUp: 61 * time.Second, length: 48 * time.Second, again: 6 * time.Second}
+var crashing = crashPlan{gateways: 2, endpoints: 8, others: 120, warmUp: 61 * time.Second, length: 48 * time.Second, again: 5500 * time.Millisecond}
 
 // impatient is a plan in which the client of the request doesn't wait for its answer.
 var impatient = crashPlan{
@@ -39,7 +39,9 @@
 	// crashSlots are those of a bulletin worker of the small deployment.
 	crashSlots = 128
 	// crashEvents and crashEventInterval make an answer as long as a long one of the small deployment.
-	crashEvents, crashEventInterval = 30, 200 * time.Millisecond
+	crashEvents, crashEventInterval = 45, 200 * time.Millisecond
+	// crashRefused is the time after which the client of a refused request asks the same gateway again.
+	crashRefused = 700 * time.Millisecond
 	// crashDown is the time after which a crashed endpoint is back.
 	crashDown = 2 * time.Second
 	// contact and freeCrashes are the rule's: the retries count from contact after that many crashes on,
@@ -96,8 +98,6 @@
 func (p crashPlan) play(ctx context.Context, e *environment) (broken bool, err error) {
 	s := newStore()
 	s.put("config", "main", []byte(manifest(3, []route{{
-		name: "r-scint", prefix: "/scint/", kind: "streaming", service: "bulletin", timeoutMS: 5000, goalMS: 400, priority: 1, attempts: 2, sticky: true, resumable: true,
-	}, {
 		name: "r-pilot", prefix: "/pilot/", kind: "streaming", service: "bulletin", timeoutMS: 10000, goalMS: 250, attempts: 1, sticky: true,
 	}}, []service{{"bulletin", 610}})))
 	storeURL, err := serve(ctx, s)
@@ -151,13 +151,18 @@
 // sendCrashing sends the request that crashes endpoints again and again, at each gateway in turn.
 func (p crashPlan) sendCrashing(ctx context.Context, e *environment, c *caller, f *fleet, log *crashLog) {
 	end := time.Now().Add(p.length)
-	for n := 0; time.Now().Before(end) && log.counted() <= maxRetries; n++ {
+	for n := 0; time.Now().Before(end) && log.counted() <= maxRetries; {
 		g := f.gateways[n%len(f.gateways)]
 		again := time.Now().Add(p.again)
-		r := request{id: newID(), path: "/scint/", body: crashingBody, deadline: 5 * time.Second, fields: promptFields("c0ffee")}
+		r := request{id: newID(), path: "/pilot/", body: crashingBody, deadline: 10 * time.Second, fields: promptFields("c0ffee")}
 		e.record.printf("the crashing request is sent to %s as %s", g.name, r.id)
 		a := p.ask(ctx, c, g, r)
 		e.record.printf("%s is answered %d, complete %t, %v", r.id, a.status, a.complete, a.err)
+		if a.status == http.StatusServiceUnavailable {
+			time.Sleep(crashRefused)
+			continue
+		}
+		n++
 		time.Sleep(time.Until(again))
 	}
 }
