--- a/review/rig2/crashing.go
+++ b/review/rig2/crashing.go
@@ -23,6 +23,11 @@
 	crashAfter time.Duration
 	// leaveAfter is when the client of the request leaves; 0 means that it stays.
 	leaveAfter time.Duration
+	// together is set if the request comes again before it is answered.
+	together bool
+	// killAt is the number of crashes at which all gateways are killed, and 0 if they aren't; they start again
+	// after killDown.
+	killAt int
 }
 
 // crashing is a plan with busy endpoints. For their first minute gateways need less evidence, so that the first
@@ -35,7 +40,15 @@
 	crashAfter: 300 * time.Millisecond, leaveAfter: 200 * time.Millisecond,
 }
 
+// killed is a plan in which all gateways are killed at the third crash.
+var killed = crashPlan{
+	gateways: 6, endpoints: 6, others: 10, warmUp: 5 * time.Second, length: 40 * time.Second, again: 300 * time.Millisecond,
+	crashAfter: 4 * time.Second, together: true, killAt: freeCrashes,
+}
+
 const (
+	// killDown is the time after which killed gateways start again.
+	killDown = 500 * time.Millisecond
 	// crashSlots are those of a bulletin worker of the small deployment.
 	crashSlots = 128
 	// crashEvents and crashEventInterval make an answer as long as a long one of the small deployment.
@@ -51,10 +64,27 @@
 	crashingBody            = "the prompt that crashes each worker"
 )
 
-// crashLog has the times at which the request reached an endpoint.
+// crashLog has the times at which the request reached an endpoint, and those of the crashes.
 type crashLog struct {
-	mu      sync.Mutex
-	arrived []time.Time
+	mu               sync.Mutex
+	arrived, crashed []time.Time
+	// started is when the gateways were ready again, if they were killed.
+	started time.Time
+}
+
+// restarted notes that killed gateways are ready again. They are in touch contact later.
+func (l *crashLog) restarted(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.started = now
+}
+
+// addCrash adds a crash, and returns the number of crashes.
+func (l *crashLog) addCrash(now time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashed = append(l.crashed, now)
+	return len(l.crashed)
 }
 
 func (l *crashLog) add(now time.Time) int {
@@ -68,11 +98,11 @@
 func (l *crashLog) counted() (n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.arrived) < freeCrashes {
+	if len(l.crashed) < freeCrashes {
 		return 0
 	}
 	for _, at := range l.arrived {
-		if at.Sub(l.arrived[freeCrashes-1]) > contact {
+		if at.Sub(l.crashed[freeCrashes-1]) > contact && at.Sub(l.started) > contact {
 			n++
 		}
 	}
@@ -83,6 +113,10 @@
 	return crashing.play(ctx, e)
 }
 
+func playKilled(ctx context.Context, e *environment) (broken bool, err error) {
+	return killed.play(ctx, e)
+}
+
 // playPatient is playImpatient with a client that stays, to compare.
 func playPatient(ctx context.Context, e *environment) (broken bool, err error) {
 	p := impatient
@@ -105,6 +139,7 @@
 		return false, err
 	}
 	var log crashLog
+	kill := make(chan struct{})
 	var endpoints []*endpoint
 	for i := range p.endpoints {
 		x := &endpoint{
@@ -118,6 +153,13 @@
 			e.record.printf("%s begins to run the crashing request as %s: arrival %d; %d requests run there", x.id, id, log.add(time.Now()), running)
 			return e.trouble
 		}
+		x.onCrash = func(x *endpoint) {
+			n := log.addCrash(time.Now())
+			e.record.printf("%s crashes: crash %d", x.id, n)
+			if n == p.killAt {
+				close(kill)
+			}
+		}
 		if err := x.start(ctx); err != nil {
 			return false, err
 		}
@@ -128,6 +170,7 @@
 	if err != nil {
 		return false, err
 	}
+	go f.restartAll(ctx, e.record, kill, log.restarted)
 	if err := f.startAll(ctx); err != nil {
 		return false, err
 	}
@@ -154,11 +197,14 @@
 	for n := 0; time.Now().Before(end) && log.counted() <= maxRetries; {
 		g := f.gateways[n%len(f.gateways)]
 		again := time.Now().Add(p.again)
-		r := request{id: newID(), path: "/pilot/", body: crashingBody, deadline: 10 * time.Second, fields: promptFields("c0ffee")}
-		e.record.printf("the crashing request is sent to %s as %s", g.name, r.id)
-		a := p.ask(ctx, c, g, r)
-		e.record.printf("%s is answered %d, complete %t, %v", r.id, a.status, a.complete, a.err)
-		if a.status == http.StatusServiceUnavailable {
+		if p.together {
+			go p.sendOnce(ctx, e, c, g)
+			n++
+			time.Sleep(p.again)
+			continue
+		}
+		refused := p.sendOnce(ctx, e, c, g)
+		if refused {
 			time.Sleep(crashRefused)
 			continue
 		}
@@ -167,6 +213,15 @@
 	}
 }
 
+// sendOnce sends the request that crashes endpoints, and reports whether it was refused.
+func (p crashPlan) sendOnce(ctx context.Context, e *environment, c *caller, g *gateway) (refused bool) {
+	r := request{id: newID(), path: "/pilot/", body: crashingBody, deadline: 10 * time.Second, fields: promptFields("c0ffee")}
+	e.record.printf("the crashing request is sent to %s as %s", g.name, r.id)
+	a := p.ask(ctx, c, g, r)
+	e.record.printf("%s is answered %d, complete %t, %v", r.id, a.status, a.complete, a.err)
+	return a.status == http.StatusServiceUnavailable
+}
+
 // ask sends the request, and leaves if the plan says so.
 func (p crashPlan) ask(ctx context.Context, c *caller, g *gateway, r request) answer {
 	if p.leaveAfter > 0 {
--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -35,6 +35,8 @@
 	downFor time.Duration
 	// crashAfter is how long such a request runs before that, whether or not its channel is closed.
 	crashAfter time.Duration
+	// onCrash, if set, is called at each crash.
+	onCrash func(e *endpoint)
 	// onRun, if set, is called for each request that begins to run, and onEnd when its run ends.
 	onRun func(e *endpoint, id, body string)
 	onEnd func(e *endpoint, id string, complete bool)
@@ -110,14 +112,18 @@
 }
 
 // crash closes the listener and then the connections in the order of their descriptors, as the kernel does at
-// the end of a process, and starts again later.
-func (e *endpoint) crash(ctx context.Context) {
+// the end of a process, and starts again later. born is the start of the process that crashes.
+func (e *endpoint) crash(ctx context.Context, born time.Time) {
 	e.mu.Lock()
+	if e.server == nil || !e.born.Equal(born) {
+		e.mu.Unlock()
+		return // Another request has crashed it before.
+	}
 	server, listener, conns := e.server, e.listener, slices.Clone(e.conns)
 	e.server, e.running = nil, map[*http.Request]bool{}
 	e.mu.Unlock()
-	if server == nil {
-		return
+	if e.onCrash != nil {
+		e.onCrash(e)
 	}
 	_ = listener.Close()
 	for _, conn := range conns {
@@ -157,13 +163,21 @@
 		e.onRun(e, id, string(body))
 	}
 	if e.crashes != nil && e.crashes(e, id, string(body)) {
+		born := e.bornAt()
 		time.Sleep(e.crashAfter)
-		e.crash(context.Background())
+		e.crash(context.Background(), born)
 		panic(http.ErrAbortHandler)
 	}
 	e.stream(w, r, id)
 }
 
+// bornAt returns the start of the process that runs.
+func (e *endpoint) bornAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.born
+}
+
 // enter takes a slot.
 func (e *endpoint) enter(r *http.Request) bool {
 	e.mu.Lock()
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -180,6 +180,24 @@
 	}
 }
 
+// restartAll kills all gateways once kill is closed, and starts them again. done is called when they are ready.
+func (f *fleet) restartAll(ctx context.Context, r *record, kill <-chan struct{}, done func(now time.Time)) {
+	select {
+	case <-kill:
+	case <-ctx.Done():
+		return
+	}
+	f.killAll()
+	r.printf("all gateways are killed")
+	time.Sleep(killDown)
+	if err := f.startAll(ctx); err != nil {
+		r.printf("the gateways did not start again: %v", err)
+		return
+	}
+	done(time.Now())
+	r.printf("all gateways are ready again")
+}
+
 // logLines returns the lines of all gateways' logs that contain a word.
 func (f *fleet) logLines(word string) (lines []string) {
 	for _, g := range f.gateways {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -59,6 +59,7 @@
 var scenarios = map[string]func(context.Context, *environment) (bool, error){
 	"crashing":  playCrashing,
 	"impatient": playImpatient,
+	"killed":    playKilled,
 	"patient":   playPatient,
 	"leaving":   playLeaving,
 }
