--- a/review/rig2/crashing.go
+++ b/review/rig2/crashing.go
@@ -23,6 +23,8 @@
 	crashAfter time.Duration
 	// leaveAfter is when the client of the request leaves; 0 means that it stays.
 	leaveAfter time.Duration
+	// drops is set if an endpoint drops the request when its channel closes, and doesn't crash then.
+	drops bool
 	// together is set if the request comes again before it is answered.
 	together bool
 	// killAt is the number of crashes at which all gateways are killed, and 0 if they aren't; they start again
@@ -40,10 +42,11 @@
 	crashAfter: 300 * time.Millisecond, leaveAfter: 200 * time.Millisecond,
 }
 
-// killed is a plan in which all gateways are killed at the third crash.
+// killed is a plan in which all gateways are killed at the third crash, before the block that follows from it is
+// stored. For their first minute gateways block a request sooner, so that the first crash comes after it.
 var killed = crashPlan{
-	gateways: 6, endpoints: 6, others: 10, warmUp: 5 * time.Second, length: 40 * time.Second, again: 300 * time.Millisecond,
-	crashAfter: 4 * time.Second, together: true, killAt: freeCrashes,
+	gateways: 6, endpoints: 6, others: 10, warmUp: 61 * time.Second, length: 30 * time.Second, again: 200 * time.Millisecond,
+	crashAfter: 4500 * time.Millisecond, drops: true, together: true, killAt: freeCrashes,
 }
 
 const (
@@ -143,7 +146,7 @@
 	var endpoints []*endpoint
 	for i := range p.endpoints {
 		x := &endpoint{
-			id: fmt.Sprintf("i-%02d", i+1), service: "bulletin", slots: crashSlots, events: crashEvents, interval: crashEventInterval, store: s, downFor: crashDown, crashAfter: p.crashAfter,
+			id: fmt.Sprintf("i-%02d", i+1), service: "bulletin", slots: crashSlots, events: crashEvents, interval: crashEventInterval, store: s, downFor: crashDown, crashAfter: p.crashAfter, drops: p.drops,
 		}
 		x.crashes = func(x *endpoint, id, body string) bool {
 			if body != crashingBody {
@@ -194,6 +197,9 @@
 // sendCrashing sends the request that crashes endpoints again and again, at each gateway in turn.
 func (p crashPlan) sendCrashing(ctx context.Context, e *environment, c *caller, f *fleet, log *crashLog) {
 	end := time.Now().Add(p.length)
+	if !e.trouble {
+		end = end.Add(-crashEvents * crashEventInterval) // The last answer is read to its end.
+	}
 	for n := 0; time.Now().Before(end) && log.counted() <= maxRetries; {
 		g := f.gateways[n%len(f.gateways)]
 		again := time.Now().Add(p.again)
--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -33,8 +33,10 @@
 	// returns true, and is back after downFor.
 	crashes func(e *endpoint, id, body string) bool
 	downFor time.Duration
-	// crashAfter is how long such a request runs before that, whether or not its channel is closed.
+	// crashAfter is how long such a request runs before that, whether or not its channel is closed. If drops is
+	// set, the request ends with its channel.
 	crashAfter time.Duration
+	drops      bool
 	// onCrash, if set, is called at each crash.
 	onCrash func(e *endpoint)
 	// onRun, if set, is called for each request that begins to run, and onEnd when its run ends.
@@ -163,8 +165,11 @@
 		e.onRun(e, id, string(body))
 	}
 	if e.crashes != nil && e.crashes(e, id, string(body)) {
-		born := e.bornAt()
-		time.Sleep(e.crashAfter)
+		born, began := e.bornAt(), time.Now()
+		if stayed := pause(r.Context(), e.crashAfter); !stayed && e.drops {
+			return
+		}
+		time.Sleep(time.Until(began.Add(e.crashAfter)))
 		e.crash(context.Background(), born)
 		panic(http.ErrAbortHandler)
 	}
