--- a/review/rig2/crashing.go
+++ b/review/rig2/crashing.go
@@ -128,6 +128,9 @@
 }
 
 func playImpatient(ctx context.Context, e *environment) (broken bool, err error) {
+	if !e.trouble {
+		return playPatient(ctx, e) // The client's leaving is a disruption, too.
+	}
 	return impatient.play(ctx, e)
 }
 
@@ -191,7 +194,7 @@
 		e.record.printf("%s", line)
 	}
 	e.record.printf("the crashing request reached endpoints %d times, %d of them later than %s after the third crash; %d are allowed", len(log.arrived), log.counted(), contact, maxRetries)
-	return e.trouble && log.counted() > maxRetries, nil
+	return log.counted() > maxRetries, nil
 }
 
 // sendCrashing sends the request that crashes endpoints again and again, at each gateway in turn.
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"os"
 	"os/signal"
@@ -67,8 +68,10 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: rig2 SCENARIO RECORD")
+	trouble := flag.Bool("trouble", true, "false plays the scenario without its disruptions")
+	flag.Parse()
+	if flag.NArg() != 2 || scenarios[flag.Arg(0)] == nil {
+		fmt.Fprintln(os.Stderr, "usage: rig2 [-trouble=false] SCENARIO RECORD")
 		return exitNotRun
 	}
 	signals, stopSignals := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -81,12 +84,12 @@
 		return exitNotRun
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	r, err := newRecord(os.Args[2])
+	r, err := newRecord(flag.Arg(1))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	e := &environment{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: r}
+	e := &environment{trouble: *trouble, dir: dir, record: r}
 	defer e.killAll()
 	stop := context.AfterFunc(ctx, func() {
 		r.printf("the scenario was ended: %v", context.Cause(ctx))
@@ -95,7 +98,7 @@
 		os.Exit(exitNotRun)
 	})
 	defer stop()
-	broken, err := scenarios[os.Args[1]](ctx, e)
+	broken, err := scenarios[flag.Arg(0)](ctx, e)
 	switch {
 	case err != nil:
 		r.printf("the scenario could not be played: %v", err)
