--- a/review/rig2/caller.go
+++ b/review/rig2/caller.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -22,6 +23,9 @@
 	return &caller{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxCallerConns, DisableCompression: true}}}
 }
 
+// defaultWait is the time until a client comes again that wasn't told when.
+const defaultWait = 500 * time.Millisecond
+
 // newID returns the id of a client attempt.
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
@@ -38,7 +42,20 @@
 	complete bool
 	signed   bool
 	bytes    int
-	err      error
+	// retryAfter is when the client may come again, or 0 if it wasn't told.
+	retryAfter time.Duration
+	err        error
+}
+
+// maxWaitShare is the part, one in so many, of its time for which a client waits as it is told.
+const maxWaitShare = 3
+
+// wait returns how long the client of a request that was not served waits until it comes again.
+func (a answer) wait(deadline time.Duration) time.Duration {
+	if a.retryAfter > 0 {
+		return min(a.retryAfter, deadline/maxWaitShare)
+	}
+	return defaultWait
 }
 
 // send sends a request to a gateway and reads the whole answer.
@@ -62,8 +79,13 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	n, err := io.Copy(io.Discard, response.Body)
+	seconds, parseErr := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if parseErr != nil {
+		seconds = 0
+	}
 	return answer{
-		status: response.StatusCode, complete: err == nil, signed: response.Header.Get(names.ResponseSignature) != "", bytes: int(n), err: err,
+		retryAfter: time.Duration(seconds * float64(time.Second)),
+		status:     response.StatusCode, complete: err == nil, signed: response.Header.Get(names.ResponseSignature) != "", bytes: int(n), err: err,
 	}
 }
 
--- a/review/rig2/crashing.go
+++ b/review/rig2/crashing.go
@@ -25,7 +25,7 @@
 	leaveAfter time.Duration
 	// drops is set if an endpoint drops the request when its channel closes, and doesn't crash then.
 	drops bool
-	// together is set if the request comes again before it is answered.
+	// together is set if other clients of the caller send the request again before it is answered.
 	together bool
 	// killAt is the number of crashes at which all gateways are killed, and 0 if they aren't; they start again
 	// after killDown.
@@ -45,8 +45,8 @@
 // killed is a plan in which all gateways are killed at the third crash, before the block that follows from it is
 // stored. For their first minute gateways block a request sooner, so that the first crash comes after it.
 var killed = crashPlan{
-	gateways: 6, endpoints: 6, others: 10, warmUp: 61 * time.Second, length: 30 * time.Second, again: 200 * time.Millisecond,
-	crashAfter: 4500 * time.Millisecond, drops: true, together: true, killAt: freeCrashes,
+	gateways: 6, endpoints: 6, others: 10, warmUp: 61 * time.Second, length: 30 * time.Second, again: time.Second,
+	crashAfter: 8 * time.Second, drops: true, together: true, killAt: freeCrashes,
 }
 
 const (
@@ -56,8 +56,8 @@
 	crashSlots = 128
 	// crashEvents and crashEventInterval make an answer as long as a long one of the small deployment.
 	crashEvents, crashEventInterval = 45, 200 * time.Millisecond
-	// crashRefused is the time after which the client of a refused request asks the same gateway again.
-	crashRefused = 700 * time.Millisecond
+	// crashDeadline is the time limit of all clients.
+	crashDeadline = 10 * time.Second
 	// crashDown is the time after which a crashed endpoint is back.
 	crashDown = 2 * time.Second
 	// contact and freeCrashes are the rule's: the retries count from contact after that many crashes on,
@@ -182,7 +182,7 @@
 	}
 	c := newCaller()
 	for i := range p.endpoints * p.others {
-		go sendOthers(ctx, c, f.gateways[i%len(f.gateways)], i)
+		go sendOthers(ctx, c, f.gateways, i)
 	}
 	time.Sleep(p.warmUp)
 	p.sendCrashing(ctx, e, c, f, &log)
@@ -206,29 +206,23 @@
 	for n := 0; time.Now().Before(end) && log.counted() <= maxRetries; {
 		g := f.gateways[n%len(f.gateways)]
 		again := time.Now().Add(p.again)
+		n++
 		if p.together {
 			go p.sendOnce(ctx, e, c, g)
-			n++
-			time.Sleep(p.again)
-			continue
+		} else if a := p.sendOnce(ctx, e, c, g); a.status == http.StatusServiceUnavailable {
+			again = time.Now().Add(a.wait(crashDeadline)) // It promises that the request has not run.
 		}
-		refused := p.sendOnce(ctx, e, c, g)
-		if refused {
-			time.Sleep(crashRefused)
-			continue
-		}
-		n++
 		time.Sleep(time.Until(again))
 	}
 }
 
-// sendOnce sends the request that crashes endpoints, and reports whether it was refused.
-func (p crashPlan) sendOnce(ctx context.Context, e *environment, c *caller, g *gateway) (refused bool) {
-	r := request{id: newID(), path: "/pilot/", body: crashingBody, deadline: 10 * time.Second, fields: promptFields("c0ffee")}
+// sendOnce sends the request that crashes endpoints, and waits for the answer.
+func (p crashPlan) sendOnce(ctx context.Context, e *environment, c *caller, g *gateway) answer {
+	r := request{id: newID(), path: "/pilot/", body: crashingBody, deadline: crashDeadline, fields: promptFields("c0ffee")}
 	e.record.printf("the crashing request is sent to %s as %s", g.name, r.id)
 	a := p.ask(ctx, c, g, r)
 	e.record.printf("%s is answered %d, complete %t, %v", r.id, a.status, a.complete, a.err)
-	return a.status == http.StatusServiceUnavailable
+	return a
 }
 
 // ask sends the request, and leaves if the plan says so.
@@ -246,13 +240,17 @@
 	return map[string]string{names.PromptSize: "1460,180", names.PromptParts: part + ":1460"}
 }
 
-// sendOthers sends requests with prompts of their own, one after the other.
-func sendOthers(ctx context.Context, c *caller, g *gateway, number int) {
+// sendOthers sends requests with prompts of their own, one after the other, at one gateway; after a failure it
+// goes on at the next one.
+func sendOthers(ctx context.Context, c *caller, gateways []*gateway, number int) {
+	at := number
 	for n := 0; ctx.Err() == nil; n++ {
+		g := gateways[at%len(gateways)]
 		part := fmt.Sprintf("%x", number*100000+n)
-		a := c.send(ctx, g, request{id: newID(), path: "/pilot/", body: "a question with the number " + part, deadline: 10 * time.Second, fields: promptFields(part)})
+		a := c.send(ctx, g, request{id: newID(), path: "/pilot/", body: "a question with the number " + part, deadline: crashDeadline, fields: promptFields(part)})
 		if !a.complete || a.status != http.StatusOK {
-			time.Sleep(200 * time.Millisecond)
+			at++
+			time.Sleep(a.wait(crashDeadline))
 		}
 	}
 }
--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -21,7 +21,7 @@
 )
 
 // plainPrefix begins the paths that are answered with a text in place of a stream.
-const plainPrefix = "/push/"
+const plainPrefix = "/map/"
 
 // endpoint is a stand-in for a model worker. It answers each request with a stream of numbered events.
 type endpoint struct {
--- a/review/rig2/fleet.go
+++ b/review/rig2/fleet.go
@@ -10,7 +10,9 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/primrosewell/primrosewell/platform"
@@ -111,7 +113,8 @@
 	g.command = exec.CommandContext(context.Background(), gatewayProgram, "gateway", "-adapter", "platform")
 	g.command.Env = append(os.Environ(), platform.Adapter().SettingsVariable+"="+g.file)
 	g.command.Stdout, g.command.Stderr = log, log
-	if err := g.command.Start(); err != nil {
+	g.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startFromThread(g.command); err != nil {
 		return err
 	}
 	exited, command := make(chan struct{}), g.command
@@ -124,6 +127,26 @@
 	return nil
 }
 
+// starting takes the processes to start.
+var starting = func() chan<- func() {
+	calls := make(chan func())
+	go func() {
+		// The kernel ends the processes with the thread that started them, so that none outlives the rig.
+		runtime.LockOSThread()
+		for call := range calls {
+			call()
+		}
+	}()
+	return calls
+}()
+
+// startFromThread starts a process from a thread that ends with this process alone.
+func startFromThread(command *exec.Cmd) error {
+	result := make(chan error)
+	starting <- func() { result <- command.Start() }
+	return <-result
+}
+
 // kill ends the process at once.
 func (g *gateway) kill() {
 	if g.command == nil {
--- a/review/rig2/leaving.go
+++ b/review/rig2/leaving.go
@@ -10,15 +10,16 @@
 )
 
 // The scenario "leaving": some clients leave before their time limit, and all pipeline their requests: they
-// send the second one on a channel before they have the answer to the first.
+// send the second one on a channel before they have the answer to the first. All requests are GETs of a route
+// whose requests may be repeated, which a client may pipeline.
 const (
 	leaveGateways, leaveEndpoints = 2, 3
-	leaveSlots                    = 128
-	// leavePrefill and the events make a request last as long as one that waits for other prompts.
-	leavePrefill                    = 1200 * time.Millisecond
-	leaveEvents, leaveEventInterval = 24, 30 * time.Millisecond
+	// leaveSlots are those of a receiver worker of the small deployment.
+	leaveSlots = 6
+	// leaveWork is how long a request runs, and leaveDeadline its time limit.
+	leaveWork, leaveDeadline = 1200 * time.Millisecond, 3 * time.Second
 	// leaveClients is the number of clients, and leavers that of those who leave: the pages allow 0.3 of them.
-	leaveClients, leavers = 30, 9
+	leaveClients, leavers = 12, 3
 	// leaveAfter is when a client leaves.
 	leaveAfter = 300 * time.Millisecond
 	// leaveTurn is the time from one channel of a client that leaves to its next, and leaveLength how long
@@ -36,10 +37,6 @@
 // visit is what is known of one request of a client that leaves.
 type visit struct {
 	left, arrived, ended time.Time
-	// lasts is how long it runs.
-	lasts time.Duration
-	// repeatable is set for streams, whose runs the rule counts.
-	repeatable bool
 }
 
 // visits are those of all requests, by id.
@@ -71,7 +68,7 @@
 		case x.left.IsZero() || x.arrived.IsZero():
 		case x.arrived.After(limit):
 			late++
-		case x.repeatable && x.arrived.Add(x.lasts).After(limit):
+		case x.arrived.Add(leaveWork).After(limit):
 			running++
 			if x.ended.IsZero() || x.ended.After(limit) {
 				atWork++
@@ -81,29 +78,12 @@
 	return running, atWork, late
 }
 
-// leavePhase is a part of the scenario.
-type leavePhase struct {
-	path string
-	// requests is the number of requests that a client sends at a time.
-	requests int
-	lasts    time.Duration
-	deadline time.Duration
-}
-
-var leavePhases = []leavePhase{
-	{path: "/storm/", requests: 1, lasts: leavePrefill + leaveEvents*leaveEventInterval, deadline: 8 * time.Second},
-	{path: "/storm/", requests: 2, lasts: leavePrefill + leaveEvents*leaveEventInterval, deadline: 8 * time.Second},
-	{path: plainPrefix, requests: 2, lasts: leavePrefill, deadline: 3 * time.Second},
-}
-
 // playLeaving plays the scenario. The clients send one request at a time first, to compare.
 func playLeaving(ctx context.Context, e *environment) (broken bool, err error) {
 	s := newStore()
 	s.put("config", "main", []byte(manifest(3, []route{{
-		name: "r-storm", prefix: "/storm/", kind: "streaming", service: "bulletin", timeoutMS: 8000, goalMS: 1000, priority: 2, attempts: 1, sticky: true,
-	}, {
-		name: "r-push", prefix: plainPrefix, kind: "non_idempotent", service: "bulletin", timeoutMS: 3000, goalMS: 300, attempts: 1,
-	}}, []service{{"bulletin", 610}})))
+		name: "r-map", prefix: plainPrefix, kind: "idempotent", service: "receiver", timeoutMS: int(leaveDeadline.Milliseconds()), goalMS: 300, attempts: 2,
+	}}, []service{{"receiver", 96}})))
 	storeURL, err := serve(ctx, s)
 	if err != nil {
 		return false, err
@@ -111,7 +91,7 @@
 	var seen visits
 	for i := range leaveEndpoints {
 		x := &endpoint{
-			id: fmt.Sprintf("i-%02d", i+1), service: "bulletin", slots: leaveSlots, events: leaveEvents, interval: leaveEventInterval, prefill: leavePrefill, store: s,
+			id: fmt.Sprintf("i-%02d", i+1), service: "receiver", slots: leaveSlots, prefill: leaveWork, store: s,
 		}
 		x.onRun = func(x *endpoint, id, _ string) {
 			seen.note(id, func(v *visit) { v.arrived = time.Now() })
@@ -133,18 +113,18 @@
 	if err := f.startAll(ctx); err != nil {
 		return false, err
 	}
-	for _, p := range leavePhases {
-		e.record.printf("clients send %d at a time to %s", p.requests, p.path)
-		visitAll(ctx, e, f, &seen, p)
+	for _, requests := range []int{1, 2} {
+		e.record.printf("clients send %d at a time", requests)
+		visitAll(ctx, e, f, &seen, requests)
 		running, atWork, late := seen.judge()
-		e.record.printf("so far %d streams ran when their clients left and would have lasted longer; endpoints were still at work on %d of them %s later, %d of which are allowed; %d requests reached an endpoint later than that", running, atWork, goneAfter, int(goneShare*float64(running)), late)
+		e.record.printf("so far %d requests ran when their clients left and would have lasted longer; endpoints were still at work on %d of them %s later, %d of which are allowed; %d requests reached an endpoint later than that", running, atWork, goneAfter, int(goneShare*float64(running)), late)
 		broken = float64(atWork) > goneShare*float64(running) || late > goneFew
 	}
 	return broken, nil
 }
 
 // visitAll lets all clients open channels for leaveLength.
-func visitAll(ctx context.Context, e *environment, f *fleet, seen *visits, p leavePhase) {
+func visitAll(ctx context.Context, e *environment, f *fleet, seen *visits, requests int) {
 	end := time.Now().Add(leaveLength)
 	var clients sync.WaitGroup
 	for i := range leaveClients {
@@ -152,7 +132,7 @@
 		clients.Go(func() {
 			for time.Now().Before(end) {
 				again := time.Now().Add(leaveTurn)
-				if err := visitOnce(ctx, e, f.gateways[i%len(f.gateways)], seen, p, leaves); err != nil {
+				if err := visitOnce(ctx, e, f.gateways[i%len(f.gateways)], seen, requests, leaves); err != nil {
 					e.record.printf("a client had no answer: %v", err)
 				}
 				time.Sleep(time.Until(again))
@@ -164,7 +144,7 @@
 }
 
 // visitOnce opens a channel, sends requests on it, and reads the answers or leaves: it closes the channel.
-func visitOnce(ctx context.Context, e *environment, g *gateway, seen *visits, p leavePhase, leaves bool) error {
+func visitOnce(ctx context.Context, e *environment, g *gateway, seen *visits, requests int, leaves bool) error {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", g.front)
 	if err != nil {
 		return err
@@ -172,12 +152,11 @@
 	defer func() { _ = conn.Close() }()
 	var ids []string
 	var text strings.Builder
-	const body = "draft a bulletin"
-	for range p.requests {
+	for range requests {
 		id := newID()
 		ids = append(ids, id)
-		fmt.Fprintf(&text, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", p.path, host,
-			names.RequestID, id, names.Deadline, p.deadline.Milliseconds(), names.APIKey, apiKey, len(body), body)
+		fmt.Fprintf(&text, "GET %stile HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n\r\n", plainPrefix, host,
+			names.RequestID, id, names.Deadline, leaveDeadline.Milliseconds(), names.APIKey, apiKey)
 	}
 	sent := strings.Join(ids, " and ")
 	e.record.printf("a client sends %s to %s", sent, g.name)
@@ -185,16 +164,14 @@
 		return err
 	}
 	if !leaves {
-		_ = conn.SetReadDeadline(time.Now().Add(time.Duration(p.requests) * p.deadline))
+		_ = conn.SetReadDeadline(time.Now().Add(time.Duration(requests) * leaveDeadline))
 		statuses, err := readAnswers(conn, len(ids))
 		e.record.printf("the client of %s is answered %v", sent, statuses)
 		return err
 	}
 	time.Sleep(leaveAfter)
 	for _, id := range ids {
-		seen.note(id, func(v *visit) {
-			v.left, v.lasts, v.repeatable = time.Now(), p.lasts, p.path != plainPrefix
-		})
+		seen.note(id, func(v *visit) { v.left = time.Now() })
 	}
 	e.record.printf("the client of %s closes its channel", sent)
 	return nil
